--- /dev/null
+++ b/balance/balance.go
@@ -0,0 +1,728 @@
+// Package balance decides for one aggregator: which replica serves each part of a query, when a part runs
+// again, when a query is answered and whom to decline.
+//
+// How to call it: New makes an aggregator. Facts go in as calls: ListWhole, ListChanged, ListFailed, Take,
+// Probed, and on the handle that Take returns AddPart, Outcome and Leave. Decide(now), once a tick, returns
+// what to do. Calls come in order of time, from one goroutine; instances share nothing, and nothing here
+// reads a clock or does I/O. The plain types of this interface are in types.go.
+package balance
+
+import (
+	"math"
+	"slices"
+)
+
+const (
+	ms = 1_000_000 // ns
+
+	priority   = 2  // Base Reference Cost of every replica: the source's default
+	channels   = 32 // own calls in flight at one server: the source's default
+	costLimit  = 127
+	waitShare  = 10 // a part waits at most its time budget / this for a channel: the design page's tenth
+	spareTicks = 3  // ticks kept free before a goal or a client's end, for the way back and a late round
+
+	spanBuckets = 8         // buckets in a ring: the span is known to an eighth
+	timeSpan    = 4000 * ms // how far back part times count: long enough for dozens, short enough to follow a jam
+	healthSpan  = 4000 * ms // how far back a replica's record counts
+	timeBase    = 1 * ms    // lower end of the histogram of part times
+	timeSteps   = 4         // bins for each doubling: a bin is 19% wide
+	timeBins    = 64        // up to 2^16 of the base, beyond any patience
+	priorShare  = 6         // a part not yet timed is taken to need its latency goal / this
+	patienceMul = 3.5       // an execution is overdue at so many medians: about the 97th percentile when calm
+	slowRatio   = 2.5       // a replica at so many times the middle replica's pace is slow
+	slowSample  = 4         // outcomes wanted before a pace is believed
+	failRun     = 2         // failures in a row that set a replica aside: one alone is chance
+	fleetFails  = 0.3       // when more than this share of all executions fails, the cause is not a replica
+	asideShare  = 3         // at most one replica in so many is set aside at once
+	holdFirst   = 1000 * ms // a replica set aside rests so long first; doubled at each relapse
+	holdLast    = 8000 * ms // and so long at most
+	trickleStep = 1000 * ms // a trickle's quota is for so long
+	trickleFull = 16        // quota at which a replica is back in
+	coldSafety  = 0.5       // share of the cold budget used: the list is late and work is a guess
+	comeBack    = 500 * ms  // advice to a declined client: a few part times
+	askAgain    = 1000 * ms // first wait after a failed list call, doubled up to eight times, with chance
+)
+
+// ring sums what happened over a span, in buckets of fixed width that are used again.
+type ring struct {
+	width  int64
+	sums   [spanBuckets + 1]float64
+	newest int64 // number of the newest bucket
+}
+
+func newRing(span int64) ring { return ring{width: max(span/spanBuckets, 1)} }
+
+func (r *ring) turn(now int64) {
+	n := now / r.width
+	for ; r.newest < n; r.newest++ {
+		if n-r.newest > int64(len(r.sums)) {
+			r.newest = n - int64(len(r.sums))
+		}
+		r.sums[(r.newest+1)%int64(len(r.sums))] = 0
+	}
+}
+
+func (r *ring) add(now int64, v float64) {
+	r.turn(now)
+	r.sums[r.newest%int64(len(r.sums))] += v
+}
+
+// sum covers the span and up to a bucket more.
+func (r *ring) sum(now int64) (s float64) {
+	r.turn(now)
+	for _, v := range r.sums {
+		s += v
+	}
+	return s
+}
+
+// within covers no more than the span: the oldest bucket is left out.
+func (r *ring) within(now int64) float64 {
+	r.turn(now)
+	return r.sum(now) - r.sums[(r.newest+1)%int64(len(r.sums))]
+}
+
+// chance is a multiply-with-carry generator.
+type chance struct{ x, c uint32 }
+
+func (g *chance) next() float64 {
+	t := uint64(g.x)*4294957665 + uint64(g.c)
+	g.x, g.c = uint32(t), uint32(t>>32)
+	return float64(g.x) / (1 << 32)
+}
+
+// workload is the table's row: what the module reads of a workload, and its recent part times.
+type workload struct {
+	Workload
+	times  [spanBuckets][timeBins]float64
+	bucket int64
+	middle int64 // median of the recent part times
+}
+
+// note books a part time; one cut short counts as longer than it was seen to be.
+func (w *workload) note(now, took int64) {
+	const width = timeSpan / spanBuckets
+	for n := now / width; w.bucket < n; w.bucket++ {
+		w.bucket = max(w.bucket, n-spanBuckets)
+		w.times[(w.bucket+1)%spanBuckets] = [timeBins]float64{}
+	}
+	bin := int(math.Log2(float64(max(took, timeBase))/timeBase) * timeSteps)
+	w.times[w.bucket%spanBuckets][min(bin, timeBins-1)]++
+	w.middle = w.quantile(0.5)
+}
+
+func (w *workload) quantile(share float64) int64 {
+	var sums [timeBins]float64
+	total := 0.0
+	for i := range w.times {
+		for j, n := range w.times[i] {
+			sums[j] += n
+			total += n
+		}
+	}
+	left := total * share
+	for j, n := range sums {
+		if left -= n; left <= 0 {
+			return int64(timeBase * math.Exp2((float64(j)+0.5)/timeSteps))
+		}
+	}
+	return w.middle
+}
+
+// replica is what is known of one server.
+type replica struct {
+	listed   bool
+	standing Standing
+	cell     int
+	started  int64
+	calls    int // own calls in flight: the count that the design goes by
+	shared   *call
+	coldWork ring // own work sent while cold, ns
+	pace     ring // sum of outcome times over the workload's middle
+	done     ring // outcomes in pace
+	fails    int  // failures since the last fulfilled execution
+	aside    bool
+	hold     int64 // how long the last rest was
+	rested   int64 // the trickle starts at this time
+	quota    int   // parts a trickleStep, doubled while it goes well
+	used     int
+	good     int
+}
+
+// call is what travels together to one replica; the count falls when its last part is done.
+type call struct {
+	replica, parts int
+	round          int64
+}
+
+type execution struct {
+	call    *call
+	sentAt  int64
+	replica int
+	over    bool
+}
+
+type stage uint8
+
+const (
+	unasked stage = iota
+	wanted
+	out
+	in
+	given // up
+)
+
+type part struct {
+	shard      int
+	weight     float64
+	stage      stage
+	step       int
+	since      int64 // wanted since
+	mayHaveRun int64 // when the first execution that may have run was sent, 0 for none
+	executions []execution
+	live       int // executions without an outcome
+}
+
+// Query is the handle to one query that was taken.
+type Query struct {
+	agg      *Aggregator
+	workload *workload
+	parts    []part
+	expected int
+	taken    int64
+	goal     int64 // latest time for an answer within the latency goal
+	end      int64 // latest time for any answer
+	step     int
+	first    float64 // weight that the first step was answered from
+	whole    bool    // of the first step
+	open     bool
+	waiting  bool // for the parts of a second step
+}
+
+// Open tells whether the query still wants a final answer.
+func (q *Query) Open() bool { return q.open }
+
+// Aggregator is one instance of the module.
+type Aggregator struct {
+	Deployment
+	chance    chance
+	workloads []workload
+	replicas  []replica
+	holders   [][]int // by shard
+	pointers  []int   // by shard: the next tied pick
+	queries   []*Query
+	taken     ring // queries and parts, for the budget of further executions
+	further   ring
+	sent      ring // outcomes of all replicas, and failures
+	failed    ring
+	rounds    int64
+	round     Round
+	cancels   []Cancel // for the next round
+	fresh     bool     // the list is the live one
+	asked     int64
+	askWait   int64
+}
+
+// New makes an aggregator at its start.
+func New(now int64, d Deployment) *Aggregator {
+	a := &Aggregator{Deployment: d, chance: chance{x: uint32(d.Seed) | 1, c: uint32(d.Seed>>32)%4294957664 + 1},
+		holders: make([][]int, d.Shards), pointers: make([]int, d.Shards), askWait: askAgain,
+		taken: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan),
+		sent: newRing(healthSpan), failed: newRing(healthSpan)}
+	for i := range a.pointers {
+		a.pointers[i] = d.Number
+	}
+	a.workloads = make([]workload, len(d.Workloads))
+	for i, w := range d.Workloads {
+		a.workloads[i] = workload{Workload: w, middle: w.LatencyGoal / priorShare}
+	}
+	return a
+}
+
+// ListWhole replaces the list; live is false for one remembered from an earlier life.
+func (a *Aggregator) ListWhole(now int64, list []Listing, live bool) {
+	for i := range a.replicas {
+		a.replicas[i].listed = false
+	}
+	a.fresh = a.fresh || live
+	a.ListChanged(now, list)
+}
+
+// ListChanged takes in changed entries.
+func (a *Aggregator) ListChanged(now int64, list []Listing) {
+	a.askWait = askAgain
+	for _, l := range list {
+		for len(a.replicas) <= l.Replica {
+			a.replicas = append(a.replicas, replica{coldWork: newRing(a.FallSpan),
+				pace: newRing(healthSpan), done: newRing(healthSpan)})
+		}
+		r := &a.replicas[l.Replica]
+		if l.Started != r.started { // a new process: what the old one did says nothing
+			r.aside, r.fails, r.hold = false, 0, 0
+			r.pace, r.done = newRing(healthSpan), newRing(healthSpan)
+		}
+		r.listed, r.standing, r.cell, r.started = l.Standing != Gone, l.Standing, l.Cell, l.Started
+	}
+	for s := range a.holders {
+		a.holders[s] = a.holders[s][:0]
+		for i := range a.replicas {
+			r := &a.replicas[i]
+			if r.listed && r.standing == Up && ((r.cell-s)%a.Cells+a.Cells)%a.Cells < a.Reach {
+				a.holders[s] = append(a.holders[s], i)
+			}
+		}
+	}
+}
+
+// ListFailed tells that a list call failed or the subscription dropped.
+func (a *Aggregator) ListFailed(now int64) {
+	// A restart of many aggregators must not hammer the list service in step: chance spreads them.
+	a.asked = now + int64(float64(a.askWait)*(0.5+a.chance.next())) - a.AskWithin/2
+	a.askWait = min(2*a.askWait, 8*askAgain)
+	a.fresh = false
+}
+
+// Take takes a query; its parts are added to the handle.
+func (a *Aggregator) Take(now int64, arrival Arrival) *Query {
+	w := &a.workloads[arrival.Workload]
+	q := &Query{agg: a, workload: w, expected: arrival.Parts, taken: now, open: true,
+		end:  now + max(arrival.Patience-spareTicks*a.Tick, 0),
+		goal: now + max(w.LatencyGoal-spareTicks*a.Tick, 0)}
+	q.goal = min(q.goal, q.end)
+	a.queries = append(a.queries, q)
+	a.taken.add(now, 1)
+	return q
+}
+
+// AddPart adds one part: right after Take, or as a second step's after the first answer.
+func (q *Query) AddPart(shard int, weight float64) {
+	q.parts = append(q.parts, part{shard: shard, weight: weight, step: q.step})
+	q.waiting = false
+	q.agg.taken.add(q.taken, 1)
+}
+
+// Outcome books how an execution ended; false means that it was over before.
+func (q *Query) Outcome(now int64, number, execution int, result Result, took int64) bool {
+	if number >= len(q.parts) || execution >= len(q.parts[number].executions) {
+		return false
+	}
+	p := &q.parts[number]
+	e := &p.executions[execution]
+	if e.over {
+		return false
+	}
+	e.over = true
+	p.live--
+	if e.call.parts--; e.call.parts == 0 {
+		q.agg.replicas[e.replica].calls--
+	}
+	if result.NeverRan() && p.mayHaveRun == e.sentAt {
+		p.mayHaveRun = 0
+	}
+	q.agg.judge(now, e.replica, q.workload, result, took)
+	switch {
+	case result == Fulfilled && q.open && p.stage != given:
+		p.stage = in
+	case p.stage == out && p.live == 0:
+		p.stage, p.since = wanted, now
+	}
+	return true
+}
+
+// Leave tells that the client has gone.
+func (q *Query) Leave(now int64) { q.close() }
+
+// close ends the query and cancels what is still out, so that replicas that can stop do.
+func (q *Query) close() {
+	q.open = false
+	if !q.agg.Cancels {
+		return
+	}
+	for i := range q.parts {
+		for n, e := range q.parts[i].executions {
+			if !e.over {
+				q.agg.cancels = append(q.agg.cancels, Cancel{q, i, n})
+			}
+		}
+	}
+}
+
+// Probed takes in the answer to a probe.
+func (a *Aggregator) Probed(now int64, number int, result Result, took int64) {}
+
+// judge books an outcome in its replica's record and sets the replica aside or lets it back.
+func (a *Aggregator) judge(now int64, number int, w *workload, result Result, took int64) {
+	r := &a.replicas[number]
+	if result == Moot || result == Cancelled {
+		return
+	}
+	ratio := float64(took) / float64(max(w.middle, 1))
+	switch result {
+	case Fulfilled:
+		w.note(now, took)
+	case TimedOut:
+		w.note(now, 2*took) // it would have taken longer, nobody knows how long
+	}
+	a.sent.add(now, 1)
+	if result != Fulfilled {
+		a.failed.add(now, 1)
+		r.fails++
+		ratio = max(ratio, slowRatio)
+	} else {
+		r.fails = 0
+	}
+	r.pace.add(now, ratio)
+	r.done.add(now, 1)
+	if r.aside {
+		switch {
+		case result != Fulfilled || ratio > slowRatio:
+			r.hold = min(2*r.hold, holdLast)
+			r.rested, r.quota, r.used, r.good = now+r.hold, 1, 0, 0
+		default:
+			if r.good++; r.good >= r.quota {
+				if r.quota, r.used, r.good, r.rested = 2*r.quota, 0, 0, now; r.quota >= trickleFull {
+					r.aside, r.hold = false, 0
+					r.pace, r.done = newRing(healthSpan), newRing(healthSpan)
+				}
+			}
+		}
+		return
+	}
+	// Danger: one slow, hung or dead replica draws parts as fast as it drops them, and every query that
+	// meets it is late. The record is held against the other replicas' so that a slowness of everything
+	// sets nobody aside.
+	bad := r.fails >= failRun && a.failed.sum(now) < fleetFails*a.sent.sum(now)
+	if !bad && r.done.sum(now) >= slowSample {
+		bad = r.pace.sum(now)/r.done.sum(now) > slowRatio*a.middlePace(now)
+	}
+	if bad && a.asides() < len(a.replicas)/asideShare {
+		r.aside, r.hold = true, max(r.hold, holdFirst)
+		r.rested, r.quota, r.used, r.good = now+r.hold, 1, 0, 0
+	}
+}
+
+// middlePace is the pace of the middle replica.
+func (a *Aggregator) middlePace(now int64) float64 {
+	var paces []float64
+	for i := range a.replicas {
+		if r := &a.replicas[i]; r.listed && r.done.sum(now) > 0 {
+			paces = append(paces, r.pace.sum(now)/r.done.sum(now))
+		}
+	}
+	slices.Sort(paces)
+	if len(paces) == 0 {
+		return 1
+	}
+	return max(paces[len(paces)/2], 0.5)
+}
+
+func (a *Aggregator) asides() (n int) {
+	for i := range a.replicas {
+		if r := &a.replicas[i]; r.listed && r.aside {
+			n++
+		}
+	}
+	return n
+}
+
+// coldRoom tells whether a cold replica may be sent one more part.
+//
+// Danger: right after its start a replica falls over under its usual load, and stays down. A replica can
+// run one part at a time at least, so its full capacity is no less than one unit of work a unit of time;
+// of what it can do now each aggregator uses no more than its even share, with a margin.
+func (a *Aggregator) coldRoom(now int64, r *replica, work int64) bool {
+	age := now - r.started
+	if r.started == 0 || age >= a.ColdRamp {
+		return true
+	}
+	present := a.ColdShare + (1-a.ColdShare)*float64(max(age, 0))/float64(a.ColdRamp)
+	budget := present * a.FallMultiple * float64(a.FallSpan) * coldSafety / float64(a.Aggregators)
+	spent := r.coldWork.sum(now)
+	return spent+float64(work) <= budget
+}
+
+// pick chooses a replica for a part, or -1.
+func (a *Aggregator) pick(now int64, p *part, w *workload, overCap bool) int {
+	var tied [8]int
+	for level := range 3 {
+		best, n := costLimit+1, 0
+		for _, i := range a.holders[p.shard] {
+			r := &a.replicas[i]
+			if !a.coldRoom(now, r, w.middle) {
+				continue
+			}
+			if level < 2 && r.aside {
+				if now >= r.rested+trickleStep {
+					r.used, r.rested = 0, now
+				}
+				if now < r.rested || r.used >= r.quota {
+					continue
+				}
+			}
+			// A replica that has just failed this part is asked again only when no other is there.
+			if level < 1 && slices.ContainsFunc(p.executions, func(e execution) bool { return e.replica == i }) {
+				continue
+			}
+			calls := r.calls
+			if r.shared != nil && r.shared.round == a.rounds && r.shared.parts < a.PartsPerCall {
+				calls--
+			}
+			cost := priority * calls
+			if cost+priority > costLimit || calls >= channels && !overCap {
+				continue
+			}
+			if cost < best {
+				best, n = cost, 0
+			}
+			if cost == best && n < len(tied) {
+				tied[n] = i
+				n++
+			}
+		}
+		if n == 1 {
+			return tied[0]
+		}
+		if n > 1 {
+			a.pointers[p.shard]++
+			return tied[(a.pointers[p.shard]-1)%n]
+		}
+	}
+	return -1
+}
+
+// timeout is how long an execution may take: until it is overdue by recent part times, or to the query's
+// end when no other execution could follow it.
+func (q *Query) timeout(now int64, p *part) int64 {
+	w, last := q.workload, q.end
+	if len(p.executions)+1 >= q.agg.MaxExecutions || w.Effect == OnceOnly {
+		return last
+	}
+	// A part that was overdue once may be a heavy one: each further execution gets longer.
+	overdue := int64(float64(w.middle)*patienceMul) << len(p.executions)
+	if now+overdue+w.middle > last {
+		return last
+	}
+	return now + overdue
+}
+
+// send starts an execution.
+func (a *Aggregator) send(now int64, q *Query, number, to int) {
+	p, r := &q.parts[number], &a.replicas[to]
+	if r.shared == nil || r.shared.round != a.rounds || r.shared.parts >= a.PartsPerCall {
+		r.shared = &call{replica: to, round: a.rounds}
+		r.calls++
+	}
+	r.shared.parts++
+	if r.started != 0 && now-r.started < a.ColdRamp {
+		r.coldWork.add(now, float64(q.workload.middle))
+	}
+	if r.aside {
+		r.used++
+	}
+	if len(p.executions) > 0 {
+		a.further.add(now, 1)
+	}
+	cut := q.timeout(now, p)
+	p.executions = append(p.executions, execution{call: r.shared, sentAt: now, replica: to})
+	p.stage = out
+	p.live++
+	if p.mayHaveRun == 0 {
+		p.mayHaveRun = now
+	}
+	a.round.Sends = append(a.round.Sends, Send{q, number, to, cut})
+}
+
+// mayRun tells whether the rules allow a part one more execution.
+func (q *Query) mayRun(now int64, p *part) bool {
+	a, w := q.agg, q.workload
+	if len(p.executions) == 0 {
+		return true
+	}
+	if len(p.executions) >= a.MaxExecutions || w.Effect == OnceOnly && p.mayHaveRun != 0 ||
+		w.Effect == Tagged && p.mayHaveRun != 0 && now >= p.mayHaveRun+w.RepeatWindow-a.Tick {
+		return false
+	}
+	return !a.Budgeted || a.further.sum(now)+1 <= a.FurtherFree+a.FurtherShare*a.taken.within(now)
+}
+
+// weights sums up the present step: what is in, what may still come, and all of it.
+func (q *Query) weights() (have, open, total float64) {
+	for i := range q.parts {
+		if p := &q.parts[i]; p.step == q.step {
+			total += p.weight
+			switch p.stage {
+			case in:
+				have += p.weight
+			case unasked, wanted, out:
+				open += p.weight
+			}
+		}
+	}
+	return have, open, total
+}
+
+// ask marks the parts to be sent: all, or no more than a whole answer needs.
+func (q *Query) ask(now int64, need float64) {
+	for have := 0.0; have < need-1e-9; {
+		best, least := -1, 0
+		for i := range q.parts {
+			p := &q.parts[i]
+			if p.step != q.step || p.stage != unasked {
+				continue
+			}
+			cost := costLimit
+			for _, h := range q.agg.holders[p.shard] {
+				if r := &q.agg.replicas[h]; !r.aside {
+					cost = min(cost, priority*r.calls)
+				}
+			}
+			if best < 0 || cost < least {
+				best, least = i, cost
+			}
+		}
+		if best < 0 {
+			return
+		}
+		q.parts[best].stage, q.parts[best].since = wanted, now
+		have += q.parts[best].weight
+	}
+}
+
+// finish ends the query, or its first step.
+func (q *Query) finish(final Final) {
+	a := q.agg
+	e := Ending{Query: q, Final: final}
+	if final == Declined && a.ComeBack {
+		e.ComeBack = min(comeBack, a.MaxComeBack)
+	}
+	a.round.Endings = append(a.round.Endings, e)
+	if final <= Partial && q.step == 0 && q.workload.FollowUp > 0 {
+		q.first, _, _ = q.weights()
+		q.whole, q.step, q.waiting = final == Whole, 1, true
+		return
+	}
+	q.close()
+}
+
+// giveUp ends the query unserved: declined where trying again does no harm.
+func (q *Query) giveUp() {
+	final := Declined
+	if q.workload.Effect != Repeatable && slices.ContainsFunc(q.parts, func(p part) bool { return p.mayHaveRun != 0 }) {
+		final = Forfeited
+	}
+	q.finish(final)
+}
+
+// settle ends the query if its time has come, and returns when to look again.
+func (q *Query) settle(now int64) int64 {
+	w := q.workload
+	if q.waiting || len(q.parts) < q.expected {
+		if now >= q.end {
+			q.finish(Forfeited)
+		}
+		return q.end
+	}
+	have, open, total := q.weights()
+	need, floor := w.Need, w.Floor
+	if q.step > 0 {
+		need = total
+	}
+	const slack = 1e-6
+	whole := have >= need-slack
+	enough := have >= floor-slack && (floor < need || whole)
+	value := w.PartialShare * have / max(need, slack)
+	switch {
+	case whole && (q.step == 0 || q.whole):
+		q.finish(Whole)
+	case whole, enough && have+open < need-slack && open == 0:
+		q.finish(Partial)
+	case enough && (now >= q.end || now >= q.goal && value >= w.LateShare):
+		q.finish(Partial)
+	case now >= q.end, have+open < floor-slack, now >= q.goal && w.LateShare == 0:
+		q.giveUp()
+	case now < q.goal:
+		return q.goal
+	}
+	return q.end
+}
+
+// Decide returns what to do now.
+func (a *Aggregator) Decide(now int64) *Round {
+	a.rounds++
+	a.round.Sends, a.round.Endings, a.round.Probes = a.round.Sends[:0], a.round.Endings[:0], a.round.Probes[:0]
+	a.round.List, a.round.Wake = NoCall, 0
+	wake := int64(math.MaxInt64)
+	for _, q := range a.queries {
+		if !q.open {
+			continue
+		}
+		if t := q.settle(now); q.open {
+			wake = min(wake, t)
+		}
+		if !q.open || q.waiting || len(q.parts) < q.expected {
+			continue
+		}
+		_, asked, total := q.weights()
+		if asked == total {
+			need := total
+			if q.step == 0 && q.workload.Floor >= q.workload.Need {
+				need = q.workload.Need
+			}
+			q.ask(now, need)
+		}
+		for i := range q.parts {
+			p := &q.parts[i]
+			if p.stage != wanted {
+				continue
+			}
+			if t := a.serve(now, q, i); t > 0 {
+				wake = min(wake, t)
+			}
+		}
+	}
+	a.queries = slices.DeleteFunc(a.queries, func(q *Query) bool { return !q.open })
+	a.round.Cancels = a.round.Cancels[:0]
+	for _, c := range a.cancels {
+		if !c.Query.parts[c.Part].executions[c.Execution].over {
+			a.round.Cancels = append(a.round.Cancels, c)
+		}
+	}
+	a.cancels = a.cancels[:0]
+	if a.AsksForList && !a.fresh {
+		if now >= a.asked+a.AskWithin/2 || a.asked == 0 {
+			a.round.List, a.asked = Subscribe, now
+		}
+		wake = min(wake, a.asked+a.AskWithin/2)
+	}
+	if wake < math.MaxInt64 {
+		a.round.Wake = max(wake, now+a.Tick)
+	}
+	return &a.round
+}
+
+// serve sends a wanted part, or gives it up; it returns when to look again, 0 for not at all.
+func (a *Aggregator) serve(now int64, q *Query, number int) int64 {
+	p := &q.parts[number]
+	if !q.mayRun(now, p) {
+		return q.drop(now, p)
+	}
+	late := p.since + (q.end-q.taken)/waitShare
+	to := a.pick(now, p, q.workload, now >= late)
+	switch {
+	case to >= 0:
+		a.send(now, q, number, to)
+		return 0
+	case now >= late:
+		return q.drop(now, p)
+	}
+	return min(late, now+4*a.Tick)
+}
+
+// drop gives a part up and asks for another where any so many will do.
+func (q *Query) drop(now int64, p *part) int64 {
+	p.stage = given
+	if q.step == 0 && q.workload.Floor >= q.workload.Need {
+		q.ask(now, p.weight)
+	}
+	return now
+}
--- /dev/null
+++ b/balance/types.go
@@ -0,0 +1,154 @@
+package balance
+
+// Effect tells whether a part of a workload may run again.
+type Effect uint8
+
+const (
+	Repeatable Effect = iota // may run any number of times
+	Tagged                   // repeats are recognised and dropped, for a while
+	OnceOnly                 // must never run twice
+)
+
+// Workload is what a deployment states of one kind of query.
+type Workload struct {
+	LatencyGoal  int64   // an answer within this time earns the full revenue, ns
+	CutOff       int64   // how long a client waits in all, ns
+	Revenue      float64 // of a whole answer within the latency goal
+	LateShare    float64 // of the revenue, for an answer past the latency goal
+	Floor        float64 // least share of the weight that an answer may be given from
+	Need         float64 // share of the weight that makes a whole answer
+	PartialShare float64 // of the revenue, times share / need, for an answer that is not whole
+	FollowUp     int     // parts of a second step, 0 for none
+	Effect       Effect
+	RepeatWindow int64 // tagged: how long repeats are recognised, ns
+}
+
+// Deployment is what an aggregator is told at its start and what stays fixed for its life.
+type Deployment struct {
+	Number, Aggregators int    // this aggregator's number from 0, and how many there are
+	Seed                uint64 // of this aggregator's chance
+	Tick                int64  // least time between two rounds, ns
+
+	Workloads []Workload
+	Shares    []float64 // the customers' shares of the service
+
+	Shards, Cells, Reach int // shard s is held by the cells (s + j) mod Cells, j from 0 to Reach - 1
+	PartsPerCall         int // most parts that travel in one call
+
+	MaxExecutions  int   // of one part
+	MaxHeld        int   // queries and parts held at once
+	Cancels        bool  // executions may be cancelled
+	Probes         bool  // replicas may be probed
+	ComeBack       bool  // a declined client hears when to come back
+	MaxComeBack    int64 // longest wait that a client honours, ns
+	ConnectTimeout int64 // a connection not up by then has failed, ns
+
+	DrainGrace   int64   // sends to a draining or gone replica stop within this, ns
+	ColdShare    float64 // of its capacity that a fresh replica starts with, at least
+	ColdRamp     int64   // a fresh replica is warm after this at the latest, ns
+	FallMultiple float64 // of its present capacity that pushes a cold replica over
+	FallSpan     int64   // when kept up for so long, ns
+
+	AsksForList bool  // the list must be asked for
+	AskWithin   int64 // unasked for so long, the aggregator counts as told, ns
+
+	Budgeted     bool    // further executions have a budget:
+	FurtherFree  float64 // so many,
+	FurtherShare float64 // and so many for each query or part taken,
+	FurtherSpan  int64   // within any span of this length, ns
+}
+
+// Standing is a replica's state on the list.
+type Standing uint8
+
+const (
+	Up Standing = iota
+	Draining
+	Gone
+)
+
+// Listing is one replica as the list names it. Replica is the caller's small index for it.
+type Listing struct {
+	Replica  int
+	Cell     int
+	Standing Standing
+	Started  int64 // when it last started, ns; 0 for long ago
+	Kind     int
+}
+
+// Arrival is a query as it is handed over; its parts follow by Query.AddPart.
+type Arrival struct {
+	Workload int
+	Customer int   // -1 where there are none
+	Patience int64 // time until the client gives up this try, ns
+	Parts    int   // how many its first step has
+}
+
+// Result is how an execution or a probe ended.
+type Result uint8
+
+const (
+	Fulfilled     Result = iota
+	Errored              // the replica answered with an error
+	Full                 // turned away unseen
+	TimedOut             // no reply in time
+	ConnectFailed        // no connection in time
+	Reset                // the connection broke
+	Cancelled            // by this aggregator
+	Moot                 // never left
+)
+
+// NeverRan tells whether the result proves that the execution did not run.
+func (r Result) NeverRan() bool {
+	return r == Full || r == ConnectFailed || r == Moot
+}
+
+// Final is how a query ends.
+type Final uint8
+
+const (
+	Whole     Final = iota // an answer with all that a whole one needs
+	Partial                // an answer from less
+	Declined               // unserved, and trying again does no harm
+	Forfeited              // unserved, without a promise
+)
+
+// ListCall is what to ask of the service that keeps the list.
+type ListCall uint8
+
+const (
+	NoCall ListCall = iota
+	Subscribe
+)
+
+// Send starts the next execution of a part.
+type Send struct {
+	Query   *Query
+	Part    int
+	Replica int
+	CutAt   int64 // when the execution is dropped, ns
+}
+
+// Cancel ends the wait for one execution.
+type Cancel struct {
+	Query           *Query
+	Part, Execution int
+}
+
+// Ending is a query's final answer; a Whole or Partial one may be the first of two steps.
+type Ending struct {
+	Query    *Query
+	Final    Final
+	ComeBack int64 // Declined: how long the client ought to wait, ns
+}
+
+// Round is what one Decide asks for, to be carried out in this order: sends, cancels, endings, probes, list.
+// Its slices are used again by the next Decide.
+type Round struct {
+	Sends   []Send
+	Cancels []Cancel
+	Endings []Ending
+	Probes  []int // replicas
+	List    ListCall
+	Wake    int64 // when Decide wants to be called again at the latest; 0 for no such time
+}
--- /dev/null
+++ b/cmd/drill/main.go
@@ -0,0 +1,18 @@
+// Command drill plays the decision module on the simulator's wire: events on standard input, actions on
+// standard output. It ends with 0 when the input ends, and with 1 and one line on standard error when the
+// input is malformed.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"willowsill/wire"
+)
+
+func main() {
+	if err := wire.Serve(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "drill:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/wire/wire.go
@@ -0,0 +1,429 @@
+// Package wire hosts aggregators on the simulator's wire: it decodes events into calls on the decision
+// module and encodes the module's results. It decides nothing.
+package wire
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"strconv"
+
+	"willowsill/balance"
+)
+
+// wakeToken comes back with every timer; timers only wake the module.
+const wakeToken = "wake"
+
+// instance is one aggregator with the names that its life has brought up.
+type instance struct {
+	agg       *balance.Aggregator
+	replicas  map[string]int
+	addresses []json.RawMessage
+	workloads map[string]int
+	customers map[string]int
+	kinds     map[string]int
+	shards    int
+	requests  map[uint64]request
+	groups    map[int64]*held
+	handles   map[*balance.Query]*held
+	timer     int64 // the earliest timer still to fire, 0 for none
+}
+
+// held is what the adapter keeps of a query: the ids to give back.
+type held struct {
+	query *balance.Query
+	id    uint64
+	group int64
+	parts []uint64
+	out   int // executions without an outcome
+	over  bool
+}
+
+// request tells what an id stands for; part is -1 for the query itself.
+type request struct {
+	*held
+	part int
+}
+
+// host is one adapter process.
+type host struct {
+	now       int64
+	batch     int64
+	instances map[int]*instance
+	touched   []int
+	sheets    map[int][]json.RawMessage
+	out       *bufio.Writer
+}
+
+// Serve plays batches from r until it ends.
+func Serve(r io.Reader, w io.Writer) error {
+	h := &host{instances: map[int]*instance{}, sheets: map[int][]json.RawMessage{}, out: bufio.NewWriter(w)}
+	lines := bufio.NewReaderSize(r, 1<<20)
+	open := false
+	for {
+		line, err := readLine(lines)
+		if errors.Is(err, io.EOF) && len(line) == 0 {
+			if open {
+				return fmt.Errorf("batch %d: the input ends inside it", h.batch)
+			}
+			return nil
+		}
+		if err != nil && !errors.Is(err, io.EOF) {
+			return err
+		}
+		if len(line) == 0 {
+			continue
+		}
+		if open, err = h.line(line, open); err != nil {
+			return fmt.Errorf("batch %d: %w", h.batch, err)
+		}
+	}
+}
+
+// readLine returns the next line without its end, however long it is.
+func readLine(r *bufio.Reader) ([]byte, error) {
+	line, err := r.ReadBytes('\n')
+	for len(line) > 0 && (line[len(line)-1] == '\n' || line[len(line)-1] == '\r') {
+		line = line[:len(line)-1]
+	}
+	return line, err
+}
+
+// line takes one message in; open tells whether a batch is under way, before and after it.
+func (h *host) line(line []byte, open bool) (bool, error) {
+	f := &fields{}
+	if err := json.Unmarshal(line, &f.raw); err != nil {
+		return open, fmt.Errorf("not a JSON object: %v", err)
+	}
+	event := f.string("event_type")
+	if f.err != nil {
+		return open, f.err
+	}
+	switch {
+	case event == "TICK" && !open:
+		h.now = f.time("at_time")
+		f.into("n", &h.batch)
+		return true, f.err
+	case event == "TICK" || !open:
+		return open, fmt.Errorf("%s out of place", event)
+	case event == "FLUSH":
+		return false, h.reply()
+	}
+	if err := h.event(event, f); err != nil {
+		return open, fmt.Errorf("%s: %w", event, err)
+	}
+	return true, nil
+}
+
+// event turns one event into calls.
+func (h *host) event(event string, f *fields) error {
+	if event == "POOL" {
+		sheet, items := f.int("sheet"), []json.RawMessage{}
+		f.into("items", &items)
+		h.sheets[sheet] = items
+		return f.err
+	}
+	who := f.int("who")
+	if f.err != nil {
+		return f.err
+	}
+	in := h.instances[who]
+	if event == "OPEN_INSTANCE" {
+		if in != nil {
+			return fmt.Errorf("instance %d is open", who)
+		}
+		return h.open(who, f)
+	}
+	if in == nil {
+		return fmt.Errorf("instance %d is not open", who)
+	}
+	h.touch(who)
+	switch event {
+	case "TEARDOWN":
+		delete(h.instances, who)
+	case "MEMBERS":
+		return h.members(in, f)
+	case "KNOCK":
+		return in.knock(h.now, f)
+	case "RESPONSE":
+		return in.response(h.now, f)
+	case "VANISHED":
+		var id uint64
+		f.into("rid", &id)
+		if r, ok := in.requests[id]; ok && f.err == nil && !r.over && r.part < 0 {
+			r.query.Leave(h.now)
+			in.end(r.held)
+		}
+	case "SAMPLED":
+		result, took := resultOf(f), f.time("cost_time")
+		if replica, ok := in.replicas[f.string("replica")]; ok && f.err == nil {
+			in.agg.Probed(h.now, replica, result, took)
+		}
+	case "FIRED":
+		if f.string("token") == wakeToken && in.timer <= h.now {
+			in.timer = 0
+		}
+	case "BEGUN", "HEARD": // streams and peers have no part in this service
+	default:
+		return errors.New("unknown event")
+	}
+	return f.err
+}
+
+// touch marks an instance as one that may act in this reply.
+func (h *host) touch(who int) {
+	for _, w := range h.touched {
+		if w == who {
+			return
+		}
+	}
+	h.touched = append(h.touched, who)
+}
+
+func (h *host) open(who int, f *fields) error {
+	in := &instance{
+		replicas: map[string]int{}, workloads: map[string]int{}, customers: map[string]int{},
+		kinds: map[string]int{}, requests: map[uint64]request{}, groups: map[int64]*held{},
+		handles: map[*balance.Query]*held{},
+	}
+	seed, boot := f.number("prng"), f.object("boot_info")
+	if f.err != nil {
+		return f.err
+	}
+	d, err := in.deployment(boot)
+	if err != nil {
+		return err
+	}
+	d.Seed = math.Float64bits(seed)
+	in.shards = d.Shards
+	in.agg = balance.New(h.now, d)
+	h.instances[who] = in
+	h.touch(who)
+	return nil
+}
+
+// members turns news of the list into one call.
+func (h *host) members(in *instance, f *fields) error {
+	scope := f.string("scope")
+	if scope == "Error" {
+		in.agg.ListFailed(h.now)
+		return f.err
+	}
+	items, ok := h.sheets[f.int("sheet")]
+	if !ok {
+		f.fail("sheet", "names a list that never came")
+	}
+	listings := make([]balance.Listing, 0, len(items))
+	for _, item := range items {
+		e := &fields{}
+		if err := json.Unmarshal(item, &e.raw); err != nil {
+			f.fail("items", "has an entry that is no object")
+			break
+		}
+		l := balance.Listing{Cell: e.int("place"), Started: e.mayTime("launched")}
+		switch e.string("lifecycle") {
+		case "U":
+			l.Standing = balance.Up
+		case "L":
+			l.Standing = balance.Draining
+		case "D":
+			l.Standing = balance.Gone
+		default:
+			e.fail("lifecycle", "is unknown")
+		}
+		var kind string
+		e.may("generation_hw", &kind)
+		l.Kind = in.kinds[kind]
+		l.Replica = in.replica(e)
+		if e.err != nil {
+			return e.err
+		}
+		listings = append(listings, l)
+	}
+	if f.err != nil {
+		return f.err
+	}
+	switch scope {
+	case "Partial":
+		in.agg.ListChanged(h.now, listings)
+	case "Complete":
+		in.agg.ListWhole(h.now, listings, true)
+	case "Persisted":
+		in.agg.ListWhole(h.now, listings, false)
+	default:
+		return fmt.Errorf("field %q is unknown", "scope")
+	}
+	return nil
+}
+
+// replica maps an address to its small index, new ones included.
+func (in *instance) replica(f *fields) int {
+	name := f.string("replica")
+	if f.err != nil {
+		return 0
+	}
+	i, ok := in.replicas[name]
+	if !ok {
+		i = len(in.addresses)
+		in.replicas[name] = i
+		in.addresses = append(in.addresses, f.text("replica"))
+	}
+	return i
+}
+
+// knock takes in a query or one of its parts.
+func (in *instance) knock(now int64, f *fields) error {
+	var id uint64
+	var group int64
+	f.into("rid", &id)
+	f.into("group_no", &group)
+	shard, measure := f.int("slab"), f.number("measure")
+	if f.err != nil {
+		return f.err
+	}
+	if shard >= 0 {
+		q := in.groups[group]
+		if shard >= in.shards {
+			return fmt.Errorf("shard %d, of %d", shard, in.shards)
+		}
+		if q == nil {
+			return fmt.Errorf("a part of query %d, which is not held", group)
+		}
+		in.requests[id] = request{q, len(q.parts)}
+		q.parts = append(q.parts, id)
+		q.query.AddPart(shard, measure)
+		return nil
+	}
+	w, ok := in.workloads[f.string("grade")]
+	if !ok {
+		f.fail("grade", "is not among the classes")
+	}
+	customer := -1
+	var name string
+	if f.may("client_group", &name); name != "" {
+		if customer, ok = in.customers[name]; !ok {
+			customer = -1
+		}
+	}
+	a := balance.Arrival{Workload: w, Customer: customer, Patience: f.time("grace"), Parts: int(measure)}
+	if f.err != nil {
+		return f.err
+	}
+	q := &held{id: id, group: group, query: in.agg.Take(now, a)}
+	in.requests[id] = request{q, -1}
+	in.groups[group] = q
+	in.handles[q.query] = q
+	return nil
+}
+
+// response books the outcome of an execution.
+func (in *instance) response(now int64, f *fields) error {
+	var id uint64
+	f.into("rid", &id)
+	execution, took, result := f.int("attempt"), f.time("cost_time"), resultOf(f)
+	var load []float64
+	f.may("gauge", &load)
+	if f.err != nil {
+		return f.err
+	}
+	r, ok := in.requests[id]
+	if !ok || r.part < 0 {
+		return fmt.Errorf("request %d is not held", id)
+	}
+	if r.query.Outcome(now, r.part, execution, result, took) {
+		r.out--
+	}
+	in.forget(r.held)
+	return nil
+}
+
+// end marks a query as over; its ids stay until the last outcome is in.
+func (in *instance) end(q *held) {
+	q.over = true
+	delete(in.groups, q.group)
+	delete(in.requests, q.id)
+	in.forget(q)
+}
+
+func (in *instance) forget(q *held) {
+	if !q.over || q.out > 0 {
+		return
+	}
+	delete(in.handles, q.query)
+	for _, id := range q.parts {
+		delete(in.requests, id)
+	}
+}
+
+// resultOf decodes an outcome code.
+func resultOf(f *fields) balance.Result {
+	codes := [...]string{
+		balance.Fulfilled: "ok", balance.Errored: "error", balance.Full: "full", balance.TimedOut: "timeout",
+		balance.ConnectFailed: "connect_failed", balance.Reset: "reset", balance.Cancelled: "cancelled",
+		balance.Moot: "moot",
+	}
+	how := f.string("how")
+	for r, code := range codes {
+		if code == how {
+			return balance.Result(r)
+		}
+	}
+	f.fail("how", "is unknown")
+	return balance.Errored
+}
+
+// reply lets every touched instance decide and writes what they ask for.
+func (h *host) reply() error {
+	for _, who := range h.touched {
+		if in := h.instances[who]; in != nil {
+			h.encode(who, in, in.agg.Decide(h.now))
+		}
+	}
+	h.touched = h.touched[:0]
+	fmt.Fprintf(h.out, `{"event_type":"READY","n":%d}`+"\n", h.batch)
+	return h.out.Flush()
+}
+
+func (h *host) encode(who int, in *instance, round *balance.Round) {
+	ms := func(ns int64) string { return strconv.FormatFloat(millis(ns), 'f', -1, 64) }
+	for _, s := range round.Sends {
+		q := in.handles[s.Query]
+		q.out++
+		fmt.Fprintf(h.out, `{"event_type":"SEND","who":%d,"rid":%d,"cut_at":%s,"replica":%s}`+"\n",
+			who, q.parts[s.Part], ms(s.CutAt), in.addresses[s.Replica])
+	}
+	for _, c := range round.Cancels {
+		fmt.Fprintf(h.out, `{"event_type":"WITHDRAW","who":%d,"rid":%d,"attempt":%d}`+"\n",
+			who, in.handles[c.Query].parts[c.Part], c.Execution)
+	}
+	for _, e := range round.Endings {
+		q := in.handles[e.Query]
+		switch e.Final {
+		case balance.Whole, balance.Partial:
+			fmt.Fprintf(h.out, `{"event_type":"MERGE","who":%d,"rid":%d,"whole":%t}`+"\n",
+				who, q.id, e.Final == balance.Whole)
+		case balance.Declined:
+			fmt.Fprintf(h.out, `{"event_type":"REFUSE","who":%d,"rid":%d,"not_before_for":%s}`+"\n",
+				who, q.id, ms(e.ComeBack))
+		case balance.Forfeited:
+			fmt.Fprintf(h.out, `{"event_type":"FINISH_ERROR","who":%d,"rid":%d}`+"\n", who, q.id)
+		}
+		if !e.Query.Open() {
+			in.end(q)
+		}
+	}
+	for _, replica := range round.Probes {
+		fmt.Fprintf(h.out, `{"event_type":"CHECK","who":%d,"replica":%s}`+"\n", who, in.addresses[replica])
+	}
+	if round.List == balance.Subscribe {
+		fmt.Fprintf(h.out, `{"event_type":"WATCH","who":%d,"whole":true}`+"\n", who)
+	}
+	if round.Wake > 0 && (in.timer == 0 || round.Wake < in.timer) {
+		in.timer = h.now + (max(round.Wake-h.now, 0)+999)/1e3*1e3 // the wire counts in microseconds
+		fmt.Fprintf(h.out, `{"event_type":"DEFER","who":%d,"in":%s,"token":"%s"}`+"\n",
+			who, ms(in.timer-h.now), wakeToken)
+	}
+}
