Recall only from doubtful replicas, decline early, rest full replicas

Cause: time-outs on busy replicas put the same work in twice where nothing stops it, and queries nobody could serve in time filled the queues.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,7 +28,9 @@
 	timeSteps   = 4         // bins for each doubling: a bin is 19% wide
 	timeBins    = 64        // up to 2^16 of the base, beyond any patience
 	priorShare  = 6         // a part not yet timed is taken to need its latency goal / this
-	patienceMul = 3.5       // an execution is overdue at so many medians: about the 97th percentile when calm
+	patienceMul = 4         // an execution is overdue at so many medians: about the 98th percentile when calm
+	admitShare  = 0.75      // a query is taken on when it should need no more of its latency goal than this
+	jamShare    = 0.25      // a replica that turned a part away full is left alone for this share of a median
 	slowRatio   = 2.5       // a replica at so many times the middle replica's pace is slow
 	slowSample  = 4         // outcomes wanted before a pace is believed
 	failRun     = 2         // failures in a row that set a replica aside: one alone is chance
@@ -137,10 +139,14 @@
 	started  int64
 	calls    int // own calls in flight: the count that the design goes by
 	shared   *call
-	coldWork ring // own work sent while cold, ns
-	pace     ring // sum of outcome times over the workload's middle
-	done     ring // outcomes in pace
-	fails    int  // failures since the last fulfilled execution
+	coldWork ring  // own work sent while cold, ns
+	pace     ring  // sum of outcome times over the workload's middle
+	done     ring  // outcomes in pace
+	fails    int   // failures since the last fulfilled execution
+	slots    ring  // sum of own calls out at the sends of fulfilled executions
+	slotTime ring  // and of their times, ns
+	heard    int64 // last outcome that came from the replica itself
+	jammed   int64 // until then it is taken to be full
 	aside    bool
 	hold     int64 // how long the last rest was
 	rested   int64 // the trickle starts at this time
@@ -159,7 +165,9 @@
 	call    *call
 	sentAt  int64
 	replica int
+	slots   int // own calls out there at the send, with this one
 	over    bool
+	overdue bool // given up by this aggregator as too long
 }
 
 type stage uint8
@@ -193,6 +201,7 @@
 	goal     int64 // latest time for an answer within the latency goal
 	end      int64 // latest time for any answer
 	step     int
+	begun    int     // steps whose parts were asked for
 	first    float64 // weight that the first step was answered from
 	whole    bool    // of the first step
 	open     bool
@@ -254,7 +263,8 @@
 	for _, l := range list {
 		for len(a.replicas) <= l.Replica {
 			a.replicas = append(a.replicas, replica{coldWork: newRing(a.FallSpan),
-				pace: newRing(healthSpan), done: newRing(healthSpan)})
+				pace: newRing(healthSpan), done: newRing(healthSpan),
+				slots: newRing(healthSpan), slotTime: newRing(healthSpan)})
 		}
 		r := &a.replicas[l.Replica]
 		if l.Started != r.started { // a new process: what the old one did says nothing
@@ -319,6 +329,21 @@
 	if result.NeverRan() && p.mayHaveRun == e.sentAt {
 		p.mayHaveRun = 0
 	}
+	r := &q.agg.replicas[e.replica]
+	switch result {
+	case Fulfilled:
+		r.slots.add(now, float64(e.slots))
+		r.slotTime.add(now, float64(took))
+		r.heard = now
+	case Errored:
+		r.heard = now
+	case Full:
+		r.jammed = now + int64(jamShare*float64(q.workload.middle))
+	case Cancelled:
+		if e.overdue {
+			result = TimedOut
+		}
+	}
 	q.agg.judge(now, e.replica, q.workload, result, took)
 	switch {
 	case result == Fulfilled && q.open && p.stage != given:
@@ -361,7 +386,9 @@
 	case Fulfilled:
 		w.note(now, took)
 	case TimedOut:
-		w.note(now, 2*took) // it would have taken longer, nobody knows how long
+		w.note(now, took)
+	case Full: // a jam says nothing of the replica's health
+		return
 	}
 	a.sent.add(now, 1)
 	if result != Fulfilled {
@@ -468,7 +495,7 @@
 				calls--
 			}
 			cost := priority * calls
-			if cost+priority > costLimit || calls >= channels && !overCap {
+			if cost+priority > costLimit || (calls >= channels || now < r.jammed) && !overCap {
 				continue
 			}
 			if cost < best {
@@ -490,19 +517,47 @@
 	return -1
 }
 
-// timeout is how long an execution may take: until it is overdue by recent part times, or to the query's
-// end when no other execution could follow it.
-func (q *Query) timeout(now int64, p *part) int64 {
-	w, last := q.workload, q.end
-	if len(p.executions)+1 >= q.agg.MaxExecutions || w.Effect == OnceOnly {
-		return last
+// overdue is how long an execution may take before it is late by the recent part times. A part that was
+// overdue once may be a heavy one: each further execution gets longer.
+func (q *Query) overdue(executions int) int64 {
+	return int64(float64(q.workload.middle)*patienceMul) << (executions - 1)
+}
+
+// cut is when an execution is dropped at the replica.
+func (q *Query) cut(now int64, executions int) int64 {
+	// Where nothing can be cancelled the end of an execution is settled at its send.
+	if t := now + q.overdue(executions); !q.agg.Cancels && t+q.workload.middle < q.goal &&
+		executions < q.agg.MaxExecutions && q.workload.Effect != OnceOnly {
+		return t
+	}
+	if q.workload.LateShare == 0 {
+		return q.goal
+	}
+	return q.end
+}
+
+// recall cancels an overdue execution on a replica that is in doubt, so that the part can run elsewhere.
+//
+// Danger: what is cancelled may go on running, so recalls add load. A replica that is only busy keeps its
+// parts; only one that is set aside, or has been silent since the execution was sent, loses them.
+func (q *Query) recall(now int64, number int) int64 {
+	a, p := q.agg, &q.parts[number]
+	n := len(p.executions) - 1
+	e := &p.executions[n]
+	r := &a.replicas[e.replica]
+	due := e.sentAt + q.overdue(n+1)
+	if e.overdue || !a.Cancels || n+1 >= a.MaxExecutions || q.workload.Effect == OnceOnly ||
+		max(now, due)+q.workload.middle > q.end {
+		return q.end
 	}
-	// A part that was overdue once may be a heavy one: each further execution gets longer.
-	overdue := int64(float64(w.middle)*patienceMul) << len(p.executions)
-	if now+overdue+w.middle > last {
-		return last
+	if now < due {
+		return due
 	}
-	return now + overdue
+	if r.aside || r.heard < e.sentAt {
+		e.overdue = true
+		a.cancels = append(a.cancels, Cancel{q, number, n})
+	}
+	return q.end
 }
 
 // send starts an execution.
@@ -522,14 +577,13 @@
 	if len(p.executions) > 0 {
 		a.further.add(now, 1)
 	}
-	cut := q.timeout(now, p)
-	p.executions = append(p.executions, execution{call: r.shared, sentAt: now, replica: to})
+	p.executions = append(p.executions, execution{call: r.shared, sentAt: now, replica: to, slots: r.calls})
 	p.stage = out
 	p.live++
 	if p.mayHaveRun == 0 {
 		p.mayHaveRun = now
 	}
-	a.round.Sends = append(a.round.Sends, Send{q, number, to, cut})
+	a.round.Sends = append(a.round.Sends, Send{q, number, to, q.cut(now, len(p.executions))})
 }
 
 // mayRun tells whether the rules allow a part one more execution.
@@ -588,6 +642,39 @@
 	}
 }
 
+// expect is how long a part sent now should take: the replica's time for each own call, times the calls.
+func (a *Aggregator) expect(w *workload, r *replica, now int64) int64 {
+	each := float64(w.middle)
+	if slots := r.slots.sum(now); slots > 0 {
+		each = r.slotTime.sum(now) / slots
+	}
+	return int64(each * float64(r.calls+1))
+}
+
+// admit tells whether a query just taken should be in time.
+//
+// Danger: work beyond what the replicas can do fills their queues with parts that come too late, and
+// clients that come again add to it. Such a query is declined before it has cost anything.
+func (a *Aggregator) admit(now int64, q *Query) bool {
+	var times []int64
+	for i := range q.parts {
+		best := int64(math.MaxInt64)
+		for _, h := range a.holders[q.parts[i].shard] {
+			if r := &a.replicas[h]; !r.aside {
+				best = min(best, a.expect(q.workload, r, now))
+			}
+		}
+		times = append(times, best)
+	}
+	slices.Sort(times)
+	share := q.workload.Need
+	if q.workload.Floor < share {
+		share = (q.workload.Floor + share) / 2
+	}
+	last := max(int(math.Ceil(share*float64(len(times))-1e-9)), 1) - 1
+	return float64(times[last]) <= admitShare*float64(q.goal-now)
+}
+
 // finish ends the query, or its first step.
 func (q *Query) finish(final Final) {
 	a := q.agg
@@ -662,9 +749,13 @@
 		if !q.open || q.waiting || len(q.parts) < q.expected {
 			continue
 		}
-		_, asked, total := q.weights()
-		if asked == total {
-			need := total
+		if q.begun == q.step {
+			if q.step == 0 && !a.admit(now, q) {
+				q.giveUp()
+				continue
+			}
+			q.begun++
+			need := math.Inf(1)
 			if q.step == 0 && q.workload.Floor >= q.workload.Need {
 				need = q.workload.Need
 			}
@@ -672,6 +763,9 @@
 		}
 		for i := range q.parts {
 			p := &q.parts[i]
+			if p.stage == out {
+				wake = min(wake, q.recall(now, i))
+			}
 			if p.stage != wanted {
 				continue
 			}
