--- a/balance/balance.go
+++ b/balance/balance.go
@@ -658,12 +658,17 @@
 func (a *Aggregator) admit(now int64, q *Query) bool {
 	var times []int64
 	for i := range q.parts {
-		best := int64(math.MaxInt64)
+		best, aside := int64(math.MaxInt64), int64(math.MaxInt64)
 		for _, h := range a.holders[q.parts[i].shard] {
-			if r := &a.replicas[h]; !r.aside {
+			if r := &a.replicas[h]; r.aside {
+				aside = min(aside, a.expect(q.workload, r, now))
+			} else {
 				best = min(best, a.expect(q.workload, r, now))
 			}
 		}
+		if best == math.MaxInt64 { // Danger: with none sound, declining all would never find one mended.
+			best = aside
+		}
 		times = append(times, best)
 	}
 	slices.Sort(times)
