--- a/balance/balance.go
+++ b/balance/balance.go
@@ -31,8 +31,8 @@
 	patienceMul = 4         // an execution is overdue at so many medians: about the 98th percentile when calm
 	admitShare  = 0.75      // a query is taken on when it should need no more of its latency goal than this
 	jamShare    = 0.25      // a replica that turned a part away full is left alone for this share of a median
-	slowRatio   = 2.5       // a replica at so many times the middle replica's pace is slow
-	slowSample  = 4         // outcomes wanted before a pace is believed
+	slowRatio   = 4         // a replica at so many times the middle replica's pace is slow
+	slowSample  = 6         // outcomes wanted before a pace is believed
 	failRun     = 2         // failures in a row that set a replica aside: one alone is chance
 	fleetFails  = 0.3       // when more than this share of all executions fails, the cause is not a replica
 	asideShare  = 3         // at most one replica in so many is set aside at once
