--- a/balance/balance.go
+++ b/balance/balance.go
@@ -339,7 +339,12 @@
 		r.heard = now
 	case Full:
 		r.jammed = now + int64(jamShare*float64(q.workload.middle))
-	case Cancelled:
+	case Cancelled, TimedOut:
+		// Danger: leaving out what was cut short would show a jammed replica at its best.
+		if each := float64(took) / float64(e.slots); each*r.slots.sum(now) > r.slotTime.sum(now) {
+			r.slots.add(now, float64(e.slots))
+			r.slotTime.add(now, float64(took))
+		}
 		if e.overdue {
 			result = TimedOut
 		}
