--- a/balance/balance.go
+++ b/balance/balance.go
@@ -30,6 +30,9 @@
 	priorShare  = 6         // a part not yet timed is taken to need its latency goal / this
 	patienceMul = 4         // an execution is overdue at so many medians: about the 98th percentile when calm
 	admitShare  = 0.75      // a query is taken on when it should need no more of its latency goal than this
+	gripLoss    = 0.93      // a query taken on that was late tightens admission to this share
+	gripGain    = 0.01      // and one in time loosens it by so much: it settles at about one late in eight
+	gripLeast   = 0.15      // of the full admission, so that a part on an idle replica still passes
 	jamShare    = 0.25      // a replica that turned a part away full is left alone for this share of a median
 	slowRatio   = 4         // a replica at so many times the middle replica's pace is slow
 	slowSample  = 6         // outcomes wanted before a pace is believed
@@ -230,12 +233,13 @@
 	fresh     bool     // the list is the live one
 	asked     int64
 	askWait   int64
+	grip      float64 // how much of admitShare holds now
 }
 
 // New makes an aggregator at its start.
 func New(now int64, d Deployment) *Aggregator {
 	a := &Aggregator{Deployment: d, chance: chance{x: uint32(d.Seed) | 1, c: uint32(d.Seed>>32)%4294957664 + 1},
-		holders: make([][]int, d.Shards), pointers: make([]int, d.Shards), askWait: askAgain,
+		holders: make([][]int, d.Shards), pointers: make([]int, d.Shards), askWait: askAgain, grip: 1,
 		taken: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan),
 		sent: newRing(healthSpan), failed: newRing(healthSpan)}
 	for i := range a.pointers {
@@ -682,12 +686,19 @@
 		share = (q.workload.Floor + share) / 2
 	}
 	last := max(int(math.Ceil(share*float64(len(times))-1e-9)), 1) - 1
-	return float64(times[last]) <= admitShare*float64(q.goal-now)
+	return float64(times[last]) <= admitShare*a.grip*float64(q.goal-now)
 }
 
 // finish ends the query, or its first step.
-func (q *Query) finish(final Final) {
+func (q *Query) finish(now int64, final Final) {
 	a := q.agg
+	// Danger: a jam outlives the rush that made it, for all that is taken on comes too late and is asked
+	// for again. Whatever makes queries late, fewer are taken on until they are in time.
+	if q.begun > 0 && final == Whole && now <= q.goal {
+		a.grip = min(a.grip+gripGain, 1)
+	} else if q.begun > 0 {
+		a.grip = max(a.grip*gripLoss, gripLeast)
+	}
 	e := Ending{Query: q, Final: final}
 	if final == Declined && a.ComeBack {
 		e.ComeBack = min(comeBack, a.MaxComeBack)
@@ -702,12 +713,12 @@
 }
 
 // giveUp ends the query unserved: declined where trying again does no harm.
-func (q *Query) giveUp() {
+func (q *Query) giveUp(now int64) {
 	final := Declined
 	if q.workload.Effect != Repeatable && slices.ContainsFunc(q.parts, func(p part) bool { return p.mayHaveRun != 0 }) {
 		final = Forfeited
 	}
-	q.finish(final)
+	q.finish(now, final)
 }
 
 // settle ends the query if its time has come, and returns when to look again.
@@ -715,7 +726,7 @@
 	w := q.workload
 	if q.waiting || len(q.parts) < q.expected {
 		if now >= q.end {
-			q.finish(Forfeited)
+			q.finish(now, Forfeited)
 		}
 		return q.end
 	}
@@ -730,13 +741,13 @@
 	value := w.PartialShare * have / max(need, slack)
 	switch {
 	case whole && (q.step == 0 || q.whole):
-		q.finish(Whole)
+		q.finish(now, Whole)
 	case whole, enough && have+open < need-slack && open == 0:
-		q.finish(Partial)
+		q.finish(now, Partial)
 	case enough && (now >= q.end || now >= q.goal && value >= w.LateShare):
-		q.finish(Partial)
+		q.finish(now, Partial)
 	case now >= q.end, have+open < floor-slack, now >= q.goal && w.LateShare == 0:
-		q.giveUp()
+		q.giveUp(now)
 	case now < q.goal:
 		return q.goal
 	}
@@ -761,7 +772,7 @@
 		}
 		if q.begun == q.step {
 			if q.step == 0 && !a.admit(now, q) {
-				q.giveUp()
+				q.giveUp(now)
 				continue
 			}
 			q.begun++
