--- a/balance/balance.go
+++ b/balance/balance.go
@@ -624,69 +624,78 @@
 	return have, open, total
 }
 
-// ask marks the parts to be sent: all, or no more than a whole answer needs.
-func (q *Query) ask(now int64, need float64) {
-	for have := 0.0; have < need-1e-9; {
-		best, least := -1, 0
+// ask marks the cheapest parts to be sent until they weigh need, leaving out those that should take longer
+// than limit; it returns the weight still missing.
+func (q *Query) ask(now int64, need float64, limit int64) float64 {
+	for need > 1e-9 {
+		best, least := -1, limit
 		for i := range q.parts {
-			p := &q.parts[i]
-			if p.step != q.step || p.stage != unasked {
-				continue
-			}
-			cost := costLimit
-			for _, h := range q.agg.holders[p.shard] {
-				if r := &q.agg.replicas[h]; !r.aside {
-					cost = min(cost, priority*r.calls)
+			if p := &q.parts[i]; p.step == q.step && p.stage == unasked {
+				if t := q.agg.expect(now, q.workload, p.shard); t <= least && (best < 0 || t < least) {
+					best, least = i, t
 				}
 			}
-			if best < 0 || cost < least {
-				best, least = i, cost
-			}
 		}
 		if best < 0 {
-			return
+			return need
 		}
 		q.parts[best].stage, q.parts[best].since = wanted, now
-		have += q.parts[best].weight
+		need -= q.parts[best].weight
 	}
+	return 0
 }
 
-// expect is how long a part sent now should take: the replica's time for each own call, times the calls.
-func (a *Aggregator) expect(w *workload, r *replica, now int64) int64 {
-	each := float64(w.middle)
-	if slots := r.slots.sum(now); slots > 0 {
-		each = r.slotTime.sum(now) / slots
+// expect is how long a part sent now should take at the best replica of its shard: the replica's time for
+// each own call, times the calls.
+func (a *Aggregator) expect(now int64, w *workload, shard int) int64 {
+	best, aside := int64(math.MaxInt64), int64(math.MaxInt64)
+	for _, h := range a.holders[shard] {
+		r := &a.replicas[h]
+		each := float64(w.middle)
+		if slots := r.slots.sum(now); slots > 0 {
+			each = r.slotTime.sum(now) / slots
+		}
+		t := int64(each * float64(r.calls+1))
+		if r.aside {
+			aside = min(aside, t)
+		} else {
+			best = min(best, t)
+		}
 	}
-	return int64(each * float64(r.calls+1))
+	if best == math.MaxInt64 { // Danger: with none sound, declining all would never find one mended.
+		return aside
+	}
+	return best
 }
 
-// admit tells whether a query just taken should be in time.
+// begin asks for the parts of the present step, or declines the query.
 //
 // Danger: work beyond what the replicas can do fills their queues with parts that come too late, and
-// clients that come again add to it. Such a query is declined before it has cost anything.
-func (a *Aggregator) admit(now int64, q *Query) bool {
-	var times []int64
+// clients that come again add to it. A query that should be late is declined before it has cost anything,
+// and a part that should be late is not asked for where an answer can be given without it.
+func (q *Query) begin(now int64) {
+	a, w := q.agg, q.workload
+	q.begun++
+	_, total, _ := q.weights()
+	if q.step > 0 {
+		q.ask(now, total, math.MaxInt64)
+		return
+	}
+	need, least := w.Need, w.Need
+	if w.Floor < w.Need {
+		need, least = total, (w.Floor+w.Need)/2
+	}
+	missing := q.ask(now, min(need, total), int64(admitShare*a.grip*float64(q.goal-now)))
+	if need-missing < least-1e-6 {
+		q.begun = 0
+		q.giveUp(now)
+		return
+	}
 	for i := range q.parts {
-		best, aside := int64(math.MaxInt64), int64(math.MaxInt64)
-		for _, h := range a.holders[q.parts[i].shard] {
-			if r := &a.replicas[h]; r.aside {
-				aside = min(aside, a.expect(q.workload, r, now))
-			} else {
-				best = min(best, a.expect(q.workload, r, now))
-			}
-		}
-		if best == math.MaxInt64 { // Danger: with none sound, declining all would never find one mended.
-			best = aside
+		if p := &q.parts[i]; p.stage == unasked && missing > 0 {
+			p.stage = given
 		}
-		times = append(times, best)
 	}
-	slices.Sort(times)
-	share := q.workload.Need
-	if q.workload.Floor < share {
-		share = (q.workload.Floor + share) / 2
-	}
-	last := max(int(math.Ceil(share*float64(len(times))-1e-9)), 1) - 1
-	return float64(times[last]) <= admitShare*a.grip*float64(q.goal-now)
 }
 
 // finish ends the query, or its first step.
@@ -694,7 +703,7 @@
 	a := q.agg
 	// Danger: a jam outlives the rush that made it, for all that is taken on comes too late and is asked
 	// for again. Whatever makes queries late, fewer are taken on until they are in time.
-	if q.begun > 0 && final == Whole && now <= q.goal {
+	if q.begun > 0 && final <= Partial && now < q.goal {
 		a.grip = min(a.grip+gripGain, 1)
 	} else if q.begun > 0 {
 		a.grip = max(a.grip*gripLoss, gripLeast)
@@ -771,18 +780,9 @@
 			continue
 		}
 		if q.begun == q.step {
-			if q.step == 0 && !a.admit(now, q) {
-				q.giveUp(now)
-				continue
-			}
-			q.begun++
-			need := math.Inf(1)
-			if q.step == 0 && q.workload.Floor >= q.workload.Need {
-				need = q.workload.Need
-			}
-			q.ask(now, need)
+			q.begin(now)
 		}
-		for i := range q.parts {
+		for i := 0; q.open && i < len(q.parts); i++ {
 			p := &q.parts[i]
 			if p.stage == out {
 				wake = min(wake, q.recall(now, i))
@@ -837,7 +837,7 @@
 func (q *Query) drop(now int64, p *part) int64 {
 	p.stage = given
 	if q.step == 0 && q.workload.Floor >= q.workload.Need {
-		q.ask(now, p.weight)
+		q.ask(now, p.weight, math.MaxInt64)
 	}
 	return now
 }
