--- a/balance/balance.go
+++ b/balance/balance.go
@@ -32,6 +32,7 @@
 	admitShare  = 0.75      // a query is taken on when it should need no more of its latency goal than this
 	gripLoss    = 0.93      // a query taken on that was late tightens admission to this share
 	gripGain    = 0.01      // and one in time loosens it by so much: it settles at about one late in eight
+	gripHeal    = 0.1       // what it loosens in a second by itself: a module that declined all learns nothing
 	gripLeast   = 0.15      // of the full admission, so that a part on an idle replica still passes
 	jamShare    = 0.25      // a replica that turned a part away full is left alone for this share of a median
 	slowRatio   = 4         // a replica at so many times the middle replica's pace is slow
@@ -104,13 +105,25 @@
 	middle int64 // median of the recent part times
 }
 
-// note books a part time; one cut short counts as longer than it was seen to be.
-func (w *workload) note(now, took int64) {
+// turn forgets what is older than the span.
+//
+// Danger: without traffic there are no new times; a median kept from a jam would decline all for ever.
+func (w *workload) turn(now int64) {
 	const width = timeSpan / spanBuckets
-	for n := now / width; w.bucket < n; w.bucket++ {
+	n := now / width
+	if w.bucket == n {
+		return
+	}
+	for ; w.bucket < n; w.bucket++ {
 		w.bucket = max(w.bucket, n-spanBuckets)
 		w.times[(w.bucket+1)%spanBuckets] = [timeBins]float64{}
 	}
+	w.middle = w.quantile(0.5)
+}
+
+// note books a part time; one cut short counts with what was seen of it.
+func (w *workload) note(now, took int64) {
+	w.turn(now)
 	bin := int(math.Log2(float64(max(took, timeBase))/timeBase) * timeSteps)
 	w.times[w.bucket%spanBuckets][min(bin, timeBins-1)]++
 	w.middle = w.quantile(0.5)
@@ -125,6 +138,9 @@
 			total += n
 		}
 	}
+	if total == 0 {
+		return w.LatencyGoal / priorShare
+	}
 	left := total * share
 	for j, n := range sums {
 		if left -= n; left <= 0 {
@@ -234,12 +250,13 @@
 	asked     int64
 	askWait   int64
 	grip      float64 // how much of admitShare holds now
+	gripped   int64   // since when
 }
 
 // New makes an aggregator at its start.
 func New(now int64, d Deployment) *Aggregator {
 	a := &Aggregator{Deployment: d, chance: chance{x: uint32(d.Seed) | 1, c: uint32(d.Seed>>32)%4294957664 + 1},
-		holders: make([][]int, d.Shards), pointers: make([]int, d.Shards), askWait: askAgain, grip: 1,
+		holders: make([][]int, d.Shards), pointers: make([]int, d.Shards), askWait: askAgain, grip: 1, gripped: now,
 		taken: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan),
 		sent: newRing(healthSpan), failed: newRing(healthSpan)}
 	for i := range a.pointers {
@@ -676,6 +693,9 @@
 func (q *Query) begin(now int64) {
 	a, w := q.agg, q.workload
 	q.begun++
+	w.turn(now)
+	a.grip = min(a.grip+gripHeal*float64(now-a.gripped)/1e9, 1)
+	a.gripped = now
 	_, total, _ := q.weights()
 	if q.step > 0 {
 		q.ask(now, total, math.MaxInt64)
