Full and cold replicas are no room for admission; full ones rest a median

Cause: with most replicas of a shard gone, cold or full, queries were taken on for room that was not there.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -34,7 +34,7 @@
 	gripGain    = 0.01      // and one in time loosens it by so much: it settles at about one late in eight
 	gripHeal    = 0.1       // what it loosens in a second by itself: a module that declined all learns nothing
 	gripLeast   = 0.15      // of the full admission, so that a part on an idle replica still passes
-	jamShare    = 0.25      // a replica that turned a part away full is left alone for this share of a median
+	jamShare    = 1.0       // a replica that turned a part away full is left alone for so many medians
 	slowRatio   = 4         // a replica at so many times the middle replica's pace is slow
 	slowSample  = 6         // outcomes wanted before a pace is believed
 	failRun     = 2         // failures in a row that set a replica aside: one alone is chance
@@ -668,6 +668,9 @@
 	best, aside := int64(math.MaxInt64), int64(math.MaxInt64)
 	for _, h := range a.holders[shard] {
 		r := &a.replicas[h]
+		if now < r.jammed || !a.coldRoom(now, r, w.middle) {
+			continue
+		}
 		each := float64(w.middle)
 		if slots := r.slots.sum(now); slots > 0 {
 			each = r.slotTime.sum(now) / slots
