--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,291 @@
+package balance
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+)
+
+// A scenario is a text file, a command a line; # starts a comment, times are in ms.
+//
+//	deploy KEY=VALUE ...        the deployment; left out keys have the defaults of newPlay
+//	workload NAME KEY=VALUE ... one more workload
+//	list|change|remembered REPLICA:CELL[:STANDING[:STARTED]] ...   a whole list, changes, or an old list
+//	lost                        a list call failed
+//	at T                        sets the clock, and decides; what is asked for must follow in lines with >
+//	take QUERY WORKLOAD PATIENCE SHARD[*WEIGHT] ...   hands over a query; weights are even unless stated
+//	step QUERY SHARD ...        the parts of a second step
+//	ok|errored|full|timeout|noconn|reset|cancelled|moot QUERY.PART TOOK   the part's last execution ended
+//	probed REPLICA RESULT TOOK  a probe ended
+//	leave QUERY                 the client went
+//	flood N QUERY ...           take, N times, with a number behind the name
+//	> send QUERY.PART REPLICA [until T]
+//	> cancel QUERY.PART EXECUTION
+//	> end QUERY whole|partial|declined|forfeited
+//	> probe REPLICA
+//	> subscribe
+//	> ...                       anything more
+type play struct {
+	t       *testing.T
+	d       Deployment
+	agg     *Aggregator
+	now     int64
+	kinds   map[string]int
+	numbers map[string]int
+	names   []string
+	queries map[string]*Query
+	got     []string
+	line    string
+}
+
+var results = map[string]Result{"ok": Fulfilled, "errored": Errored, "full": Full, "timeout": TimedOut,
+	"noconn": ConnectFailed, "reset": Reset, "cancelled": Cancelled, "moot": Moot}
+
+func newPlay(t *testing.T) *play {
+	return &play{t: t, kinds: map[string]int{}, numbers: map[string]int{}, queries: map[string]*Query{},
+		d: Deployment{Aggregators: 2, Seed: 7, Tick: 5 * ms, Shards: 4, Cells: 2, Reach: 1, PartsPerCall: 1,
+			MaxExecutions: 3, MaxHeld: 100, Cancels: true, ComeBack: true, MaxComeBack: 2000 * ms,
+			ConnectTimeout: 250 * ms, DrainGrace: 1000 * ms, ColdShare: 0.2, ColdRamp: 10000 * ms,
+			FallMultiple: 3, FallSpan: 1000 * ms}}
+}
+
+func (p *play) fatal(format string, args ...any) {
+	p.t.Helper()
+	p.t.Fatalf("%q: %s", p.line, fmt.Sprintf(format, args...))
+}
+
+func (p *play) number(s string) float64 {
+	x, err := strconv.ParseFloat(s, 64)
+	if err != nil {
+		p.fatal("%v", err)
+	}
+	return x
+}
+
+func (p *play) time(s string) int64 { return int64(p.number(s) * ms) }
+
+// start makes the aggregator once the deployment is known.
+func (p *play) start() *Aggregator {
+	if p.agg == nil {
+		p.agg = New(p.now, p.d)
+	}
+	return p.agg
+}
+
+func (p *play) deploy(key, value string) {
+	d, n := &p.d, p.number(value)
+	set := map[string]func(){
+		"aggregators": func() { d.Aggregators = int(n) }, "number": func() { d.Number = int(n) },
+		"shards": func() { d.Shards = int(n) }, "cells": func() { d.Cells = int(n) },
+		"reach": func() { d.Reach = int(n) }, "parts_per_call": func() { d.PartsPerCall = int(n) },
+		"executions": func() { d.MaxExecutions = int(n) }, "cancels": func() { d.Cancels = n > 0 },
+		"probes": func() { d.Probes = n > 0 }, "asks": func() { d.AsksForList = n > 0 },
+		"ask_within": func() { d.AskWithin = int64(n * ms) },
+		"free":       func() { d.Budgeted, d.FurtherFree = true, n },
+		"share":      func() { d.Budgeted, d.FurtherShare = true, n },
+		"span":       func() { d.Budgeted, d.FurtherSpan = true, int64(n*ms) },
+	}[key]
+	if set == nil {
+		p.fatal("unknown key %s", key)
+	}
+	set()
+}
+
+func (p *play) workload(name string, pairs []string) {
+	w := Workload{LatencyGoal: 1000 * ms, CutOff: 2500 * ms, Revenue: 1, LateShare: 0.3, Floor: 1, Need: 1,
+		PartialShare: 0.9, RepeatWindow: 1000 * ms}
+	for _, pair := range pairs {
+		key, value, _ := strings.Cut(pair, "=")
+		switch key {
+		case "goal":
+			w.LatencyGoal = p.time(value)
+		case "late":
+			w.LateShare = p.number(value)
+		case "floor":
+			w.Floor = p.number(value)
+		case "need":
+			w.Need = p.number(value)
+		case "follow":
+			w.FollowUp = int(p.number(value))
+		case "effect":
+			w.Effect = Effect(slices.Index([]string{"repeatable", "tagged", "once-only"}, value))
+		default:
+			p.fatal("unknown key %s", key)
+		}
+	}
+	p.kinds[name] = len(p.d.Workloads)
+	p.d.Workloads = append(p.d.Workloads, w)
+}
+
+func (p *play) listings(words []string) (list []Listing) {
+	for _, word := range words {
+		f := append(strings.Split(word, ":"), "up", "0")
+		if _, ok := p.numbers[f[0]]; !ok {
+			p.numbers[f[0]] = len(p.names)
+			p.names = append(p.names, f[0])
+		}
+		l := Listing{Replica: p.numbers[f[0]], Cell: int(p.number(f[1])),
+			Standing: Standing(slices.Index([]string{"up", "draining", "gone"}, f[2]))}
+		if f[2] == "up" && len(f) > 5 {
+			l.Started = p.time(f[3])
+		}
+		list = append(list, l)
+	}
+	return list
+}
+
+func (p *play) take(name string, words []string) {
+	shards := words[2:]
+	q := p.start().Take(p.now, Arrival{Workload: p.kinds[words[0]], Customer: -1, Patience: p.time(words[1]),
+		Parts: len(shards)})
+	p.queries[name] = q
+	p.step(q, shards)
+}
+
+func (p *play) step(q *Query, shards []string) {
+	for _, s := range shards {
+		shard, weight, stated := strings.Cut(s, "*")
+		if !stated {
+			weight = strconv.FormatFloat(1/float64(len(shards)), 'g', -1, 64)
+		}
+		q.AddPart(int(p.number(shard)), p.number(weight))
+	}
+}
+
+func (p *play) decide() {
+	name := func(q *Query) string {
+		for n, other := range p.queries {
+			if other == q {
+				return n
+			}
+		}
+		return "?"
+	}
+	r := p.start().Decide(p.now)
+	for _, s := range r.Sends {
+		p.got = append(p.got, fmt.Sprintf("send %s.%d %s until %d", name(s.Query), s.Part, p.names[s.Replica],
+			s.CutAt/ms))
+	}
+	for _, c := range r.Cancels {
+		p.got = append(p.got, fmt.Sprintf("cancel %s.%d %d", name(c.Query), c.Part, c.Execution))
+	}
+	for _, e := range r.Endings {
+		final := []string{"whole", "partial", "declined", "forfeited"}[e.Final]
+		p.got = append(p.got, fmt.Sprintf("end %s %s", name(e.Query), final))
+	}
+	for _, replica := range r.Probes {
+		p.got = append(p.got, "probe "+p.names[replica])
+	}
+	if r.List == Subscribe {
+		p.got = append(p.got, "subscribe")
+	}
+}
+
+// expect takes one asked-for thing off what the last decision returned, in any order.
+func (p *play) expect(want string) {
+	if want == "..." {
+		p.got = nil
+		return
+	}
+	for i, got := range p.got {
+		if got == want || strings.HasPrefix(got, want+" until ") {
+			p.got = slices.Delete(p.got, i, i+1)
+			return
+		}
+	}
+	p.fatal("not asked for; there was %q", p.got)
+}
+
+func (p *play) command(line string) {
+	words := strings.Fields(line)
+	if words[0] != ">" && len(p.got) > 0 {
+		p.fatal("before it, nothing of this was expected: %q", p.got)
+	}
+	p.line = line
+	switch words[0] {
+	case ">":
+		p.expect(strings.Join(words[1:], " "))
+	case "deploy":
+		for _, pair := range words[1:] {
+			key, value, _ := strings.Cut(pair, "=")
+			p.deploy(key, value)
+		}
+	case "workload":
+		p.workload(words[1], words[2:])
+	case "list":
+		p.start().ListWhole(p.now, p.listings(words[1:]), true)
+	case "remembered":
+		p.start().ListWhole(p.now, p.listings(words[1:]), false)
+	case "change":
+		p.start().ListChanged(p.now, p.listings(words[1:]))
+	case "lost":
+		p.start().ListFailed(p.now)
+	case "at":
+		p.now = p.time(words[1])
+		p.decide()
+	case "clock":
+		p.now = p.time(words[1])
+	case "take":
+		p.take(words[1], words[2:])
+	case "flood":
+		for i := range int(p.number(words[1])) {
+			p.take(fmt.Sprint(words[2], i), words[3:])
+		}
+	case "step":
+		p.step(p.queries[words[1]], words[2:])
+	case "leave":
+		p.queries[words[1]].Leave(p.now)
+	case "probed":
+		p.start().Probed(p.now, p.numbers[words[1]], results[words[2]], p.time(words[3]))
+	default:
+		result, ok := results[words[0]]
+		if !ok {
+			p.fatal("unknown command")
+		}
+		name, number, _ := strings.Cut(words[1], ".")
+		q, part := p.queries[name], int(p.number(number))
+		if !q.Outcome(p.now, part, len(q.parts[part].executions)-1, result, p.time(words[2])) {
+			p.fatal("the outcome was not taken")
+		}
+	}
+	for i := range p.agg.replicasOrNone() {
+		if p.agg.replicas[i].calls < 0 {
+			p.fatal("the count of %s fell below zero", p.names[i])
+		}
+	}
+}
+
+func (a *Aggregator) replicasOrNone() []replica {
+	if a == nil {
+		return nil
+	}
+	return a.replicas
+}
+
+func TestScenarios(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txt")
+	if err != nil || len(files) == 0 {
+		t.Fatalf("no scenarios: %v", err)
+	}
+	for _, file := range files {
+		t.Run(strings.TrimSuffix(filepath.Base(file), ".txt"), func(t *testing.T) {
+			text, err := os.ReadFile(file)
+			if err != nil {
+				t.Fatal(err)
+			}
+			p := newPlay(t)
+			for _, line := range strings.Split(string(text), "\n") {
+				if line, _, _ = strings.Cut(line, "#"); strings.TrimSpace(line) != "" {
+					p.command(strings.TrimSpace(line))
+				}
+			}
+			if len(p.got) > 0 {
+				t.Fatalf("at the end nothing of this was expected: %q", p.got)
+			}
+		})
+	}
+}
