--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,10 +28,8 @@
 	priorShare  = 6         // a part not yet timed is taken to need its latency goal / this
 	patienceMul = 4         // an execution is overdue at so many medians: about the 98th percentile when calm
 	admitShare  = 0.75      // a query is taken on when it should need no more of its latency goal than this
-	gripLoss    = 0.93      // a query taken on that was late tightens admission to this share
-	gripGain    = 0.01      // and one in time loosens it by so much: it settles at about one late in eight
-	gripHeal    = 0.1       // what it loosens in a second by itself: a module that declined all learns nothing
-	gripLeast   = 0.15      // of the full admission, so that a part on an idle replica still passes
+	lateWeight  = 2.5       // how much the share of late queries among those taken on tightens admission
+	admitLeast  = 0.15      // of the full admission, so that a part on an idle replica still passes
 	jamShare    = 1.0       // a replica that turned a part away full is left alone for so many medians
 	slowRatio   = 4         // a replica at so many times the middle replica's pace is slow
 	slowSample  = 6         // outcomes wanted before a pace is believed
@@ -222,14 +220,13 @@
 	subscribed bool
 	askAt      int64 // when to ask for the list
 	askWait    int64
-	grip       float64 // how much of admitShare holds now
-	gripped    int64   // since when
+	late       mean // late ones among the queries taken on
 }
 
 // New makes an aggregator at its start.
 func New(now int64, d Deployment) *Aggregator {
 	a := &Aggregator{Deployment: d, chance: chance{x: uint32(d.Seed) | 1, c: uint32(d.Seed>>32)%4294957664 + 1},
-		holders: make([][]int, d.Shards), pointers: make([]int, d.Shards), askWait: askAgain, grip: 1, gripped: now,
+		holders: make([][]int, d.Shards), pointers: make([]int, d.Shards), askWait: askAgain, late: newMean(timeSpan),
 		taken: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan), failed: newMean(healthSpan)}
 	for i := range a.pointers {
 		a.pointers[i] = d.Number
@@ -653,8 +650,6 @@
 	a, w := q.agg, q.workload
 	q.begun++
 	w.look(now)
-	a.grip = min(a.grip+gripHeal*float64(now-a.gripped)/1e9, 1)
-	a.gripped = now
 	_, total, _ := q.weights()
 	if q.step > 0 {
 		q.ask(now, total, math.MaxInt64)
@@ -664,7 +659,8 @@
 	if w.Floor < w.Need {
 		need, least = total, (w.Floor+w.Need)/2
 	}
-	missing := q.ask(now, min(need, total), int64(admitShare*a.grip*float64(q.goal-now)))
+	grip := max(1-lateWeight*a.late.of(now, 0), admitLeast)
+	missing := q.ask(now, min(need, total), int64(admitShare*grip*float64(q.goal-now)))
 	if need-missing < least-1e-6 {
 		q.begun = 0
 		q.giveUp(now)
@@ -682,10 +678,12 @@
 	a := q.agg
 	// Danger: a jam outlives the rush that made it, for all that is taken on comes too late and is asked
 	// for again. Whatever makes queries late, fewer are taken on until they are in time.
-	if q.begun > 0 && final <= Partial && now < q.goal {
-		a.grip = min(a.grip+gripGain, 1)
-	} else if q.begun > 0 {
-		a.grip = max(a.grip*gripLoss, gripLeast)
+	if q.begun > 0 {
+		late := 1.0
+		if final <= Partial && now < q.goal {
+			late = 0
+		}
+		a.late.add(now, late, 1)
 	}
 	e := Ending{Query: q, Final: final}
 	if final == Declined && a.ComeBack {
