--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,7 +28,8 @@
 	priorShare  = 6         // a part not yet timed is taken to need its latency goal / this
 	patienceMul = 4         // an execution is overdue at so many medians: about the 98th percentile when calm
 	admitShare  = 0.75      // a query is taken on when it should need no more of its latency goal than this
-	lateWeight  = 2.5       // how much the share of late queries among those taken on tightens admission
+	lateWeight  = 3         // how much the share of late queries among those taken on, beyond lateSpared, tightens admission
+	lateSpared  = 0.12      // late ones that a single slow replica makes, without a jam
 	admitLeast  = 0.15      // of the full admission, so that a part on an idle replica still passes
 	jamShare    = 1.0       // a replica that turned a part away full is left alone for so many medians
 	slowRatio   = 4         // a replica at so many times the middle replica's pace is slow
@@ -659,7 +660,7 @@
 	if w.Floor < w.Need {
 		need, least = total, (w.Floor+w.Need)/2
 	}
-	grip := max(1-lateWeight*a.late.of(now, 0), admitLeast)
+	grip := max(1-lateWeight*max(a.late.of(now, 0)-lateSpared, 0), admitLeast)
 	missing := q.ask(now, min(need, total), int64(admitShare*grip*float64(q.goal-now)))
 	if need-missing < least-1e-6 {
 		q.begun = 0
