--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,8 +28,7 @@
 	priorShare  = 6         // a part not yet timed is taken to need its latency goal / this
 	patienceMul = 4         // an execution is overdue at so many medians: about the 98th percentile when calm
 	admitShare  = 0.75      // a query is taken on when it should need no more of its latency goal than this
-	lateWeight  = 3         // how much the share of late queries among those taken on, beyond lateSpared, tightens admission
-	lateSpared  = 0.12      // late ones that a single slow replica makes, without a jam
+	lateWeight  = 2.5       // how much the share of late executions at a replica tightens admission there
 	admitLeast  = 0.15      // of the full admission, so that a part on an idle replica still passes
 	jamShare    = 1.0       // a replica that turned a part away full is left alone for so many medians
 	slowRatio   = 4         // a replica at so many times the middle replica's pace is slow
@@ -136,6 +135,7 @@
 	coldWork ring  // own work sent while cold, ns
 	pace     mean  // times of outcomes over the workload's typical one
 	fails    int   // failures since the last fulfilled execution
+	late     mean  // executions that ended after their query's latency goal
 	slot     mean  // time for each own call, ns
 	heard    int64 // last outcome that came from the replica itself
 	jammed   int64 // until then it is taken to be full
@@ -221,13 +221,12 @@
 	subscribed bool
 	askAt      int64 // when to ask for the list
 	askWait    int64
-	late       mean // late ones among the queries taken on
 }
 
 // New makes an aggregator at its start.
 func New(now int64, d Deployment) *Aggregator {
 	a := &Aggregator{Deployment: d, chance: chance{x: uint32(d.Seed) | 1, c: uint32(d.Seed>>32)%4294957664 + 1},
-		holders: make([][]int, d.Shards), pointers: make([]int, d.Shards), askWait: askAgain, late: newMean(timeSpan),
+		holders: make([][]int, d.Shards), pointers: make([]int, d.Shards), askWait: askAgain,
 		taken: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan), failed: newMean(healthSpan)}
 	for i := range a.pointers {
 		a.pointers[i] = d.Number
@@ -256,7 +255,7 @@
 	for _, l := range list {
 		for len(a.replicas) <= l.Replica {
 			a.replicas = append(a.replicas, replica{coldWork: newRing(a.FallSpan),
-				pace: newMean(healthSpan), slot: newMean(healthSpan)})
+				pace: newMean(healthSpan), slot: newMean(healthSpan), late: newMean(timeSpan)})
 		}
 		r := &a.replicas[l.Replica]
 		if l.Started != r.started { // a new process: what the old one did says nothing
@@ -323,6 +322,12 @@
 		p.mayHaveRun = never
 	}
 	r := &q.agg.replicas[e.replica]
+	if late := 0.0; !result.NeverRan() {
+		if now >= q.goal {
+			late = 1
+		}
+		r.late.add(now, late, 1)
+	}
 	switch result {
 	case Fulfilled:
 		r.slot.add(now, float64(took), float64(e.slots))
@@ -629,7 +634,10 @@
 		if now < r.jammed || !a.coldRoom(now, r, w.middle) {
 			continue
 		}
-		t := int64(r.slot.of(now, float64(w.middle)) * float64(r.calls+1))
+		// Danger: a jam outlives the rush that made it, for all that is taken on comes too late and is asked
+		// for again. Whatever made a replica's parts late, less is taken on there until they are in time.
+		grip := max(1-lateWeight*r.late.of(now, 0), admitLeast)
+		t := int64(r.slot.of(now, float64(w.middle)) * float64(r.calls+1) / grip)
 		if r.aside {
 			aside = min(aside, t)
 		} else {
@@ -648,7 +656,7 @@
 // clients that come again add to it. A query that should be late is declined before it has cost anything,
 // and a part that should be late is not asked for where an answer can be given without it.
 func (q *Query) begin(now int64) {
-	a, w := q.agg, q.workload
+	w := q.workload
 	q.begun++
 	w.look(now)
 	_, total, _ := q.weights()
@@ -660,8 +668,7 @@
 	if w.Floor < w.Need {
 		need, least = total, (w.Floor+w.Need)/2
 	}
-	grip := max(1-lateWeight*max(a.late.of(now, 0)-lateSpared, 0), admitLeast)
-	missing := q.ask(now, min(need, total), int64(admitShare*grip*float64(q.goal-now)))
+	missing := q.ask(now, min(need, total), int64(admitShare*float64(q.goal-now)))
 	if need-missing < least-1e-6 {
 		q.begun = 0
 		q.giveUp(now)
@@ -677,15 +684,6 @@
 // finish ends the query, or its first step.
 func (q *Query) finish(now int64, final Final) {
 	a := q.agg
-	// Danger: a jam outlives the rush that made it, for all that is taken on comes too late and is asked
-	// for again. Whatever makes queries late, fewer are taken on until they are in time.
-	if q.begun > 0 {
-		late := 1.0
-		if final <= Partial && now < q.goal {
-			late = 0
-		}
-		a.late.add(now, late, 1)
-	}
 	e := Ending{Query: q, Final: final}
 	if final == Declined && a.ComeBack {
 		e.ComeBack = min(comeBack, a.MaxComeBack)
