A replica is slow when half its executions are late, not by its pace

Cause: setting a slow replica aside doubled the load of its only peer; by its count alone it takes a small share in time.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -31,8 +31,8 @@
 	lateWeight  = 2.5       // how much the share of late executions at a replica tightens admission there
 	admitLeast  = 0.15      // of the full admission, so that a part on an idle replica still passes
 	jamShare    = 1.0       // a replica that turned a part away full is left alone for so many medians
-	slowRatio   = 4         // a replica at so many times the middle replica's pace is slow
-	slowSample  = 6         // outcomes wanted before a pace is believed
+	slowShare   = 0.5       // a replica is slow when more than this share of its executions is late
+	slowSample  = 6         // outcomes wanted before that is believed
 	failRun     = 2         // failures in a row that set a replica aside: one alone is chance
 	fleetFails  = 0.3       // when more than this share of all executions fails, the cause is not a replica
 	asideShare  = 3         // at most one replica in so many is set aside at once
@@ -133,9 +133,8 @@
 	calls    int // own calls in flight: the count that the design goes by
 	shared   *call
 	coldWork ring  // own work sent while cold, ns
-	pace     mean  // times of outcomes over the workload's typical one
 	fails    int   // failures since the last fulfilled execution
-	late     mean  // executions that ended after their query's latency goal
+	late     mean  // executions that took longer than admission counts on
 	slot     mean  // time for each own call, ns
 	heard    int64 // last outcome that came from the replica itself
 	jammed   int64 // until then it is taken to be full
@@ -255,7 +254,7 @@
 	for _, l := range list {
 		for len(a.replicas) <= l.Replica {
 			a.replicas = append(a.replicas, replica{coldWork: newRing(a.FallSpan),
-				pace: newMean(healthSpan), slot: newMean(healthSpan), late: newMean(timeSpan)})
+				slot: newMean(healthSpan), late: newMean(timeSpan)})
 		}
 		r := &a.replicas[l.Replica]
 		if l.Started != r.started { // a new process: what the old one did says nothing
@@ -323,7 +322,7 @@
 	}
 	r := &q.agg.replicas[e.replica]
 	if late := 0.0; !result.NeverRan() {
-		if now >= q.goal {
+		if float64(took) > admitShare*float64(q.workload.LatencyGoal) {
 			late = 1
 		}
 		r.late.add(now, late, 1)
@@ -391,7 +390,6 @@
 	if result == Moot || result == Cancelled || result == Full { // a jam says nothing of health
 		return
 	}
-	ratio := float64(took) / float64(w.middle)
 	if result == Fulfilled || result == TimedOut {
 		w.logs.add(now, math.Log(float64(max(took, ms))), 1)
 		w.look(now)
@@ -401,12 +399,11 @@
 		r.fails = 0
 	} else {
 		r.fails++
-		bad, ratio = 1, max(ratio, slowRatio)
+		bad = 1
 	}
 	a.failed.add(now, bad, 1)
-	r.pace.add(now, ratio, 1)
 	if r.aside {
-		if bad > 0 || ratio > slowRatio {
+		if bad > 0 || float64(took) > admitShare*float64(w.LatencyGoal) {
 			a.setAside(now, r)
 		} else if r.good++; r.good >= r.quota {
 			if r.quota, r.used, r.good, r.since = 2*r.quota, 0, 0, now; r.quota >= trickleFull {
@@ -420,7 +417,7 @@
 	// sets nobody aside.
 	middle, asides := a.fleet(now)
 	sick := r.fails >= failRun && a.failed.of(now, 0) < fleetFails ||
-		r.pace.n.sum(now) >= slowSample && r.pace.of(now, 0) > slowRatio*middle
+		r.late.n.sum(now) >= slowSample && r.late.of(now, 0) > slowShare && middle < slowShare/2
 	if sick && asides < len(a.replicas)/asideShare {
 		a.setAside(now, r)
 	}
@@ -434,25 +431,25 @@
 
 // letIn forgets what was held against a replica.
 func (r *replica) letIn() {
-	r.aside, r.fails, r.hold, r.pace = false, 0, 0, newMean(healthSpan)
+	r.aside, r.fails, r.hold, r.late = false, 0, 0, newMean(healthSpan)
 }
 
-// fleet is the pace of the middle replica, and how many are set aside.
+// fleet is the share of late executions at the middle replica, and how many replicas are set aside.
 func (a *Aggregator) fleet(now int64) (middle float64, asides int) {
-	var paces []float64
+	var late []float64
 	for i := range a.replicas {
 		r := &a.replicas[i]
 		if r.listed && r.aside {
 			asides++
 		}
-		if r.listed && r.pace.n.sum(now) > 0 {
-			paces = append(paces, r.pace.of(now, 1))
+		if r.listed && r.late.n.sum(now) > 0 {
+			late = append(late, r.late.of(now, 0))
 		}
 	}
-	if slices.Sort(paces); len(paces) > 0 {
-		middle = paces[len(paces)/2]
+	if slices.Sort(late); len(late) > 0 {
+		middle = late[len(late)/2]
 	}
-	return max(middle, 0.5), asides
+	return middle, asides
 }
 
 // coldRoom tells whether a cold replica may be sent one more part.
