Nine tenths of the cold allowance instead of half

Cause: with half the replicas of a shard gone the fresh ones were held back at a fifth of what the rule allows.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -39,7 +39,7 @@
 	holdFirst   = 1000 * ms // a replica set aside rests so long first, then doubled; a quota is for so long
 	holdLast    = 8000 * ms // and so long at most
 	trickleFull = 16        // quota at which a replica is back in
-	coldSafety  = 0.5       // share of the cold budget used: the list is late and work is a guess
+	coldSafety  = 0.9       // share of the cold budget used: the list is late and work is a guess
 	comeBack    = 500 * ms  // advice to a declined client: a few part times
 	askAgain    = 1000 * ms // first wait after a failed list call, doubled up to eight times, with chance
 )
