--- a/balance/balance.go
+++ b/balance/balance.go
@@ -634,7 +634,7 @@
 		// Danger: a jam outlives the rush that made it, for all that is taken on comes too late and is asked
 		// for again. Whatever made a replica's parts late, less is taken on there until they are in time.
 		grip := max(1-lateWeight*r.late.of(now, 0), admitLeast)
-		t := int64(r.slot.of(now, float64(w.middle)) * float64(r.calls+1) / grip)
+		t := int64(r.slot.of(now, float64(w.middle)) * (1 + float64(r.calls)/grip))
 		if r.aside {
 			aside = min(aside, t)
 		} else {
