A replica that keeps turning parts away full rests longer each time

It also catches one that drains unannounced; where it may harm: a replica full by chance rests up to sixteen part times.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -22,26 +22,26 @@
 	waitShare  = 10 // a part waits at most its time budget / this for a channel: the design page's tenth
 	spareTicks = 3  // ticks kept free before a goal or a client's end, for the way back and a late round
 
-	spanBuckets = 8         // buckets in a ring: the span is known to an eighth
-	timeSpan    = 4000 * ms // how far back part times count: dozens of them, and it follows a jam
-	healthSpan  = 4000 * ms // how far back a replica's record counts
-	priorShare  = 6         // a part not yet timed is taken to need its latency goal / this
-	patienceMul = 4         // an execution is overdue at so many medians: about the 98th percentile when calm
-	admitShare  = 0.75      // a query is taken on when it should need no more of its latency goal than this
-	lateWeight  = 2.5       // how much the share of late executions at a replica tightens admission there
-	admitLeast  = 0.15      // of the full admission, so that a part on an idle replica still passes
-	jamShare    = 1.0       // a replica that turned a part away full is left alone for so many medians
-	slowShare   = 0.5       // a replica is slow when more than this share of its executions is late
-	slowSample  = 6         // outcomes wanted before that is believed
-	failRun     = 2         // failures in a row that set a replica aside: one alone is chance
-	fleetFails  = 0.3       // when more than this share of all executions fails, the cause is not a replica
-	asideShare  = 3         // at most one replica in so many is set aside at once
-	holdFirst   = 1000 * ms // a replica set aside rests so long first, then doubled; a quota is for so long
-	holdLast    = 8000 * ms // and so long at most
-	trickleFull = 16        // quota at which a replica is back in
-	coldSafety  = 0.9       // share of the cold budget used: the list is late and work is a guess
-	comeBack    = 500 * ms  // advice to a declined client: a few part times
-	askAgain    = 1000 * ms // first wait after a failed list call, doubled up to eight times, with chance
+	spanBuckets  = 8         // buckets in a ring: the span is known to an eighth
+	timeSpan     = 4000 * ms // how far back part times count: dozens of them, and it follows a jam
+	healthSpan   = 4000 * ms // how far back a replica's record counts
+	priorShare   = 6         // a part not yet timed is taken to need its latency goal / this
+	patienceMul  = 4         // an execution is overdue at so many medians: about the 98th percentile when calm
+	admitShare   = 0.75      // a query is taken on when it should need no more of its latency goal than this
+	lateWeight   = 2.5       // how much the share of late executions at a replica tightens admission there
+	admitLeast   = 0.15      // of the full admission, so that a part on an idle replica still passes
+	jamDoublings = 4         // a replica that turns parts away full rests a typical part time, doubled so often at most
+	slowShare    = 0.5       // a replica is slow when more than this share of its executions is late
+	slowSample   = 6         // outcomes wanted before that is believed
+	failRun      = 2         // failures in a row that set a replica aside: one alone is chance
+	fleetFails   = 0.3       // when more than this share of all executions fails, the cause is not a replica
+	asideShare   = 3         // at most one replica in so many is set aside at once
+	holdFirst    = 1000 * ms // a replica set aside rests so long first, then doubled; a quota is for so long
+	holdLast     = 8000 * ms // and so long at most
+	trickleFull  = 16        // quota at which a replica is back in
+	coldSafety   = 0.9       // share of the cold budget used: the list is late and work is a guess
+	comeBack     = 500 * ms  // advice to a declined client: a few part times
+	askAgain     = 1000 * ms // first wait after a failed list call, doubled up to eight times, with chance
 )
 
 // ring sums what happened over a span, in buckets of fixed width that are used again.
@@ -137,6 +137,7 @@
 	late     mean  // executions that took longer than admission counts on
 	slot     mean  // time for each own call, ns
 	heard    int64 // last outcome that came from the replica itself
+	fulls    int   // parts turned away as full since the last fulfilled one
 	jammed   int64 // until then it is taken to be full
 	aside    bool
 	hold     int64 // how long the last rest was
@@ -330,11 +331,13 @@
 	switch result {
 	case Fulfilled:
 		r.slot.add(now, float64(took), float64(e.slots))
-		r.heard = now
+		r.heard, r.fulls = now, 0
 	case Errored:
 		r.heard = now
 	case Full:
-		r.jammed = now + int64(jamShare*float64(q.workload.middle))
+		// Danger: a replica that turns all away at once always has the lowest count and draws every part.
+		r.jammed = now + q.workload.middle<<min(r.fulls, jamDoublings)
+		r.fulls++
 	case Cancelled, TimedOut:
 		// Danger: leaving out what was cut short would show a jammed replica at its best.
 		if float64(took) > r.slot.of(now, 0)*float64(e.slots) {
