--- a/balance/balance.go
+++ b/balance/balance.go
@@ -31,6 +31,7 @@
 	lateWeight   = 2.5       // how much the share of late executions at a replica tightens admission there
 	admitLeast   = 0.15      // of the full admission, so that a part on an idle replica still passes
 	jamDoublings = 4         // a replica that turns parts away full rests a typical part time, doubled so often at most
+	lateShare    = 0.75      // an execution that took more of the latency goal than this is late
 	slowShare    = 0.5       // a replica is slow when more than this share of its executions is late
 	slowSample   = 6         // outcomes wanted before that is believed
 	failRun      = 2         // failures in a row that set a replica aside: one alone is chance
@@ -323,7 +324,7 @@
 	}
 	r := &q.agg.replicas[e.replica]
 	if late := 0.0; !result.NeverRan() {
-		if float64(took) > admitShare*float64(q.workload.LatencyGoal) {
+		if float64(took) > lateShare*float64(q.workload.LatencyGoal) {
 			late = 1
 		}
 		r.late.add(now, late, 1)
@@ -406,7 +407,7 @@
 	}
 	a.failed.add(now, bad, 1)
 	if r.aside {
-		if bad > 0 || float64(took) > admitShare*float64(w.LatencyGoal) {
+		if bad > 0 || float64(took) > lateShare*float64(w.LatencyGoal) {
 			a.setAside(now, r)
 		} else if r.good++; r.good >= r.quota {
 			if r.quota, r.used, r.good, r.since = 2*r.quota, 0, 0, now; r.quota >= trickleFull {
