--- a/balance/balance.go
+++ b/balance/balance.go
@@ -94,6 +94,13 @@
 	m.n.add(now, n)
 }
 
+// mark adds one that is so, or one that is not.
+func (m *mean) mark(now int64, so bool) {
+	if m.n.add(now, 1); so {
+		m.sum.add(now, 1)
+	}
+}
+
 // of is the average, or what is given where nothing was seen.
 func (m *mean) of(now int64, unseen float64) float64 {
 	if n := m.n.sum(now); n > 0 {
@@ -216,6 +223,7 @@
 	taken      ring // queries and parts, for the budget of further executions
 	further    ring
 	failed     mean // failures among all outcomes
+	late       mean // late ones among all executions
 	rounds     int64
 	round      Round
 	cancels    []Cancel // for the next round
@@ -228,7 +236,7 @@
 func New(now int64, d Deployment) *Aggregator {
 	a := &Aggregator{Deployment: d, chance: chance{x: uint32(d.Seed) | 1, c: uint32(d.Seed>>32)%4294957664 + 1},
 		holders: make([][]int, d.Shards), pointers: make([]int, d.Shards), askWait: askAgain,
-		taken: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan), failed: newMean(healthSpan)}
+		taken: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan), failed: newMean(healthSpan), late: newMean(healthSpan)}
 	for i := range a.pointers {
 		a.pointers[i] = d.Number
 	}
@@ -323,11 +331,10 @@
 		p.mayHaveRun = never
 	}
 	r := &q.agg.replicas[e.replica]
-	if late := 0.0; !result.NeverRan() {
-		if float64(took) > lateShare*float64(q.workload.LatencyGoal) {
-			late = 1
-		}
-		r.late.add(now, late, 1)
+	late := float64(took) > lateShare*float64(q.workload.LatencyGoal)
+	if !result.NeverRan() {
+		r.late.mark(now, late)
+		q.agg.late.mark(now, late)
 	}
 	switch result {
 	case Fulfilled:
@@ -348,7 +355,7 @@
 			result = TimedOut
 		}
 	}
-	q.agg.judge(now, r, q.workload, result, took)
+	q.agg.judge(now, r, q.workload, result, took, late)
 	switch {
 	case result == Fulfilled && q.open && p.stage != given:
 		p.stage = in
@@ -390,7 +397,7 @@
 }
 
 // judge books an outcome in its replica's record and sets the replica aside or lets it back.
-func (a *Aggregator) judge(now int64, r *replica, w *workload, result Result, took int64) {
+func (a *Aggregator) judge(now int64, r *replica, w *workload, result Result, took int64, late bool) {
 	if result == Moot || result == Cancelled || result == Full { // a jam says nothing of health
 		return
 	}
@@ -398,16 +405,12 @@
 		w.logs.add(now, math.Log(float64(max(took, ms))), 1)
 		w.look(now)
 	}
-	bad := 0.0
-	if result == Fulfilled {
+	a.failed.mark(now, result != Fulfilled)
+	if r.fails++; result == Fulfilled {
 		r.fails = 0
-	} else {
-		r.fails++
-		bad = 1
 	}
-	a.failed.add(now, bad, 1)
 	if r.aside {
-		if bad > 0 || float64(took) > lateShare*float64(w.LatencyGoal) {
+		if result != Fulfilled || late {
 			a.setAside(now, r)
 		} else if r.good++; r.good >= r.quota {
 			if r.quota, r.used, r.good, r.since = 2*r.quota, 0, 0, now; r.quota >= trickleFull {
@@ -419,10 +422,9 @@
 	// Danger: one slow, hung or dead replica draws parts as fast as it drops them, and every query that
 	// meets it is late. The record is held against the other replicas' so that a slowness of everything
 	// sets nobody aside.
-	middle, asides := a.fleet(now)
 	sick := r.fails >= failRun && a.failed.of(now, 0) < fleetFails ||
-		r.late.n.sum(now) >= slowSample && r.late.of(now, 0) > slowShare && middle < slowShare/2
-	if sick && asides < len(a.replicas)/asideShare {
+		r.late.n.sum(now) >= slowSample && r.late.of(now, 0) > slowShare && a.late.of(now, 0) < slowShare/2
+	if sick && a.asides() < len(a.replicas)/asideShare {
 		a.setAside(now, r)
 	}
 }
@@ -438,22 +440,13 @@
 	r.aside, r.fails, r.hold, r.late = false, 0, 0, newMean(healthSpan)
 }
 
-// fleet is the share of late executions at the middle replica, and how many replicas are set aside.
-func (a *Aggregator) fleet(now int64) (middle float64, asides int) {
-	var late []float64
+func (a *Aggregator) asides() (n int) {
 	for i := range a.replicas {
-		r := &a.replicas[i]
-		if r.listed && r.aside {
-			asides++
+		if a.replicas[i].listed && a.replicas[i].aside {
+			n++
 		}
-		if r.listed && r.late.n.sum(now) > 0 {
-			late = append(late, r.late.of(now, 0))
-		}
-	}
-	if slices.Sort(late); len(late) > 0 {
-		middle = late[len(late)/2]
 	}
-	return middle, asides
+	return n
 }
 
 // coldRoom tells whether a cold replica may be sent one more part.
@@ -746,8 +739,8 @@
 // Decide returns what to do now.
 func (a *Aggregator) Decide(now int64) *Round {
 	a.rounds++
-	a.round.Sends, a.round.Endings, a.round.Probes = a.round.Sends[:0], a.round.Endings[:0], a.round.Probes[:0]
-	a.round.List, a.round.Wake = NoCall, 0
+	r := &a.round
+	*r = Round{Sends: r.Sends[:0], Cancels: r.Cancels[:0], Endings: r.Endings[:0], Probes: r.Probes[:0]}
 	wake := int64(math.MaxInt64)
 	for _, q := range a.queries {
 		if q.open {
@@ -770,7 +763,6 @@
 		}
 	}
 	a.queries = slices.DeleteFunc(a.queries, func(q *Query) bool { return !q.open })
-	a.round.Cancels = a.round.Cancels[:0]
 	for _, c := range a.cancels {
 		if !c.Query.parts[c.Part].executions[c.Execution].over {
 			a.round.Cancels = append(a.round.Cancels, c)
