--- a/balance/balance.go
+++ b/balance/balance.go
@@ -31,6 +31,7 @@
 	lateWeight   = 2.5       // how much the share of late executions at a replica tightens admission there
 	admitLeast   = 0.15      // of the full admission, so that a part on an idle replica still passes
 	jamDoublings = 4         // a replica that turns parts away full rests a typical part time, doubled so often at most
+	fairness     = 1.0       // how much the admission of a workload that is taken on less than others is widened
 	lateShare    = 0.75      // an execution that took more of the latency goal than this is late
 	slowShare    = 0.5       // a replica is slow when more than this share of its executions is late
 	slowSample   = 6         // outcomes wanted before that is believed
@@ -122,6 +123,7 @@
 type workload struct {
 	Workload
 	logs   mean  // logarithms of part times; one cut short counts with what was seen of it
+	taken  mean  // as the aggregator's
 	middle int64 // the typical part time, about the median
 }
 
@@ -205,7 +207,6 @@
 	begun    int  // steps whose parts were asked for
 	whole    bool // of the first step
 	open     bool
-	waiting  bool // for the parts of a second step
 }
 
 // Open tells whether the query still wants a final answer.
@@ -220,10 +221,11 @@
 	holders    [][]int // by shard
 	pointers   []int   // by shard: the next tied pick
 	queries    []*Query
-	taken      ring // queries and parts, for the budget of further executions
+	handed     ring // queries and parts, for the budget of further executions
 	further    ring
 	failed     mean // failures among all outcomes
 	late       mean // late ones among all executions
+	taken      mean // queries taken on among those handed over
 	rounds     int64
 	round      Round
 	cancels    []Cancel // for the next round
@@ -236,13 +238,14 @@
 func New(now int64, d Deployment) *Aggregator {
 	a := &Aggregator{Deployment: d, chance: chance{x: uint32(d.Seed) | 1, c: uint32(d.Seed>>32)%4294957664 + 1},
 		holders: make([][]int, d.Shards), pointers: make([]int, d.Shards), askWait: askAgain,
-		taken: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan), failed: newMean(healthSpan), late: newMean(healthSpan)}
+		handed: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan), failed: newMean(healthSpan), late: newMean(healthSpan),
+		taken: newMean(timeSpan)}
 	for i := range a.pointers {
 		a.pointers[i] = d.Number
 	}
 	a.workloads = make([]workload, len(d.Workloads))
 	for i, w := range d.Workloads {
-		a.workloads[i] = workload{Workload: w, logs: newMean(timeSpan)}
+		a.workloads[i] = workload{Workload: w, logs: newMean(timeSpan), taken: newMean(timeSpan)}
 		a.workloads[i].look(now)
 	}
 	return a
@@ -302,15 +305,14 @@
 	}
 	q.goal = min(q.goal, q.end)
 	a.queries = append(a.queries, q)
-	a.taken.add(now, 1)
+	a.handed.add(now, 1)
 	return q
 }
 
 // AddPart adds one part: right after Take, or as a second step's after the first answer.
 func (q *Query) AddPart(shard int, weight float64) {
 	q.parts = append(q.parts, part{shard: shard, weight: weight, step: q.step, mayHaveRun: never})
-	q.waiting = false
-	q.agg.taken.add(q.taken, 1)
+	q.agg.handed.add(q.taken, 1)
 }
 
 // Outcome books how an execution ended; false means that it was over before.
@@ -449,17 +451,20 @@
 	return n
 }
 
+func (a *Aggregator) cold(now int64, r *replica) bool {
+	return r.started != 0 && now-r.started < a.ColdRamp
+}
+
 // coldRoom tells whether a cold replica may be sent one more part.
 //
 // Danger: right after its start a replica falls over under its usual load, and stays down. A replica can
 // run one part at a time at least, so its full capacity is no less than one unit of work a unit of time;
 // of what it can do now each aggregator uses no more than its even share, with a margin.
 func (a *Aggregator) coldRoom(now int64, r *replica, work int64) bool {
-	age := now - r.started
-	if r.started == 0 || age >= a.ColdRamp {
+	if !a.cold(now, r) {
 		return true
 	}
-	present := a.ColdShare + (1-a.ColdShare)*float64(max(age, 0))/float64(a.ColdRamp)
+	present := a.ColdShare + (1-a.ColdShare)*float64(max(now-r.started, 0))/float64(a.ColdRamp)
 	budget := present * a.FallMultiple * float64(a.FallSpan) * coldSafety / float64(a.Aggregators)
 	return r.coldWork.sum(now)+float64(work) <= budget
 }
@@ -552,7 +557,7 @@
 		r.calls++
 	}
 	r.shared.parts++
-	if r.started != 0 && now-r.started < a.ColdRamp {
+	if a.cold(now, r) {
 		r.coldWork.add(now, float64(q.workload.middle))
 	}
 	if r.aside {
@@ -579,7 +584,7 @@
 		w.Effect == Tagged && p.mayHaveRun != never && now >= p.mayHaveRun+w.RepeatWindow-a.Tick {
 		return false
 	}
-	return !a.Budgeted || a.further.sum(now)+1 <= a.FurtherFree+a.FurtherShare*a.taken.within(now)
+	return !a.Budgeted || a.further.sum(now)+1 <= a.FurtherFree+a.FurtherShare*a.handed.within(now)
 }
 
 // weights sums up the present step: what is in, what may still come, and all of it.
@@ -650,7 +655,7 @@
 // clients that come again add to it. A query that should be late is declined before it has cost anything,
 // and a part that should be late is not asked for where an answer can be given without it.
 func (q *Query) begin(now int64) {
-	w := q.workload
+	a, w := q.agg, q.workload
 	q.begun++
 	w.look(now)
 	_, total, _ := q.weights()
@@ -662,8 +667,13 @@
 	if w.Floor < w.Need {
 		need, least = total, (w.Floor+w.Need)/2
 	}
-	missing := q.ask(now, min(need, total), int64(admitShare*float64(q.goal-now)))
-	if need-missing < least-1e-6 {
+	// Danger: a query of many parts meets the worst of many replicas, so a crowd would shut out its workload.
+	fair := 1 + fairness*(a.taken.of(now, 0)-w.taken.of(now, 0))
+	missing := q.ask(now, min(need, total), int64(admitShare*fair*float64(q.goal-now)))
+	taken := need-missing >= least-1e-6
+	w.taken.mark(now, taken)
+	a.taken.mark(now, taken)
+	if !taken {
 		q.begun = 0
 		q.giveUp(now)
 		return
@@ -684,7 +694,7 @@
 	}
 	a.round.Endings = append(a.round.Endings, e)
 	if final <= Partial && q.step == 0 && q.workload.FollowUp > 0 {
-		q.whole, q.step, q.waiting = final == Whole, 1, true
+		q.whole, q.step = final == Whole, 1
 		return
 	}
 	q.close()
@@ -701,7 +711,10 @@
 }
 
 // ready tells whether the query is open and the parts of its present step are there.
-func (q *Query) ready() bool { return q.open && !q.waiting && len(q.parts) >= q.expected }
+func (q *Query) ready() bool {
+	n := len(q.parts)
+	return q.open && n > 0 && n >= q.expected && q.parts[n-1].step == q.step
+}
 
 // settle ends the query if its time has come, and returns when to look again.
 func (q *Query) settle(now int64) int64 {
