--- a/balance/balance.go
+++ b/balance/balance.go
@@ -434,7 +434,7 @@
 // setAside rests a replica, longer each time; a trickle follows, after a probe where there are probes.
 func (a *Aggregator) setAside(now int64, r *replica) {
 	r.hold = min(max(2*r.hold, holdFirst), holdLast)
-	r.aside, r.unproved, r.quota, r.used, r.good, r.since = true, a.Probes, 1, 0, 0, now+r.hold
+	r.aside, r.unproved, r.quota, r.used, r.good, r.since = true, false && a.Probes, 1, 0, 0, now+r.hold
 }
 
 // letIn forgets what was held against a replica.
