--- a/balance/balance.go
+++ b/balance/balance.go
@@ -146,7 +146,7 @@
 	fails    int   // failures since the last fulfilled execution
 	late     mean  // executions that took longer than admission counts on
 	slot     mean  // time for each own call, ns
-	heard    int64 // last outcome that came from the replica itself
+	heard    int64 // last fulfilled execution
 	fulls    int   // parts turned away as full since the last fulfilled one
 	jammed   int64 // until then it is taken to be full
 	aside    bool
@@ -237,12 +237,9 @@
 // New makes an aggregator at its start.
 func New(now int64, d Deployment) *Aggregator {
 	a := &Aggregator{Deployment: d, chance: chance{x: uint32(d.Seed) | 1, c: uint32(d.Seed>>32)%4294957664 + 1},
-		holders: make([][]int, d.Shards), pointers: make([]int, d.Shards), askWait: askAgain,
+		holders: make([][]int, d.Shards), pointers: slices.Repeat([]int{d.Number}, d.Shards), askWait: askAgain,
 		handed: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan), failed: newMean(healthSpan), late: newMean(healthSpan),
 		taken: newMean(timeSpan)}
-	for i := range a.pointers {
-		a.pointers[i] = d.Number
-	}
 	a.workloads = make([]workload, len(d.Workloads))
 	for i, w := range d.Workloads {
 		a.workloads[i] = workload{Workload: w, logs: newMean(timeSpan), taken: newMean(timeSpan)}
@@ -342,8 +339,6 @@
 	case Fulfilled:
 		r.slot.add(now, float64(took), float64(e.slots))
 		r.heard, r.fulls = now, 0
-	case Errored:
-		r.heard = now
 	case Full:
 		// Danger: a replica that turns all away at once always has the lowest count and draws every part.
 		r.jammed = now + q.workload.middle<<min(r.fulls, jamDoublings)
@@ -388,12 +383,9 @@
 // Probed takes in the answer to a probe.
 func (a *Aggregator) Probed(now int64, number int, result Result, took int64) {
 	r := &a.replicas[number]
-	if r.probing = false; !r.aside {
-		return
-	}
-	if result == Fulfilled {
+	if r.probing = false; result == Fulfilled {
 		r.unproved, r.since = false, now
-	} else {
+	} else if r.aside {
 		a.setAside(now, r)
 	}
 }
@@ -434,7 +426,7 @@
 // setAside rests a replica, longer each time; a trickle follows, after a probe where there are probes.
 func (a *Aggregator) setAside(now int64, r *replica) {
 	r.hold = min(max(2*r.hold, holdFirst), holdLast)
-	r.aside, r.unproved, r.quota, r.used, r.good, r.since = true, false && a.Probes, 1, 0, 0, now+r.hold
+	r.aside, r.unproved, r.quota, r.used, r.good, r.since = true, a.Probes, 1, 0, 0, now+r.hold
 }
 
 // letIn forgets what was held against a replica.
@@ -515,9 +507,8 @@
 	return int64(float64(q.workload.middle)*patienceMul) << (executions - 1)
 }
 
-// cut is when an execution is dropped at the replica.
+// cut is when an execution is dropped at the replica: where nothing can be cancelled, when it is overdue.
 func (q *Query) cut(now int64, executions int) int64 {
-	// Where nothing can be cancelled the end of an execution is settled at its send.
 	if t := now + q.overdue(executions); !q.agg.Cancels && t+q.workload.middle < q.goal &&
 		executions < q.agg.MaxExecutions && q.workload.Effect != OnceOnly {
 		return t
@@ -609,10 +600,12 @@
 	for need > 1e-9 {
 		best, least := -1, limit
 		for i := range q.parts {
-			if p := &q.parts[i]; p.step == q.step && p.stage == unasked {
-				if t := q.agg.expect(now, q.workload, p.shard); t <= least && (best < 0 || t < least) {
-					best, least = i, t
-				}
+			p := &q.parts[i]
+			if p.step != q.step || p.stage != unasked {
+				continue
+			}
+			if t := q.agg.expect(now, q.workload, p.shard); t < least || best < 0 && t == least {
+				best, least = i, t
 			}
 		}
 		if best < 0 {
@@ -637,9 +630,7 @@
 		// for again. Whatever made a replica's parts late, less is taken on there until they are in time.
 		grip := max(1-lateWeight*r.late.of(now, 0), admitLeast)
 		t := int64(r.slot.of(now, float64(w.middle)) * (1 + float64(r.calls)/grip))
-		if r.aside {
-			aside = min(aside, t)
-		} else {
+		if aside = min(aside, t); !r.aside {
 			best = min(best, t)
 		}
 	}
@@ -733,13 +724,12 @@
 	const slack = 1e-6
 	whole := have >= need-slack
 	enough := have >= floor-slack && (floor < need || whole)
-	value := w.PartialShare * have / max(need, slack)
 	switch {
 	case whole && (q.step == 0 || q.whole):
 		q.finish(now, Whole)
 	case whole, enough && have+open < need-slack && open == 0:
 		q.finish(now, Partial)
-	case enough && (now >= q.end || now >= q.goal && value >= w.LateShare):
+	case enough && (now >= q.end || now >= q.goal && w.PartialShare*have >= w.LateShare*need):
 		q.finish(now, Partial)
 	case now >= q.end, have+open < floor-slack:
 		q.giveUp(now)
