--- a/balance/balance.go
+++ b/balance/balance.go
@@ -34,7 +34,7 @@
 	fairness     = 1.0       // how much the admission of a workload that is taken on less than others is widened
 	lateShare    = 0.75      // an execution that took more of the latency goal than this is late
 	slowShare    = 0.5       // a replica is slow when more than this share of its executions is late
-	slowSample   = 6         // outcomes wanted before that is believed
+	slowSample   = 3         // outcomes wanted before that is believed
 	failRun      = 2         // failures in a row that set a replica aside: one alone is chance
 	fleetFails   = 0.3       // when more than this share of all executions fails, the cause is not a replica
 	asideShare   = 3         // at most one replica in so many is set aside at once
