--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,7 +26,7 @@
 	timeSpan     = 4000 * ms // how far back part times count: dozens of them, and it follows a jam
 	healthSpan   = 4000 * ms // how far back a replica's record counts
 	priorShare   = 6         // a part not yet timed is taken to need its latency goal / this
-	patienceMul  = 12        // an execution is overdue at so many medians: about the 98th percentile when calm
+	patienceMul  = 8         // an execution is overdue at so many medians: about the 98th percentile when calm
 	admitShare   = 0.6       // a query is taken on when it should need no more of its latency goal than this
 	lateWeight   = 2.5       // how much the share of late executions at a replica tightens admission there
 	admitLeast   = 0.15      // of the full admission, so that a part on an idle replica still passes
@@ -526,6 +526,9 @@
 	e := &p.executions[n]
 	r := &a.replicas[e.replica]
 	due := e.sentAt + q.overdue(n+1)
+	if r.aside { // already known to be in doubt
+		due = e.sentAt + q.overdue(n+1)/2
+	}
 	if e.overdue || !a.Cancels || n+1 >= a.MaxExecutions || q.workload.Effect == OnceOnly ||
 		max(now, due)+q.workload.middle > q.end {
 		return q.end
