--- a/balance/balance.go
+++ b/balance/balance.go
@@ -526,9 +526,6 @@
 	e := &p.executions[n]
 	r := &a.replicas[e.replica]
 	due := e.sentAt + q.overdue(n+1)
-	if r.aside { // already known to be in doubt
-		due = e.sentAt + q.overdue(n+1)/2
-	}
 	if e.overdue || !a.Cancels || n+1 >= a.MaxExecutions || q.workload.Effect == OnceOnly ||
 		max(now, due)+q.workload.middle > q.end {
 		return q.end
