--- a/balance/balance.go
+++ b/balance/balance.go
@@ -26,11 +26,11 @@
 	timeSpan     = 4000 * ms // how far back part times count: dozens of them, and it follows a jam
 	healthSpan   = 4000 * ms // how far back a replica's record counts
 	priorShare   = 6         // a part not yet timed is taken to need its latency goal / this
-	patienceMul  = 8         // an execution is overdue at so many medians: about the 98th percentile when calm
+	patienceMul  = 7         // an execution is overdue at so many typical times: sooner, recalls jam peers
 	admitShare   = 0.6       // a query is taken on when it should need no more of its latency goal than this
 	lateWeight   = 2.5       // how much the share of late executions at a replica tightens admission there
 	admitLeast   = 0.15      // of the full admission, so that a part on an idle replica still passes
-	jamDoublings = 4         // a replica that turns parts away full rests a typical part time, doubled so often at most
+	jamDoublings = 4         // a full replica rests a typical part time, doubled so often at most
 	fairness     = 1.0       // how much the admission of a workload that is taken on less than others is widened
 	lateShare    = 0.75      // an execution that took more of the latency goal than this is late
 	slowShare    = 0.5       // a replica is slow when more than this share of its executions is late
@@ -238,8 +238,8 @@
 func New(now int64, d Deployment) *Aggregator {
 	a := &Aggregator{Deployment: d, chance: chance{x: uint32(d.Seed) | 1, c: uint32(d.Seed>>32)%4294957664 + 1},
 		holders: make([][]int, d.Shards), pointers: slices.Repeat([]int{d.Number}, d.Shards), askWait: askAgain,
-		handed: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan), failed: newMean(healthSpan), late: newMean(healthSpan),
-		taken: newMean(timeSpan)}
+		handed: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan), failed: newMean(healthSpan),
+		late: newMean(healthSpan), taken: newMean(timeSpan)}
 	a.workloads = make([]workload, len(d.Workloads))
 	for i, w := range d.Workloads {
 		a.workloads[i] = workload{Workload: w, logs: newMean(timeSpan), taken: newMean(timeSpan)}
