--- a/balance/balance.go
+++ b/balance/balance.go
@@ -194,10 +194,27 @@
 	executions []execution
 }
 
+// group is what is known of one customer's queries of one workload.
+type group struct {
+	late mean // executions that took longer than admission counts on
+	held int  // queries begun and not ended
+}
+
+// apart tells whether a group is late wherever it is sent while the rest is not.
+//
+// Danger: queries that hang on every replica make all replicas look ill and take the place of everybody's
+// parts. What they do says nothing of a replica, and one at a time is let through until they mend.
+func (a *Aggregator) apart(now int64, g *group) bool {
+	n, sum := a.late.n.sum(now)-g.late.n.sum(now), a.late.sum.sum(now)-g.late.sum.sum(now)
+	share := g.late.of(now, 0)
+	return g.late.n.sum(now) >= slowSample && share > slowShare && sum < n*share/2
+}
+
 // Query is the handle to one query that was taken.
 type Query struct {
 	agg      *Aggregator
 	workload *workload
+	group    *group
 	parts    []part
 	expected int
 	taken    int64
@@ -220,6 +237,7 @@
 	replicas   []replica
 	holders    [][]int // by shard
 	pointers   []int   // by shard: the next tied pick
+	groups     []group // by customer and workload
 	queries    []*Query
 	handed     ring // queries and parts, for the budget of further executions
 	further    ring
@@ -241,6 +259,7 @@
 		handed: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan), failed: newMean(healthSpan),
 		late: newMean(healthSpan), taken: newMean(timeSpan)}
 	a.workloads = make([]workload, len(d.Workloads))
+	a.groups = slices.Repeat([]group{{late: newMean(healthSpan)}}, (len(d.Shares)+1)*len(d.Workloads))
 	for i, w := range d.Workloads {
 		a.workloads[i] = workload{Workload: w, logs: newMean(timeSpan), taken: newMean(timeSpan)}
 		a.workloads[i].look(now)
@@ -294,7 +313,8 @@
 // Take takes a query; its parts are added to the handle.
 func (a *Aggregator) Take(now int64, arrival Arrival) *Query {
 	w := &a.workloads[arrival.Workload]
-	q := &Query{agg: a, workload: w, expected: arrival.Parts, taken: now, open: true,
+	g := &a.groups[(arrival.Customer+1)*len(a.workloads)+arrival.Workload]
+	q := &Query{agg: a, workload: w, group: g, expected: arrival.Parts, taken: now, open: true,
 		end:  now + max(arrival.Patience-spareTicks*a.Tick, 0),
 		goal: now + max(w.LatencyGoal-spareTicks*a.Tick, 0)}
 	if w.LateShare == 0 { // what earns nothing is only load
@@ -329,11 +349,23 @@
 	if result.NeverRan() && p.mayHaveRun == e.sentAt {
 		p.mayHaveRun = never
 	}
-	r := &q.agg.replicas[e.replica]
+	a, r := q.agg, &q.agg.replicas[e.replica]
 	late := float64(took) > lateShare*float64(q.workload.LatencyGoal)
+	if !result.NeverRan() {
+		q.group.late.mark(now, late)
+		a.late.mark(now, late)
+	}
+	if a.apart(now, q.group) {
+		if p.stage == out {
+			p.stage, p.since = wanted, now
+		}
+		if result == Fulfilled && q.open {
+			p.stage = in
+		}
+		return true
+	}
 	if !result.NeverRan() {
 		r.late.mark(now, late)
-		q.agg.late.mark(now, late)
 	}
 	switch result {
 	case Fulfilled:
@@ -367,7 +399,9 @@
 
 // close ends the query and cancels what is still out, so that replicas that can stop do.
 func (q *Query) close() {
-	q.open = false
+	if q.open = false; q.begun > 0 {
+		q.group.held--
+	}
 	if !q.agg.Cancels {
 		return
 	}
@@ -661,7 +695,7 @@
 	// Danger: a query of many parts meets the worst of many replicas, so a crowd would shut out its workload.
 	fair := 1 + fairness*(a.taken.of(now, 0)-w.taken.of(now, 0))
 	missing := q.ask(now, min(need, total), int64(admitShare*fair*float64(q.goal-now)))
-	taken := need-missing >= least-1e-6
+	taken := need-missing >= least-1e-6 && (q.group.held == 0 || !a.apart(now, q.group))
 	w.taken.mark(now, taken)
 	a.taken.mark(now, taken)
 	if !taken {
@@ -669,6 +703,7 @@
 		q.giveUp(now)
 		return
 	}
+	q.group.held++
 	for i := range q.parts {
 		if p := &q.parts[i]; p.stage == unasked && missing > 0 {
 			p.stage = given
