A silent replica's connection is drained and given back

It also acts on a hung or very slow replica, at the price of a handshake and of its load while it drains.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -149,6 +149,7 @@
 	heard    int64 // last fulfilled execution
 	fulls    int   // parts turned away as full since the last fulfilled one
 	jammed   int64 // until then it is taken to be full
+	stale    bool  // its connection is in doubt: nothing is sent until it has been given back
 	aside    bool
 	hold     int64 // how long the last rest was
 	since    int64 // the trickle's present quota counts from here
@@ -194,27 +195,10 @@
 	executions []execution
 }
 
-// group is what is known of one customer's queries of one workload.
-type group struct {
-	late mean // executions that took longer than admission counts on
-	held int  // queries begun and not ended
-}
-
-// apart tells whether a group is late wherever it is sent while the rest is not.
-//
-// Danger: queries that hang on every replica make all replicas look ill and take the place of everybody's
-// parts. What they do says nothing of a replica, and one at a time is let through until they mend.
-func (a *Aggregator) apart(now int64, g *group) bool {
-	n, sum := a.late.n.sum(now)-g.late.n.sum(now), a.late.sum.sum(now)-g.late.sum.sum(now)
-	share := g.late.of(now, 0)
-	return g.late.n.sum(now) >= slowSample && share > slowShare && sum < n*share/2
-}
-
 // Query is the handle to one query that was taken.
 type Query struct {
 	agg      *Aggregator
 	workload *workload
-	group    *group
 	parts    []part
 	expected int
 	taken    int64
@@ -237,7 +221,6 @@
 	replicas   []replica
 	holders    [][]int // by shard
 	pointers   []int   // by shard: the next tied pick
-	groups     []group // by customer and workload
 	queries    []*Query
 	handed     ring // queries and parts, for the budget of further executions
 	further    ring
@@ -259,7 +242,6 @@
 		handed: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan), failed: newMean(healthSpan),
 		late: newMean(healthSpan), taken: newMean(timeSpan)}
 	a.workloads = make([]workload, len(d.Workloads))
-	a.groups = slices.Repeat([]group{{late: newMean(healthSpan)}}, (len(d.Shares)+1)*len(d.Workloads))
 	for i, w := range d.Workloads {
 		a.workloads[i] = workload{Workload: w, logs: newMean(timeSpan), taken: newMean(timeSpan)}
 		a.workloads[i].look(now)
@@ -313,8 +295,7 @@
 // Take takes a query; its parts are added to the handle.
 func (a *Aggregator) Take(now int64, arrival Arrival) *Query {
 	w := &a.workloads[arrival.Workload]
-	g := &a.groups[(arrival.Customer+1)*len(a.workloads)+arrival.Workload]
-	q := &Query{agg: a, workload: w, group: g, expected: arrival.Parts, taken: now, open: true,
+	q := &Query{agg: a, workload: w, expected: arrival.Parts, taken: now, open: true,
 		end:  now + max(arrival.Patience-spareTicks*a.Tick, 0),
 		goal: now + max(w.LatencyGoal-spareTicks*a.Tick, 0)}
 	if w.LateShare == 0 { // what earns nothing is only load
@@ -349,23 +330,11 @@
 	if result.NeverRan() && p.mayHaveRun == e.sentAt {
 		p.mayHaveRun = never
 	}
-	a, r := q.agg, &q.agg.replicas[e.replica]
+	r := &q.agg.replicas[e.replica]
 	late := float64(took) > lateShare*float64(q.workload.LatencyGoal)
-	if !result.NeverRan() {
-		q.group.late.mark(now, late)
-		a.late.mark(now, late)
-	}
-	if a.apart(now, q.group) {
-		if p.stage == out {
-			p.stage, p.since = wanted, now
-		}
-		if result == Fulfilled && q.open {
-			p.stage = in
-		}
-		return true
-	}
 	if !result.NeverRan() {
 		r.late.mark(now, late)
+		q.agg.late.mark(now, late)
 	}
 	switch result {
 	case Fulfilled:
@@ -399,9 +368,7 @@
 
 // close ends the query and cancels what is still out, so that replicas that can stop do.
 func (q *Query) close() {
-	if q.open = false; q.begun > 0 {
-		q.group.held--
-	}
+	q.open = false
 	if !q.agg.Cancels {
 		return
 	}
@@ -507,7 +474,7 @@
 			// A replica set aside, and one that has just failed this part, are there when no other is.
 			if level < 2 && r.aside && !r.trickles(now) || !a.coldRoom(now, r, w.middle) ||
 				level < 1 && slices.ContainsFunc(p.executions, func(e execution) bool { return e.replica == i }) ||
-				(r.calls >= channels || now < r.jammed) && !overCap {
+				(r.calls >= channels || now < r.jammed || r.stale) && !overCap {
 				continue
 			}
 			switch cost := priority * r.calls; {
@@ -569,6 +536,7 @@
 	}
 	if r.aside || r.heard < e.sentAt {
 		e.overdue = true
+		r.stale = r.stale || r.heard < e.sentAt
 		a.cancels = append(a.cancels, Cancel{q, number, n})
 	}
 	return q.end
@@ -657,7 +625,7 @@
 	best, aside := int64(math.MaxInt64), int64(math.MaxInt64)
 	for _, h := range a.holders[shard] {
 		r := &a.replicas[h]
-		if now < r.jammed || !a.coldRoom(now, r, w.middle) {
+		if now < r.jammed || r.stale || !a.coldRoom(now, r, w.middle) {
 			continue
 		}
 		// Danger: a jam outlives the rush that made it, for all that is taken on comes too late and is asked
@@ -695,7 +663,7 @@
 	// Danger: a query of many parts meets the worst of many replicas, so a crowd would shut out its workload.
 	fair := 1 + fairness*(a.taken.of(now, 0)-w.taken.of(now, 0))
 	missing := q.ask(now, min(need, total), int64(admitShare*fair*float64(q.goal-now)))
-	taken := need-missing >= least-1e-6 && (q.group.held == 0 || !a.apart(now, q.group))
+	taken := need-missing >= least-1e-6
 	w.taken.mark(now, taken)
 	a.taken.mark(now, taken)
 	if !taken {
@@ -703,7 +671,6 @@
 		q.giveUp(now)
 		return
 	}
-	q.group.held++
 	for i := range q.parts {
 		if p := &q.parts[i]; p.stage == unasked && missing > 0 {
 			p.stage = given
@@ -778,7 +745,8 @@
 func (a *Aggregator) Decide(now int64) *Round {
 	a.rounds++
 	r := &a.round
-	*r = Round{Sends: r.Sends[:0], Cancels: r.Cancels[:0], Endings: r.Endings[:0], Probes: r.Probes[:0]}
+	*r = Round{Sends: r.Sends[:0], Cancels: r.Cancels[:0], Endings: r.Endings[:0], Probes: r.Probes[:0],
+		Releases: r.Releases[:0]}
 	wake := int64(math.MaxInt64)
 	for _, q := range a.queries {
 		if q.open {
@@ -808,6 +776,11 @@
 	}
 	a.cancels = a.cancels[:0]
 	for i := range a.replicas {
+		// Danger: a connection that died in silence swallows all that is sent on it while the replica is well.
+		if r := &a.replicas[i]; r.stale && r.calls == 0 {
+			r.stale = false
+			a.round.Releases = append(a.round.Releases, i)
+		}
 		if r := &a.replicas[i]; r.listed && r.aside && r.unproved && !r.probing {
 			if now >= r.since {
 				r.probing = true
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -27,6 +27,7 @@
 //	> cancel QUERY.PART EXECUTION
 //	> end QUERY whole|partial|declined|forfeited
 //	> probe REPLICA
+//	> release REPLICA
 //	> subscribe
 //	> ...                       anything more
 type play struct {
@@ -180,6 +181,9 @@
 	for _, replica := range r.Probes {
 		p.got = append(p.got, "probe "+p.names[replica])
 	}
+	for _, replica := range r.Releases {
+		p.got = append(p.got, "release "+p.names[replica])
+	}
 	if r.List == Subscribe {
 		p.got = append(p.got, "subscribe")
 	}
--- a/balance/types.go
+++ b/balance/types.go
@@ -142,13 +142,15 @@
 	ComeBack int64 // Declined: how long the client ought to wait, ns
 }
 
-// Round is what one Decide asks for, to be carried out in this order: sends, cancels, endings, probes, list.
+// Round is what one Decide asks for, to be carried out in this order: sends, cancels, endings,
+// probes, releases, list.
 // Its slices are used again by the next Decide.
 type Round struct {
-	Sends   []Send
-	Cancels []Cancel
-	Endings []Ending
-	Probes  []int // replicas
-	List    ListCall
-	Wake    int64 // when Decide wants to be called again at the latest; 0 for no such time
+	Sends    []Send
+	Cancels  []Cancel
+	Endings  []Ending
+	Probes   []int // replicas
+	Releases []int // replicas whose idle connections are given back
+	List     ListCall
+	Wake     int64 // when Decide wants to be called again at the latest; 0 for no such time
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -418,6 +418,9 @@
 	for _, replica := range round.Probes {
 		fmt.Fprintf(h.out, `{"event_type":"CHECK","who":%d,"replica":%s}`+"\n", who, in.addresses[replica])
 	}
+	for _, replica := range round.Releases {
+		fmt.Fprintf(h.out, `{"event_type":"RELEASE","who":%d,"replica":%s}`+"\n", who, in.addresses[replica])
+	}
 	if round.List == balance.Subscribe {
 		fmt.Fprintf(h.out, `{"event_type":"WATCH","who":%d,"whole":true}`+"\n", who)
 	}
