Only fulfilled executions make the typical part time

Cause: after one silence the recalled times raised it, and the next silence was found three times as late.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -396,7 +396,7 @@
 	if result == Moot || result == Cancelled || result == Full { // a jam says nothing of health
 		return
 	}
-	if result == Fulfilled || result == TimedOut {
+	if result == Fulfilled {
 		w.logs.add(now, math.Log(float64(max(took, ms))), 1)
 		w.look(now)
 	}
