--- a/balance/balance.go
+++ b/balance/balance.go
@@ -339,7 +339,7 @@
 	switch result {
 	case Fulfilled:
 		r.slot.add(now, float64(took), float64(e.slots))
-		r.heard, r.fulls = now, 0
+		r.heard, r.fulls, r.stale = now, 0, false
 	case Full:
 		// Danger: a replica that turns all away at once always has the lowest count and draws every part.
 		r.jammed = now + q.workload.middle<<min(r.fulls, jamDoublings)
@@ -531,12 +531,14 @@
 		max(now, due)+q.workload.middle > q.end {
 		return q.end
 	}
+	if now >= e.sentAt+q.overdue(n+1)/2 && r.heard < e.sentAt {
+		r.stale = true
+	}
 	if now < due {
 		return due
 	}
 	if r.aside || r.heard < e.sentAt {
 		e.overdue = true
-		r.stale = r.stale || r.heard < e.sentAt
 		a.cancels = append(a.cancels, Cancel{q, number, n})
 	}
 	return q.end
