--- a/balance/balance.go
+++ b/balance/balance.go
@@ -531,7 +531,7 @@
 		max(now, due)+q.workload.middle > q.end {
 		return q.end
 	}
-	if now >= e.sentAt+q.overdue(n+1)/2 && r.heard < e.sentAt {
+	if now >= e.sentAt+q.overdue(n+1)/2 && r.heard < e.sentAt && r.calls > 1 {
 		r.stale = true
 	}
 	if now < due {
