Late history no longer weighs on admission

An addition whose removal costs nothing: the time for each own call already tells a jam, now that recalls no longer make one.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,8 +28,6 @@
 	priorShare   = 6         // a part not yet timed is taken to need its latency goal / this
 	patienceMul  = 7         // an execution is overdue at so many typical times: sooner, recalls jam peers
 	admitShare   = 0.6       // a query is taken on when it should need no more of its latency goal than this
-	lateWeight   = 2.5       // how much the share of late executions at a replica tightens admission there
-	admitLeast   = 0.15      // of the full admission, so that a part on an idle replica still passes
 	jamDoublings = 4         // a full replica rests a typical part time, doubled so often at most
 	fairness     = 1.0       // how much the admission of a workload that is taken on less than others is widened
 	lateShare    = 0.75      // an execution that took more of the latency goal than this is late
@@ -531,7 +529,7 @@
 		max(now, due)+q.workload.middle > q.end {
 		return q.end
 	}
-	if now >= e.sentAt+q.overdue(n+1)/2 && r.heard < e.sentAt && r.calls > 1 {
+	if now >= e.sentAt+q.overdue(n+1)/2 && r.heard < e.sentAt {
 		r.stale = true
 	}
 	if now < due {
@@ -630,10 +628,7 @@
 		if now < r.jammed || r.stale || !a.coldRoom(now, r, w.middle) {
 			continue
 		}
-		// Danger: a jam outlives the rush that made it, for all that is taken on comes too late and is asked
-		// for again. Whatever made a replica's parts late, less is taken on there until they are in time.
-		grip := max(1-lateWeight*r.late.of(now, 0), admitLeast)
-		t := int64(r.slot.of(now, float64(w.middle)) * (1 + float64(r.calls)/grip))
+		t := int64(r.slot.of(now, float64(w.middle)) * float64(r.calls+1))
 		if aside = min(aside, t); !r.aside {
 			best = min(best, t)
 		}
