No set-aside for late executions, only for failures in a row

An addition whose removal gains: a slow replica set aside leaves its share to peers without room. Removed, with what kept the late records.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -30,9 +30,6 @@
 	admitShare   = 0.6       // a query is taken on when it should need no more of its latency goal than this
 	jamDoublings = 4         // a full replica rests a typical part time, doubled so often at most
 	fairness     = 1.0       // how much the admission of a workload that is taken on less than others is widened
-	lateShare    = 0.75      // an execution that took more of the latency goal than this is late
-	slowShare    = 0.5       // a replica is slow when more than this share of its executions is late
-	slowSample   = 3         // outcomes wanted before that is believed
 	failRun      = 2         // failures in a row that set a replica aside: one alone is chance
 	fleetFails   = 0.3       // when more than this share of all executions fails, the cause is not a replica
 	asideShare   = 3         // at most one replica in so many is set aside at once
@@ -142,7 +139,6 @@
 	shared   *call
 	coldWork ring  // own work sent while cold, ns
 	fails    int   // failures since the last fulfilled execution
-	late     mean  // executions that took longer than admission counts on
 	slot     mean  // time for each own call, ns
 	heard    int64 // last fulfilled execution
 	fulls    int   // parts turned away as full since the last fulfilled one
@@ -223,7 +219,6 @@
 	handed     ring // queries and parts, for the budget of further executions
 	further    ring
 	failed     mean // failures among all outcomes
-	late       mean // late ones among all executions
 	taken      mean // queries taken on among those handed over
 	rounds     int64
 	round      Round
@@ -238,7 +233,7 @@
 	a := &Aggregator{Deployment: d, chance: chance{x: uint32(d.Seed) | 1, c: uint32(d.Seed>>32)%4294957664 + 1},
 		holders: make([][]int, d.Shards), pointers: slices.Repeat([]int{d.Number}, d.Shards), askWait: askAgain,
 		handed: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan), failed: newMean(healthSpan),
-		late: newMean(healthSpan), taken: newMean(timeSpan)}
+		taken: newMean(timeSpan)}
 	a.workloads = make([]workload, len(d.Workloads))
 	for i, w := range d.Workloads {
 		a.workloads[i] = workload{Workload: w, logs: newMean(timeSpan), taken: newMean(timeSpan)}
@@ -263,7 +258,7 @@
 	for _, l := range list {
 		for len(a.replicas) <= l.Replica {
 			a.replicas = append(a.replicas, replica{coldWork: newRing(a.FallSpan),
-				slot: newMean(healthSpan), late: newMean(timeSpan)})
+				slot: newMean(healthSpan)})
 		}
 		r := &a.replicas[l.Replica]
 		if l.Started != r.started { // a new process: what the old one did says nothing
@@ -329,11 +324,6 @@
 		p.mayHaveRun = never
 	}
 	r := &q.agg.replicas[e.replica]
-	late := float64(took) > lateShare*float64(q.workload.LatencyGoal)
-	if !result.NeverRan() {
-		r.late.mark(now, late)
-		q.agg.late.mark(now, late)
-	}
 	switch result {
 	case Fulfilled:
 		r.slot.add(now, float64(took), float64(e.slots))
@@ -351,7 +341,7 @@
 			result = TimedOut
 		}
 	}
-	q.agg.judge(now, r, q.workload, result, took, late)
+	q.agg.judge(now, r, q.workload, result, took)
 	switch {
 	case result == Fulfilled && q.open && p.stage != given:
 		p.stage = in
@@ -390,7 +380,7 @@
 }
 
 // judge books an outcome in its replica's record and sets the replica aside or lets it back.
-func (a *Aggregator) judge(now int64, r *replica, w *workload, result Result, took int64, late bool) {
+func (a *Aggregator) judge(now int64, r *replica, w *workload, result Result, took int64) {
 	if result == Moot || result == Cancelled || result == Full { // a jam says nothing of health
 		return
 	}
@@ -403,7 +393,7 @@
 		r.fails = 0
 	}
 	if r.aside {
-		if result != Fulfilled || late {
+		if result != Fulfilled {
 			a.setAside(now, r)
 		} else if r.good++; r.good >= r.quota {
 			if r.quota, r.used, r.good, r.since = 2*r.quota, 0, 0, now; r.quota >= trickleFull {
@@ -412,11 +402,10 @@
 		}
 		return
 	}
-	// Danger: one slow, hung or dead replica draws parts as fast as it drops them, and every query that
-	// meets it is late. The record is held against the other replicas' so that a slowness of everything
-	// sets nobody aside.
-	sick := r.fails >= failRun && a.failed.of(now, 0) < fleetFails ||
-		r.late.n.sum(now) >= slowSample && r.late.of(now, 0) > slowShare && a.late.of(now, 0) < slowShare/2
+	// Danger: a hung or dead replica draws parts as fast as it drops them, and every query that meets it is
+	// late. When many executions fail the cause is not one replica, and nobody is set aside. A slow replica
+	// is not: its count keeps its share small, and its peers may have no room for that share.
+	sick := r.fails >= failRun && a.failed.of(now, 0) < fleetFails
 	if sick && a.asides() < len(a.replicas)/asideShare {
 		a.setAside(now, r)
 	}
@@ -430,7 +419,7 @@
 
 // letIn forgets what was held against a replica.
 func (r *replica) letIn() {
-	r.aside, r.fails, r.hold, r.late = false, 0, 0, newMean(healthSpan)
+	r.aside, r.fails, r.hold = false, 0, 0
 }
 
 func (a *Aggregator) asides() (n int) {
