Try: broken connections set a replica aside however many others break

The events show why: four cells lost all their replicas, so three queries in four cannot be answered by anyone.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -405,7 +405,8 @@
 	// Danger: a hung or dead replica draws parts as fast as it drops them, and every query that meets it is
 	// late. When many executions fail the cause is not one replica, and nobody is set aside. A slow replica
 	// is not: its count keeps its share small, and its peers may have no room for that share.
-	sick := r.fails >= failRun && a.failed.of(now, 0) < fleetFails
+	broken := result == ConnectFailed || result == Reset // is the replica's own, however many others break
+	sick := r.fails >= failRun && (broken || a.failed.of(now, 0) < fleetFails)
 	if sick && a.asides() < len(a.replicas)/asideShare {
 		a.setAside(now, r)
 	}
