--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,6 +29,7 @@
 	patienceMul  = 7         // an execution is overdue at so many typical times: sooner, recalls jam peers
 	admitShare   = 0.6       // a query is taken on when it should need no more of its latency goal than this
 	jamDoublings = 4         // a full replica rests a typical part time, doubled so often at most
+	carried      = 0.5       // of a customer's quota is what one aggregator carries without being taken for too much
 	fairness     = 1.0       // how much the admission of a workload that is taken on less than others is widened
 	failRun      = 2         // failures in a row that set a replica aside: one alone is chance
 	fleetFails   = 0.3       // when more than this share of all executions fails, the cause is not a replica
@@ -193,6 +194,7 @@
 type Query struct {
 	agg      *Aggregator
 	workload *workload
+	customer int
 	parts    []part
 	expected int
 	taken    int64
@@ -215,6 +217,7 @@
 	replicas   []replica
 	holders    [][]int // by shard
 	pointers   []int   // by shard: the next tied pick
+	customers  []ring  // queries handed over by each
 	queries    []*Query
 	handed     ring // queries and parts, for the budget of further executions
 	further    ring
@@ -235,6 +238,7 @@
 		handed: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan), failed: newMean(healthSpan),
 		taken: newMean(timeSpan)}
 	a.workloads = make([]workload, len(d.Workloads))
+	a.customers = slices.Repeat([]ring{newRing(timeSpan)}, len(d.Quotas))
 	for i, w := range d.Workloads {
 		a.workloads[i] = workload{Workload: w, logs: newMean(timeSpan), taken: newMean(timeSpan)}
 		a.workloads[i].look(now)
@@ -288,7 +292,10 @@
 // Take takes a query; its parts are added to the handle.
 func (a *Aggregator) Take(now int64, arrival Arrival) *Query {
 	w := &a.workloads[arrival.Workload]
-	q := &Query{agg: a, workload: w, expected: arrival.Parts, taken: now, open: true,
+	if arrival.Customer >= 0 {
+		a.customers[arrival.Customer].add(now, 1)
+	}
+	q := &Query{agg: a, workload: w, customer: arrival.Customer, expected: arrival.Parts, taken: now, open: true,
 		end:  now + max(arrival.Patience-spareTicks*a.Tick, 0),
 		goal: now + max(w.LatencyGoal-spareTicks*a.Tick, 0)}
 	if w.LateShare == 0 { // what earns nothing is only load
@@ -405,8 +412,7 @@
 	// Danger: a hung or dead replica draws parts as fast as it drops them, and every query that meets it is
 	// late. When many executions fail the cause is not one replica, and nobody is set aside. A slow replica
 	// is not: its count keeps its share small, and its peers may have no room for that share.
-	broken := result == ConnectFailed || result == Reset // is the replica's own, however many others break
-	sick := r.fails >= failRun && (broken || a.failed.of(now, 0) < fleetFails)
+	sick := r.fails >= failRun && a.failed.of(now, 0) < fleetFails
 	if sick && a.asides() < len(a.replicas)/asideShare {
 		a.setAside(now, r)
 	}
@@ -649,6 +655,9 @@
 	}
 	// Danger: a query of many parts meets the worst of many replicas, so a crowd would shut out its workload.
 	fair := 1 + fairness*(a.taken.of(now, 0)-w.taken.of(now, 0))
+	if c := q.customer; c >= 0 { // what goes beyond a customer's share is declined before the others' queries
+		fair /= max(1, a.customers[c].sum(now)*1e9/timeSpan/(a.Quotas[c]*carried))
+	}
 	missing := q.ask(now, min(need, total), int64(admitShare*fair*float64(q.goal-now)))
 	taken := need-missing >= least-1e-6
 	w.taken.mark(now, taken)
--- a/balance/types.go
+++ b/balance/types.go
@@ -30,7 +30,7 @@
 	Tick                int64  // least time between two rounds, ns
 
 	Workloads []Workload
-	Shares    []float64 // the customers' shares of the service
+	Quotas    []float64 // queries a second within each customer's share, at all aggregators together
 
 	Shards, Cells, Reach int // shard s is held by the cells (s + j) mod Cells, j from 0 to Reach - 1
 	PartsPerCall         int // most parts that travel in one call
--- a/wire/deployment.go
+++ b/wire/deployment.go
@@ -67,7 +67,7 @@
 		for i, raw := range boot.list("tenants") {
 			c := &fields{raw: raw}
 			in.customers[c.string("name")] = i
-			d.Shares = append(d.Shares, c.number("share"))
+			d.Quotas = append(d.Quotas, c.number("quota_per_s"))
 			if c.err != nil {
 				return d, c.err
 			}
