--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,7 +29,6 @@
 	patienceMul  = 7         // an execution is overdue at so many typical times: sooner, recalls jam peers
 	admitShare   = 0.6       // a query is taken on when it should need no more of its latency goal than this
 	jamDoublings = 4         // a full replica rests a typical part time, doubled so often at most
-	carried      = 0.5       // of a customer's quota is what one aggregator carries without being taken for too much
 	fairness     = 1.0       // how much the admission of a workload that is taken on less than others is widened
 	failRun      = 2         // failures in a row that set a replica aside: one alone is chance
 	fleetFails   = 0.3       // when more than this share of all executions fails, the cause is not a replica
@@ -292,9 +291,6 @@
 // Take takes a query; its parts are added to the handle.
 func (a *Aggregator) Take(now int64, arrival Arrival) *Query {
 	w := &a.workloads[arrival.Workload]
-	if arrival.Customer >= 0 {
-		a.customers[arrival.Customer].add(now, 1)
-	}
 	q := &Query{agg: a, workload: w, customer: arrival.Customer, expected: arrival.Parts, taken: now, open: true,
 		end:  now + max(arrival.Patience-spareTicks*a.Tick, 0),
 		goal: now + max(w.LatencyGoal-spareTicks*a.Tick, 0)}
@@ -412,8 +408,7 @@
 	// Danger: a hung or dead replica draws parts as fast as it drops them, and every query that meets it is
 	// late. When many executions fail the cause is not one replica, and nobody is set aside. A slow replica
 	// is not: its count keeps its share small, and its peers may have no room for that share.
-	sick := r.fails >= failRun && a.failed.of(now, 0) < fleetFails
-	if sick && a.asides() < len(a.replicas)/asideShare {
+	if r.fails >= failRun && a.failed.of(now, 0) < fleetFails && a.asides() < len(a.replicas)/asideShare {
 		a.setAside(now, r)
 	}
 }
@@ -656,7 +651,8 @@
 	// Danger: a query of many parts meets the worst of many replicas, so a crowd would shut out its workload.
 	fair := 1 + fairness*(a.taken.of(now, 0)-w.taken.of(now, 0))
 	if c := q.customer; c >= 0 { // what goes beyond a customer's share is declined before the others' queries
-		fair /= max(1, a.customers[c].sum(now)*1e9/timeSpan/(a.Quotas[c]*carried))
+		a.customers[c].add(now, 1)
+		fair /= max(1, a.customers[c].sum(now)*1e9/timeSpan/a.Quotas[c])
 	}
 	missing := q.ask(now, min(need, total), int64(admitShare*fair*float64(q.goal-now)))
 	taken := need-missing >= least-1e-6
