--- a/balance/balance.go
+++ b/balance/balance.go
@@ -360,10 +360,7 @@
 // close ends the query and cancels what is still out, so that replicas that can stop do.
 func (q *Query) close() {
 	q.open = false
-	if !q.agg.Cancels {
-		return
-	}
-	for i := range q.parts {
+	for i := 0; q.agg.Cancels && i < len(q.parts); i++ {
 		for n, e := range q.parts[i].executions {
 			if !e.over {
 				q.agg.cancels = append(q.agg.cancels, Cancel{q, i, n})
@@ -748,16 +745,19 @@
 			q.begin(now)
 		}
 		for i := 0; q.ready() && i < len(q.parts); i++ {
-			p := &q.parts[i]
-			if p.stage == out {
+			switch p := &q.parts[i]; {
+			case p.step < q.step: // its step is answered
+			case p.stage == out:
 				wake = min(wake, q.recall(now, i))
-			}
-			if p.stage == wanted {
+			case p.stage == wanted:
 				wake = min(wake, a.serve(now, q, i))
 			}
 		}
-		if q.open { // what was given up just now may end it: a client is not kept waiting for nothing
+		// Danger: one round brings one answer; a first step answered at the last moment is forfeited in the next.
+		if q.ready() { // what was given up just now may end it: a client is not kept waiting for nothing
 			wake = min(wake, q.settle(now))
+		} else if q.open {
+			wake = min(wake, q.end)
 		}
 	}
 	a.queries = slices.DeleteFunc(a.queries, func(q *Query) bool { return !q.open })
@@ -768,17 +768,16 @@
 	}
 	a.cancels = a.cancels[:0]
 	for i := range a.replicas {
+		r := &a.replicas[i]
 		// Danger: a connection that died in silence swallows all that is sent on it while the replica is well.
-		if r := &a.replicas[i]; r.stale && r.calls == 0 {
+		if r.stale && r.calls == 0 {
 			r.stale = false
 			a.round.Releases = append(a.round.Releases, i)
 		}
-		if r := &a.replicas[i]; r.listed && r.aside && r.unproved && !r.probing {
-			if now >= r.since {
+		if r.listed && r.aside && r.unproved && !r.probing {
+			if wake = min(wake, r.since); now >= r.since {
 				r.probing = true
 				a.round.Probes = append(a.round.Probes, i)
-			} else {
-				wake = min(wake, r.since)
 			}
 		}
 	}
@@ -801,12 +800,11 @@
 		return q.drop(now, p)
 	}
 	late := p.since + (q.end-q.taken)/waitShare
-	to := a.pick(now, p, q.workload, now >= late)
-	switch {
-	case to >= 0:
+	if to := a.pick(now, p, q.workload, now >= late); to >= 0 {
 		a.send(now, q, number, to)
 		return q.end
-	case now >= late:
+	}
+	if now >= late {
 		return q.drop(now, p)
 	}
 	return min(late, now+4*a.Tick)
