--- a/balance/balance.go
+++ b/balance/balance.go
@@ -331,7 +331,7 @@
 	case Fulfilled:
 		r.slot.add(now, float64(took), float64(e.slots))
 		r.heard, r.fulls, r.stale = now, 0, false
-	case Full:
+	case Full, ConnectFailed:
 		// Danger: a replica that turns all away at once always has the lowest count and draws every part.
 		r.jammed = now + q.workload.middle<<min(r.fulls, jamDoublings)
 		r.fulls++
@@ -418,7 +418,7 @@
 
 // letIn forgets what was held against a replica.
 func (r *replica) letIn() {
-	r.aside, r.fails, r.hold = false, 0, 0
+	r.aside, r.fails, r.hold, r.fulls, r.jammed = false, 0, 0, 0, 0
 }
 
 func (a *Aggregator) asides() (n int) {
