On a cold replica a part may always follow a fulfilled one

What follows a fulfilled part cannot exceed what the replica does; the budget for the rest is what the multiple leaves beyond that.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -436,16 +436,21 @@
 
 // coldRoom tells whether a cold replica may be sent one more part.
 //
-// Danger: right after its start a replica falls over under its usual load, and stays down. A replica can
-// run one part at a time at least, so its full capacity is no less than one unit of work a unit of time;
-// of what it can do now each aggregator uses no more than its even share, with a margin.
+// Danger: right after its start a replica falls over under its usual load, and stays down. It bears a
+// multiple of what it can do now. Once that is what it does do: a part may follow each that was fulfilled.
+// The rest may be out at once, an even share for each aggregator. Any replica can run one part at a time,
+// so its full capacity is no less than one unit of work a unit of time.
 func (a *Aggregator) coldRoom(now int64, r *replica, work int64) bool {
 	if !a.cold(now, r) {
 		return true
 	}
 	present := a.ColdShare + (1-a.ColdShare)*float64(max(now-r.started, 0))/float64(a.ColdRamp)
-	budget := present * a.FallMultiple * float64(a.FallSpan) * coldSafety / float64(a.Aggregators)
-	return r.coldWork.sum(now)+float64(work) <= budget
+	budget := present * (a.FallMultiple - 1) * float64(a.FallSpan) * coldSafety / float64(a.Aggregators)
+	spent := r.coldWork.sum(now)
+	if r.calls == 0 && r.fulls == 0 && r.fails == 0 && r.heard > r.started {
+		spent = 0
+	}
+	return spent+float64(work) <= budget
 }
 
 // pick chooses the replica with the lowest Running Execution Cost for a part, or -1; ties go round.
@@ -656,8 +661,7 @@
 	w.taken.mark(now, taken)
 	a.taken.mark(now, taken)
 	if !taken {
-		q.begun = 0
-		q.giveUp(now)
+		q.giveUp()
 		return
 	}
 	for i := range q.parts {
@@ -668,7 +672,7 @@
 }
 
 // finish ends the query, or its first step.
-func (q *Query) finish(now int64, final Final) {
+func (q *Query) finish(final Final) {
 	a := q.agg
 	e := Ending{Query: q, Final: final}
 	if final == Declined && a.ComeBack {
@@ -683,13 +687,13 @@
 }
 
 // giveUp ends the query unserved: declined where trying again does no harm.
-func (q *Query) giveUp(now int64) {
+func (q *Query) giveUp() {
 	final := Declined
 	ran := slices.ContainsFunc(q.parts, func(p part) bool { return p.mayHaveRun != never })
 	if ran && q.workload.Effect != Repeatable {
 		final = Forfeited
 	}
-	q.finish(now, final)
+	q.finish(final)
 }
 
 // ready tells whether the query is open and the parts of its present step are there.
@@ -703,7 +707,7 @@
 	w := q.workload
 	if !q.ready() {
 		if now >= q.end {
-			q.finish(now, Forfeited)
+			q.finish(Forfeited)
 		}
 		return q.end
 	}
@@ -717,13 +721,13 @@
 	enough := have >= floor-slack && (floor < need || whole)
 	switch {
 	case whole && (q.step == 0 || q.whole):
-		q.finish(now, Whole)
+		q.finish(Whole)
 	case whole, enough && have+open < need-slack && open == 0:
-		q.finish(now, Partial)
+		q.finish(Partial)
 	case enough && (now >= q.end || now >= q.goal && w.PartialShare*have >= w.LateShare*need):
-		q.finish(now, Partial)
+		q.finish(Partial)
 	case now >= q.end, have+open < floor-slack:
-		q.giveUp(now)
+		q.giveUp()
 	case now < q.goal:
 		return q.goal
 	}
@@ -796,18 +800,17 @@
 // serve sends a wanted part, or gives it up; it returns when to look again.
 func (a *Aggregator) serve(now int64, q *Query, number int) int64 {
 	p := &q.parts[number]
-	if !q.mayRun(now, p) {
-		return q.drop(now, p)
-	}
-	late := p.since + (q.end-q.taken)/waitShare
-	if to := a.pick(now, p, q.workload, now >= late); to >= 0 {
-		a.send(now, q, number, to)
-		return q.end
-	}
-	if now >= late {
-		return q.drop(now, p)
+	if q.mayRun(now, p) {
+		late := p.since + (q.end-q.taken)/waitShare
+		if to := a.pick(now, p, q.workload, now >= late); to >= 0 {
+			a.send(now, q, number, to)
+			return q.end
+		}
+		if now < late {
+			return min(late, now+4*a.Tick)
+		}
 	}
-	return min(late, now+4*a.Tick)
+	return q.drop(now, p)
 }
 
 // drop gives a part up and asks for another where any so many will do.
