--- a/wire/deployment.go
+++ b/wire/deployment.go
@@ -79,6 +79,7 @@
 		for i, name := range kinds {
 			in.kinds[name] = i
 		}
+		d.Kinds = len(kinds)
 	}
 	return d, boot.err
 }
