--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,10 +27,8 @@
 	healthSpan   = 4000 * ms // how far back a replica's record counts
 	priorShare   = 6         // a part not yet timed is taken to need its latency goal / this
 	patienceMul  = 7         // an execution is overdue at so many typical times: sooner, recalls jam peers
-	admitShare   = 0.6       // a query is taken on when it should need no more of its latency goal than this
+	admitShare   = 0.4       // a query is taken on when it should need no more of its latency goal than this
 	jamDoublings = 4         // a full replica rests a typical part time, doubled so often at most
-	slowKind     = 1.2
-	kindSpan     = 8000 * ms
 	fairness     = 1.0       // how much the admission of a workload that is taken on less than others is widened
 	failRun      = 2         // failures in a row that set a replica aside: one alone is chance
 	fleetFails   = 0.3       // when more than this share of all executions fails, the cause is not a replica
@@ -137,7 +135,6 @@
 	standing Standing
 	cell     int
 	started  int64
-	kind     int
 	calls    int // own calls in flight: the count that the design goes by
 	shared   *call
 	coldWork ring  // own work sent while cold, ns
@@ -219,7 +216,6 @@
 	replicas   []replica
 	holders    [][]int // by shard
 	pointers   []int   // by shard: the next tied pick
-	kinds      []mean  // execution times over the workload's typical one
 	customers  []ring  // queries handed over by each
 	queries    []*Query
 	handed     ring // queries and parts, for the budget of further executions
@@ -241,7 +237,6 @@
 		handed: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan), failed: newMean(healthSpan),
 		taken: newMean(timeSpan)}
 	a.workloads = make([]workload, len(d.Workloads))
-	a.kinds = slices.Repeat([]mean{newMean(kindSpan)}, d.Kinds+1)
 	a.customers = slices.Repeat([]ring{newRing(timeSpan)}, len(d.Quotas))
 	for i, w := range d.Workloads {
 		a.workloads[i] = workload{Workload: w, logs: newMean(timeSpan), taken: newMean(timeSpan)}
@@ -273,7 +268,6 @@
 			r.letIn()
 		}
 		r.listed, r.standing, r.cell, r.started = l.Standing != Gone, l.Standing, l.Cell, l.Started
-		r.kind = l.Kind
 	}
 	for s := range a.holders {
 		a.holders[s] = a.holders[s][:0]
@@ -332,11 +326,10 @@
 	if result.NeverRan() && p.mayHaveRun == e.sentAt {
 		p.mayHaveRun = never
 	}
-	a, r := q.agg, &q.agg.replicas[e.replica]
+	r := &q.agg.replicas[e.replica]
 	switch result {
 	case Fulfilled:
 		r.slot.add(now, float64(took), float64(e.slots))
-		a.kinds[r.kind].add(now, float64(took)/float64(q.workload.middle), 1)
 		r.heard, r.fulls, r.stale = now, 0, false
 	case Full, ConnectFailed:
 		// Danger: a replica that turns all away at once always has the lowest count and draws every part.
@@ -475,7 +468,7 @@
 				(r.calls >= channels || now < r.jammed || r.stale) && !overCap {
 				continue
 			}
-			switch cost := a.priority(now, r) * r.calls; {
+			switch cost := priority * r.calls; {
 			case cost < best:
 				best, choice, tied = cost, i, false
 			case cost == best:
@@ -492,18 +485,6 @@
 	return -1
 }
 
-// priority is a replica's Base Reference Cost: dearer where its kind takes longer than the quickest kind.
-func (a *Aggregator) priority(now int64, r *replica) int {
-	least := math.Inf(1)
-	for i := range a.kinds {
-		least = min(least, a.kinds[i].of(now, math.Inf(1)))
-	}
-	if a.kinds[r.kind].of(now, least) > slowKind*least {
-		return priority + 1
-	}
-	return priority
-}
-
 // trickles tells whether a replica that was set aside may have one more part now.
 func (r *replica) trickles(now int64) bool {
 	if now >= r.since+holdFirst && !r.unproved {
--- a/balance/types.go
+++ b/balance/types.go
@@ -32,7 +32,6 @@
 	Workloads []Workload
 	Quotas    []float64 // queries a second within each customer's share, at all aggregators together
 
-	Kinds                int // of replicas
 	Shards, Cells, Reach int // shard s is held by the cells (s + j) mod Cells, j from 0 to Reach - 1
 	PartsPerCall         int // most parts that travel in one call
 
--- a/wire/deployment.go
+++ b/wire/deployment.go
@@ -79,7 +79,6 @@
 		for i, name := range kinds {
 			in.kinds[name] = i
 		}
-		d.Kinds = len(kinds)
 	}
 	return d, boot.err
 }
