--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,10 +27,9 @@
 	healthSpan   = 4000 * ms // how far back a replica's record counts
 	priorShare   = 6         // a part not yet timed is taken to need its latency goal / this
 	patienceMul  = 7         // an execution is overdue at so many typical times: sooner, recalls jam peers
-	admitShare   = 0.6       // a query is taken on when it should need no more of its latency goal than this
+	admitShare   = 0.75      // a query is taken on when it should need no more of its latency goal than this
 	jamDoublings = 4         // a full replica rests a typical part time, doubled so often at most
-	lateWeight   = 0.8       // what the share of late ones among the queries taken on takes off it
-	admitLeast   = 0.35      // and what it leaves at least
+	spread       = 0.2       // how much later the last of so many parts is than the middle one, by their logarithm
 	fairness     = 1.0       // how much the admission of a workload that is taken on less than others is widened
 	failRun      = 2         // failures in a row that set a replica aside: one alone is chance
 	fleetFails   = 0.3       // when more than this share of all executions fails, the cause is not a replica
@@ -223,7 +222,6 @@
 	handed     ring // queries and parts, for the budget of further executions
 	further    ring
 	failed     mean // failures among all outcomes
-	late       mean // late ones among the queries taken on
 	taken      mean // queries taken on among those handed over
 	rounds     int64
 	round      Round
@@ -237,7 +235,7 @@
 func New(now int64, d Deployment) *Aggregator {
 	a := &Aggregator{Deployment: d, chance: chance{x: uint32(d.Seed) | 1, c: uint32(d.Seed>>32)%4294957664 + 1},
 		holders: make([][]int, d.Shards), pointers: slices.Repeat([]int{d.Number}, d.Shards), askWait: askAgain,
-		handed: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan), failed: newMean(healthSpan), late: newMean(timeSpan),
+		handed: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan), failed: newMean(healthSpan),
 		taken: newMean(timeSpan)}
 	a.workloads = make([]workload, len(d.Workloads))
 	a.customers = slices.Repeat([]ring{newRing(timeSpan)}, len(d.Quotas))
@@ -650,11 +648,11 @@
 		return
 	}
 	need, least := w.Need, w.Need
+	share := admitShare / (1 + spread*math.Log(float64(len(q.parts))*w.Need))
 	if w.Floor < w.Need {
-		need, least = total, (w.Floor+w.Need)/2
+		need, least, share = total, (w.Floor+w.Need)/2, admitShare
 	}
 	// Danger: a query of many parts meets the worst of many replicas, so a crowd would shut out its workload.
-	share := max(admitShare-lateWeight*a.late.of(now, 0), admitLeast)
 	fair := 1 + fairness*(a.taken.of(now, 0)-w.taken.of(now, 0))
 	if c := q.customer; c >= 0 { // what goes beyond a customer's share is declined before the others' queries
 		a.customers[c].add(now, 1)
@@ -665,8 +663,7 @@
 	w.taken.mark(now, taken)
 	a.taken.mark(now, taken)
 	if !taken {
-		q.begun = 0
-		q.giveUp(now)
+		q.giveUp()
 		return
 	}
 	for i := range q.parts {
@@ -677,11 +674,8 @@
 }
 
 // finish ends the query, or its first step.
-func (q *Query) finish(now int64, final Final) {
+func (q *Query) finish(final Final) {
 	a := q.agg
-	if q.begun > 0 {
-		a.late.mark(now, now >= q.goal)
-	}
 	e := Ending{Query: q, Final: final}
 	if final == Declined && a.ComeBack {
 		e.ComeBack = min(comeBack, a.MaxComeBack)
@@ -695,13 +689,13 @@
 }
 
 // giveUp ends the query unserved: declined where trying again does no harm.
-func (q *Query) giveUp(now int64) {
+func (q *Query) giveUp() {
 	final := Declined
 	ran := slices.ContainsFunc(q.parts, func(p part) bool { return p.mayHaveRun != never })
 	if ran && q.workload.Effect != Repeatable {
 		final = Forfeited
 	}
-	q.finish(now, final)
+	q.finish(final)
 }
 
 // ready tells whether the query is open and the parts of its present step are there.
@@ -715,7 +709,7 @@
 	w := q.workload
 	if !q.ready() {
 		if now >= q.end {
-			q.finish(now, Forfeited)
+			q.finish(Forfeited)
 		}
 		return q.end
 	}
@@ -729,13 +723,13 @@
 	enough := have >= floor-slack && (floor < need || whole)
 	switch {
 	case whole && (q.step == 0 || q.whole):
-		q.finish(now, Whole)
+		q.finish(Whole)
 	case whole, enough && have+open < need-slack && open == 0:
-		q.finish(now, Partial)
+		q.finish(Partial)
 	case enough && (now >= q.end || now >= q.goal && w.PartialShare*have >= w.LateShare*need):
-		q.finish(now, Partial)
+		q.finish(Partial)
 	case now >= q.end, have+open < floor-slack:
-		q.giveUp(now)
+		q.giveUp()
 	case now < q.goal:
 		return q.goal
 	}
