--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,9 +27,8 @@
 	healthSpan   = 4000 * ms // how far back a replica's record counts
 	priorShare   = 6         // a part not yet timed is taken to need its latency goal / this
 	patienceMul  = 7         // an execution is overdue at so many typical times: sooner, recalls jam peers
-	admitShare   = 0.75      // a query is taken on when it should need no more of its latency goal than this
+	admitShare   = 0.55      // a query is taken on when it should need no more of its latency goal than this
 	jamDoublings = 4         // a full replica rests a typical part time, doubled so often at most
-	spread       = 0.2       // how much later the last of so many parts is than the middle one, by their logarithm
 	fairness     = 1.0       // how much the admission of a workload that is taken on less than others is widened
 	failRun      = 2         // failures in a row that set a replica aside: one alone is chance
 	fleetFails   = 0.3       // when more than this share of all executions fails, the cause is not a replica
@@ -156,10 +155,7 @@
 }
 
 // call is what travels together to one replica; the count falls when its last part is done.
-type call struct {
-	parts int
-	round int64
-}
+type call struct{ parts, round int }
 
 type execution struct {
 	call    *call
@@ -223,7 +219,7 @@
 	further    ring
 	failed     mean // failures among all outcomes
 	taken      mean // queries taken on among those handed over
-	rounds     int64
+	rounds     int
 	round      Round
 	cancels    []Cancel // for the next round
 	subscribed bool
@@ -648,9 +644,8 @@
 		return
 	}
 	need, least := w.Need, w.Need
-	share := admitShare / (1 + spread*math.Log(float64(len(q.parts))*w.Need))
 	if w.Floor < w.Need {
-		need, least, share = total, (w.Floor+w.Need)/2, admitShare
+		need, least = total, (w.Floor+w.Need)/2
 	}
 	// Danger: a query of many parts meets the worst of many replicas, so a crowd would shut out its workload.
 	fair := 1 + fairness*(a.taken.of(now, 0)-w.taken.of(now, 0))
@@ -658,7 +653,7 @@
 		a.customers[c].add(now, 1)
 		fair /= max(1, a.customers[c].sum(now)*1e9/timeSpan/a.Quotas[c])
 	}
-	missing := q.ask(now, min(need, total), int64(share*fair*float64(q.goal-now)))
+	missing := q.ask(now, min(need, total), int64(admitShare*fair*float64(q.goal-now)))
 	taken := need-missing >= least-1e-6
 	w.taken.mark(now, taken)
 	a.taken.mark(now, taken)
