--- a/balance/balance.go
+++ b/balance/balance.go
@@ -141,6 +141,8 @@
 	fails    int   // failures since the last fulfilled execution
 	slot     mean  // time for each own call, ns
 	heard    int64 // last fulfilled execution
+	sends    int
+	newest   int   // turn of the latest send that was fulfilled
 	fulls    int   // parts turned away as full since the last fulfilled one
 	jammed   int64 // until then it is taken to be full
 	stale    bool  // its connection is in doubt: nothing is sent until it has been given back
@@ -162,6 +164,7 @@
 	sentAt  int64
 	replica int
 	slots   int // own calls out there at the send, with this one
+	turn    int // which of the sends to the replica
 	over    bool
 	overdue bool // given up by this aggregator as too long
 }
@@ -327,7 +330,7 @@
 	switch result {
 	case Fulfilled:
 		r.slot.add(now, float64(took), float64(e.slots))
-		r.heard, r.fulls, r.stale = now, 0, false
+		r.heard, r.fulls, r.stale, r.newest = now, 0, false, max(r.newest, e.turn)
 	case Full, ConnectFailed:
 		// Danger: a replica that turns all away at once always has the lowest count and draws every part.
 		r.jammed = now + q.workload.middle<<min(r.fulls, jamDoublings)
@@ -519,13 +522,17 @@
 		max(now, due)+q.workload.middle > q.end {
 		return q.end
 	}
-	if now >= e.sentAt+q.overdue(n+1)/2 && r.heard < e.sentAt {
+	half := e.sentAt + q.overdue(n+1)/2
+	if now < half {
+		return half
+	}
+	if r.heard < e.sentAt {
 		r.stale = true
 	}
-	if now < due {
+	if now < due && r.newest < e.turn {
 		return due
 	}
-	if r.aside || r.heard < e.sentAt {
+	if r.newest > e.turn || r.aside || r.heard < e.sentAt {
 		e.overdue = true
 		a.cancels = append(a.cancels, Cancel{q, number, n})
 	}
@@ -549,7 +556,8 @@
 	if len(p.executions) > 0 {
 		a.further.add(now, 1)
 	}
-	p.executions = append(p.executions, execution{call: r.shared, sentAt: now, replica: to, slots: r.calls})
+	r.sends++
+	p.executions = append(p.executions, execution{call: r.shared, sentAt: now, replica: to, slots: r.calls, turn: r.sends})
 	p.stage = out
 	if p.mayHaveRun == never {
 		p.mayHaveRun = now
