--- a/balance/balance.go
+++ b/balance/balance.go
@@ -529,10 +529,12 @@
 	if r.heard < e.sentAt {
 		r.stale = true
 	}
-	if now < due && r.newest < e.turn {
+	usual := int64(r.slot.of(now, float64(q.workload.middle)) * float64(e.slots))
+	lost := r.newest > e.turn+1 && now-e.sentAt > patienceMul/2*usual
+	if now < due && !lost {
 		return due
 	}
-	if r.newest > e.turn || r.aside || r.heard < e.sentAt {
+	if lost || r.aside || r.heard < e.sentAt {
 		e.overdue = true
 		a.cancels = append(a.cancels, Cancel{q, number, n})
 	}
