--- a/balance/balance.go
+++ b/balance/balance.go
@@ -529,8 +529,7 @@
 	if r.heard < e.sentAt {
 		r.stale = true
 	}
-	usual := int64(r.slot.of(now, float64(q.workload.middle)) * float64(e.slots))
-	lost := r.newest > e.turn+1 && now-e.sentAt > patienceMul/2*usual
+	lost := r.newest > e.turn && a.expect(now, q.workload, p.shard) <= q.workload.middle
 	if now < due && !lost {
 		return due
 	}
