--- a/balance/balance.go
+++ b/balance/balance.go
@@ -529,7 +529,8 @@
 	if r.heard < e.sentAt {
 		r.stale = true
 	}
-	lost := r.newest > e.turn && a.expect(now, q.workload, p.shard) <= q.workload.middle
+	have, open, _ := q.weights()
+	lost := have >= open && r.newest > e.turn && a.expect(now, q.workload, p.shard) <= q.workload.middle
 	if now < due && !lost {
 		return due
 	}
