--- a/balance/balance.go
+++ b/balance/balance.go
@@ -187,6 +187,7 @@
 	since      int64 // wanted since
 	mayHaveRun int64 // when the first execution that may have run was sent
 	executions []execution
+	spared     bool // another part was asked for, should this one not come
 }
 
 // Query is the handle to one query that was taken.
@@ -529,8 +530,11 @@
 	if r.heard < e.sentAt {
 		r.stale = true
 	}
-	have, open, _ := q.weights()
-	lost := have >= open && r.newest > e.turn && a.expect(now, q.workload, p.shard) <= q.workload.middle
+	if !p.spared { // where any so many parts do, another can come in its place
+		p.spared = true
+		q.ask(now, p.weight, math.MaxInt64)
+	}
+	lost := r.newest > e.turn && a.expect(now, q.workload, p.shard) <= q.workload.middle
 	if now < due && !lost {
 		return due
 	}
