--- a/balance/balance.go
+++ b/balance/balance.go
@@ -534,7 +534,7 @@
 		p.spared = true
 		q.ask(now, p.weight, math.MaxInt64)
 	}
-	lost := r.newest > e.turn && a.expect(now, q.workload, p.shard) <= q.workload.middle
+	lost := n == 0 && r.newest > e.turn && a.expect(now, q.workload, p.shard) <= q.workload.middle
 	if now < due && !lost {
 		return due
 	}
