--- a/balance/balance.go
+++ b/balance/balance.go
@@ -32,7 +32,6 @@
 	fairness     = 1.0       // how much the admission of a workload that is taken on less than others is widened
 	failRun      = 2         // failures in a row that set a replica aside: one alone is chance
 	fleetFails   = 0.3       // when more than this share of all executions fails, the cause is not a replica
-	asideShare   = 3         // at most one replica in so many is set aside at once
 	holdFirst    = 1000 * ms // a replica set aside rests so long first, then doubled; a quota is for so long
 	holdLast     = 8000 * ms // and so long at most
 	trickleFull  = 16        // quota at which a replica is back in
@@ -406,7 +405,7 @@
 	// Danger: a hung or dead replica draws parts as fast as it drops them, and every query that meets it is
 	// late. When many executions fail the cause is not one replica, and nobody is set aside. A slow replica
 	// is not: its count keeps its share small, and its peers may have no room for that share.
-	if r.fails >= failRun && a.failed.of(now, 0) < fleetFails && a.asides() < len(a.replicas)/asideShare {
+	if r.fails >= failRun && a.failed.of(now, 0) < fleetFails {
 		a.setAside(now, r)
 	}
 }
@@ -422,15 +421,6 @@
 	r.aside, r.fails, r.hold, r.fulls, r.jammed = false, 0, 0, 0, 0
 }
 
-func (a *Aggregator) asides() (n int) {
-	for i := range a.replicas {
-		if a.replicas[i].listed && a.replicas[i].aside {
-			n++
-		}
-	}
-	return n
-}
-
 func (a *Aggregator) cold(now int64, r *replica) bool {
 	return r.started != 0 && now-r.started < a.ColdRamp
 }
