--- a/balance/balance.go
+++ b/balance/balance.go
@@ -336,10 +336,6 @@
 		r.jammed = now + q.workload.middle<<min(r.fulls, jamDoublings)
 		r.fulls++
 	case Cancelled, TimedOut:
-		// Danger: leaving out what was cut short would show a jammed replica at its best.
-		if float64(took) > r.slot.of(now, 0)*float64(e.slots) {
-			r.slot.add(now, float64(took), float64(e.slots))
-		}
 		if e.overdue {
 			result = TimedOut
 		}
