What cannot be sent again is not recalled; spares also where nothing can be

Danger found in reading: a tagged part past its window, or any part beyond the budget of further executions, was taken back and then given up.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -336,6 +336,10 @@
 		r.jammed = now + q.workload.middle<<min(r.fulls, jamDoublings)
 		r.fulls++
 	case Cancelled, TimedOut:
+		// Danger: leaving out what was cut short would show a jammed replica at its best.
+		if float64(took) > r.slot.of(now, 0)*float64(e.slots) {
+			r.slot.add(now, float64(took), float64(e.slots))
+		}
 		if e.overdue {
 			result = TimedOut
 		}
@@ -489,7 +493,7 @@
 // cut is when an execution is dropped at the replica: where nothing can be cancelled, when it is overdue.
 func (q *Query) cut(now int64, executions int) int64 {
 	if t := now + q.overdue(executions); !q.agg.Cancels && t+q.workload.middle < q.goal &&
-		executions < q.agg.MaxExecutions && q.workload.Effect != OnceOnly {
+		executions < q.agg.MaxExecutions && q.workload.Effect == Repeatable && !q.agg.Budgeted {
 		return t
 	}
 	return q.end
@@ -504,22 +508,19 @@
 	n := len(p.executions) - 1
 	e := &p.executions[n]
 	r := &a.replicas[e.replica]
-	due := e.sentAt + q.overdue(n+1)
-	if e.overdue || !a.Cancels || n+1 >= a.MaxExecutions || q.workload.Effect == OnceOnly ||
-		max(now, due)+q.workload.middle > q.end {
-		return q.end
-	}
-	half := e.sentAt + q.overdue(n+1)/2
+	half, due := e.sentAt+q.overdue(n+1)/2, e.sentAt+q.overdue(n+1)
 	if now < half {
 		return half
 	}
-	if r.heard < e.sentAt {
-		r.stale = true
-	}
+	r.stale = r.stale || r.heard < e.sentAt
 	if !p.spared { // where any so many parts do, another can come in its place
 		p.spared = true
 		q.ask(now, p.weight, math.MaxInt64)
 	}
+	// Danger: what cannot be sent again, by the rules or for the time left, must not be taken back.
+	if e.overdue || !a.Cancels || !q.mayRun(now, p) || max(now, due)+q.workload.middle > q.end {
+		return q.end
+	}
 	lost := n == 0 && r.newest > e.turn && a.expect(now, q.workload, p.shard) <= q.workload.middle
 	if now < due && !lost {
 		return due
@@ -549,7 +550,8 @@
 		a.further.add(now, 1)
 	}
 	r.sends++
-	p.executions = append(p.executions, execution{call: r.shared, sentAt: now, replica: to, slots: r.calls, turn: r.sends})
+	p.executions = append(p.executions,
+		execution{call: r.shared, sentAt: now, replica: to, slots: r.calls, turn: r.sends})
 	p.stage = out
 	if p.mayHaveRun == never {
 		p.mayHaveRun = now
@@ -557,12 +559,9 @@
 	a.round.Sends = append(a.round.Sends, Send{q, number, to, q.cut(now, len(p.executions))})
 }
 
-// mayRun tells whether the rules allow a part one more execution.
+// mayRun tells whether the rules allow a part a further execution.
 func (q *Query) mayRun(now int64, p *part) bool {
 	a, w := q.agg, q.workload
-	if len(p.executions) == 0 {
-		return true
-	}
 	if len(p.executions) >= a.MaxExecutions || w.Effect == OnceOnly && p.mayHaveRun != never ||
 		w.Effect == Tagged && p.mayHaveRun != never && now >= p.mayHaveRun+w.RepeatWindow-a.Tick {
 		return false
@@ -797,7 +796,7 @@
 // serve sends a wanted part, or gives it up; it returns when to look again.
 func (a *Aggregator) serve(now int64, q *Query, number int) int64 {
 	p := &q.parts[number]
-	if q.mayRun(now, p) {
+	if len(p.executions) == 0 || q.mayRun(now, p) {
 		late := p.since + (q.end-q.taken)/waitShare
 		if to := a.pick(now, p, q.workload, now >= late); to >= 0 {
 			a.send(now, q, number, to)
