--- a/wire/wire_test.go
+++ b/wire/wire_test.go
@@ -8,7 +8,8 @@
 const boot = `{"event_type":"OPEN_INSTANCE","who":1,"prng":7,"boot_info":{"index":0,"balancers":2,"tick":5,` +
 	`"new":1,"caps":{"max_attempts":3,"most_held":9,"cancel":true,"probes":false,"retry_after":true,` +
 	`"connect_timeout":250},"domain":{"slices":2,"cells":1,"in_a_row":1,"parts_a_call":1,"class_need":[1],` +
-	`"class_floor":[1],"incomplete_worth":[0.9],"follow_up":[0]},"classes":[{"name":"w","slo":1000,"give_up":2000,"worth":1,` +
+	`"class_floor":[1],"incomplete_worth":[0.9],"follow_up":[0]},` +
+	`"classes":[{"name":"w","slo":1000,"give_up":2000,"worth":1,` +
 	`"late_worth":0,"repeat":"free"}],"guarantees":{"drain_grace":1000,"cold_from":0.2,"ramp_time":9000,` +
 	`"fall_multiple":3,"fall":1000},"membership_mode":"push","tenants":null}}
 {"event_type":"POOL","sheet":0,"items":[{"place":0,"lifecycle":"U","launched":null,"replica":"r:1"}]}
