--- a/balance/balance.go
+++ b/balance/balance.go
@@ -27,7 +27,7 @@
 	healthSpan   = 4000 * ms // how far back a replica's record counts
 	priorShare   = 6         // a part not yet timed is taken to need its latency goal / this
 	patienceMul  = 7         // an execution is overdue at so many typical times: sooner, recalls jam peers
-	admitShare   = 0.6       // a query is taken on when it should need no more of its latency goal than this
+	admitShare   = 0.55      // a query is taken on when it should need no more of its latency goal than this
 	jamDoublings = 4         // a full replica rests a typical part time, doubled so often at most
 	fairness     = 1.0       // how much the admission of a workload that is taken on less than others is widened
 	failRun      = 2         // failures in a row that set a replica aside: one alone is chance
@@ -521,7 +521,7 @@
 	if e.overdue || !a.Cancels || !q.mayRun(now, p) || max(now, due)+q.workload.middle > q.end {
 		return q.end
 	}
-	lost := n == 0 && r.newest > e.turn && a.expect(now, q.workload, p.shard) <= q.workload.middle
+	lost := n == 0 && q.workload.Floor >= 1 && r.newest > e.turn && a.expect(now, q.workload, p.shard) <= q.workload.middle
 	if now < due && !lost {
 		return due
 	}
