--- a/balance/balance.go
+++ b/balance/balance.go
@@ -649,7 +649,8 @@
 	// Danger: a query of many parts meets the worst of many replicas, so a crowd would shut out its workload.
 	fair := 1 + fairness*(a.taken.of(now, 0)-w.taken.of(now, 0))
 	if c := q.customer; c >= 0 { // what goes beyond a customer's share is declined before the others' queries
-		fair /= max(1, a.customers[c].sum(now)*1e9/timeSpan/a.Quotas[c])
+		over := max(1, a.customers[c].sum(now)*1e9/timeSpan/a.Quotas[c])
+		fair /= over * over
 	}
 	missing := q.ask(now, min(need, total), int64(admitShare*fair*float64(q.goal-now)))
 	taken := need-missing >= least-1e-6
