--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,7 +29,7 @@
 	patienceMul  = 7         // an execution is overdue at so many typical times: sooner, recalls jam peers
 	admitShare   = 0.55      // a query is taken on when it should need no more of its latency goal than this
 	jamDoublings = 4         // a full replica rests a typical part time, doubled so often at most
-	crowding     = 0.5       // how much admission tightens while others are declined: waits in a crowd are underrated
+	crowding     = 0.25      // how much admission tightens while others are declined: waits in a crowd are underrated
 	fairness     = 1.0       // how much the admission of a workload that is taken on less than others is widened
 	failRun      = 2         // failures in a row that set a replica aside: one alone is chance
 	fleetFails   = 0.3       // when more than this share of all executions fails, the cause is not a replica
