--- a/balance/balance.go
+++ b/balance/balance.go
@@ -654,8 +654,11 @@
 	}
 	missing := q.ask(now, min(need, total), int64(admitShare*fair*float64(q.goal-now)))
 	taken := need-missing >= least-1e-6
-	w.taken.mark(now, taken)
-	a.taken.mark(now, taken)
+	shut := func(p part) bool { return a.expect(now, w, p.shard) == math.MaxInt64 }
+	if !slices.ContainsFunc(q.parts, shut) { // what is declined for want of any replica is no crowd
+		w.taken.mark(now, taken)
+		a.taken.mark(now, taken)
+	}
 	if taken && q.customer >= 0 { // Danger: counting declined ones, which come again, would lock a customer out
 		a.customers[q.customer].add(now, 1)
 	}
