--- a/balance/balance.go
+++ b/balance/balance.go
@@ -193,7 +193,8 @@
 type Query struct {
 	agg      *Aggregator
 	workload *workload
-	customer int
+	broke    int  // the replica of its first reset, + 1
+	deadly   bool // it was reset by two replicas
 	parts    []part
 	expected int
 	taken    int64
@@ -216,7 +217,6 @@
 	replicas   []replica
 	holders    [][]int // by shard
 	pointers   []int   // by shard: the next tied pick
-	customers  []ring  // queries handed over by each
 	queries    []*Query
 	handed     ring // queries and parts, for the budget of further executions
 	further    ring
@@ -237,7 +237,6 @@
 		handed: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan), failed: newMean(healthSpan),
 		taken: newMean(timeSpan)}
 	a.workloads = make([]workload, len(d.Workloads))
-	a.customers = slices.Repeat([]ring{newRing(timeSpan)}, len(d.Quotas))
 	for i, w := range d.Workloads {
 		a.workloads[i] = workload{Workload: w, logs: newMean(timeSpan), taken: newMean(timeSpan)}
 		a.workloads[i].look(now)
@@ -291,7 +290,7 @@
 // Take takes a query; its parts are added to the handle.
 func (a *Aggregator) Take(now int64, arrival Arrival) *Query {
 	w := &a.workloads[arrival.Workload]
-	q := &Query{agg: a, workload: w, customer: arrival.Customer, expected: arrival.Parts, taken: now, open: true,
+	q := &Query{agg: a, workload: w, expected: arrival.Parts, taken: now, open: true,
 		end:  now + max(arrival.Patience-spareTicks*a.Tick, 0),
 		goal: now + max(w.LatencyGoal-spareTicks*a.Tick, 0)}
 	if w.LateShare == 0 { // what earns nothing is only load
@@ -335,6 +334,10 @@
 		// Danger: a replica that turns all away at once always has the lowest count and draws every part.
 		r.jammed = now + q.workload.middle<<min(r.fulls, jamDoublings)
 		r.fulls++
+	case Reset:
+		// Danger: a query that kills its replicas kills their peers as well if its parts run again there.
+		q.deadly = q.deadly || q.broke > 0 && q.broke != e.replica+1
+		q.broke = e.replica + 1
 	case Cancelled, TimedOut:
 		// Danger: leaving out what was cut short would show a jammed replica at its best.
 		if float64(took) > r.slot.of(now, 0)*float64(e.slots) {
@@ -648,16 +651,10 @@
 	}
 	// Danger: a query of many parts meets the worst of many replicas, so a crowd would shut out its workload.
 	fair := 1 + fairness*(a.taken.of(now, 0)-w.taken.of(now, 0))
-	if c := q.customer; c >= 0 { // what goes beyond a customer's share is declined before the others' queries
-		fair /= max(1, a.customers[c].sum(now)*1e9/timeSpan/a.Quotas[c])
-	}
 	missing := q.ask(now, min(need, total), int64(admitShare*fair*float64(q.goal-now)))
 	taken := need-missing >= least-1e-6
 	w.taken.mark(now, taken)
 	a.taken.mark(now, taken)
-	if taken && q.customer >= 0 { // Danger: counting declined ones, which come again, would lock a customer out
-		a.customers[q.customer].add(now, 1)
-	}
 	if !taken {
 		q.giveUp()
 		return
@@ -724,6 +721,8 @@
 		q.finish(Partial)
 	case enough && (now >= q.end || now >= q.goal && w.PartialShare*have >= w.LateShare*need):
 		q.finish(Partial)
+	case q.deadly: // a decline would say that trying again does no harm
+		q.finish(Forfeited)
 	case now >= q.end, have+open < floor-slack:
 		q.giveUp()
 	case now < q.goal:
--- a/balance/types.go
+++ b/balance/types.go
@@ -30,7 +30,6 @@
 	Tick                int64  // least time between two rounds, ns
 
 	Workloads []Workload
-	Quotas    []float64 // queries a second within each customer's share, at all aggregators together
 
 	Shards, Cells, Reach int // shard s is held by the cells (s + j) mod Cells, j from 0 to Reach - 1
 	PartsPerCall         int // most parts that travel in one call
@@ -79,7 +78,6 @@
 // Arrival is a query as it is handed over; its parts follow by Query.AddPart.
 type Arrival struct {
 	Workload int
-	Customer int   // -1 where there are none
 	Patience int64 // time until the client gives up this try, ns
 	Parts    int   // how many its first step has
 }
--- a/wire/deployment.go
+++ b/wire/deployment.go
@@ -63,16 +63,6 @@
 		}
 		d.Workloads = append(d.Workloads, w)
 	}
-	if boot.has("tenants") {
-		for i, raw := range boot.list("tenants") {
-			c := &fields{raw: raw}
-			in.customers[c.string("name")] = i
-			d.Quotas = append(d.Quotas, c.number("quota_per_s"))
-			if c.err != nil {
-				return d, c.err
-			}
-		}
-	}
 	if boot.has("kinds") {
 		var kinds []string
 		boot.into("kinds", &kinds)
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -23,7 +23,6 @@
 	replicas  map[string]int
 	addresses []json.RawMessage
 	workloads map[string]int
-	customers map[string]int
 	kinds     map[string]int
 	shards    int
 	requests  map[uint64]request
@@ -185,7 +184,7 @@
 
 func (h *host) open(who int, f *fields) error {
 	in := &instance{
-		replicas: map[string]int{}, workloads: map[string]int{}, customers: map[string]int{},
+		replicas: map[string]int{}, workloads: map[string]int{},
 		kinds: map[string]int{}, requests: map[uint64]request{}, groups: map[int64]*held{},
 		handles: map[*balance.Query]*held{},
 	}
@@ -301,14 +300,7 @@
 	if !ok {
 		f.fail("grade", "is not among the classes")
 	}
-	customer := -1
-	var name string
-	if f.may("client_group", &name); name != "" {
-		if customer, ok = in.customers[name]; !ok {
-			customer = -1
-		}
-	}
-	a := balance.Arrival{Workload: w, Customer: customer, Patience: f.time("grace"), Parts: int(measure)}
+	a := balance.Arrival{Workload: w, Patience: f.time("grace"), Parts: int(measure)}
 	if f.err != nil {
 		return f.err
 	}
