--- a/balance/balance.go
+++ b/balance/balance.go
@@ -284,7 +284,7 @@
 	// Danger: aggregators that restart together and ask in step keep the list service down; chance spreads
 	// them, and each failure doubles the wait.
 	a.subscribed, a.askAt = false, now+int64(float64(a.askWait)*(0.5+a.chance.next()))
-	a.askWait = min(2*a.askWait, 8*askAgain)
+	a.askWait = min(2*a.askWait, 8*askAgain, max(a.AskWithin/2, askAgain)) // the rules want to be asked in time
 }
 
 // Take takes a query; its parts are added to the handle.
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -49,8 +49,8 @@
 func newPlay(t *testing.T) *play {
 	return &play{t: t, kinds: map[string]int{}, numbers: map[string]int{}, queries: map[string]*Query{},
 		d: Deployment{Aggregators: 2, Seed: 7, Tick: 5 * ms, Shards: 4, Cells: 2, Reach: 1, PartsPerCall: 1,
-			MaxExecutions: 3, MaxHeld: 100, Cancels: true, ComeBack: true, MaxComeBack: 2000 * ms,
-			ConnectTimeout: 250 * ms, DrainGrace: 1000 * ms, ColdShare: 0.2, ColdRamp: 10000 * ms,
+			MaxExecutions: 3, Cancels: true, ComeBack: true, MaxComeBack: 2000 * ms,
+			ColdShare: 0.2, ColdRamp: 10000 * ms,
 			FallMultiple: 3, FallSpan: 1000 * ms}}
 }
 
@@ -97,7 +97,7 @@
 }
 
 func (p *play) workload(name string, pairs []string) {
-	w := Workload{LatencyGoal: 1000 * ms, CutOff: 2500 * ms, Revenue: 1, LateShare: 0.3, Floor: 1, Need: 1,
+	w := Workload{LatencyGoal: 1000 * ms, LateShare: 0.3, Floor: 1, Need: 1,
 		PartialShare: 0.9, RepeatWindow: 1000 * ms}
 	for _, pair := range pairs {
 		key, value, _ := strings.Cut(pair, "=")
--- a/balance/types.go
+++ b/balance/types.go
@@ -12,8 +12,6 @@
 // Workload is what a deployment states of one kind of query.
 type Workload struct {
 	LatencyGoal  int64   // an answer within this time earns the full revenue, ns
-	CutOff       int64   // how long a client waits in all, ns
-	Revenue      float64 // of a whole answer within the latency goal
 	LateShare    float64 // of the revenue, for an answer past the latency goal
 	Floor        float64 // least share of the weight that an answer may be given from
 	Need         float64 // share of the weight that makes a whole answer
@@ -34,15 +32,12 @@
 	Shards, Cells, Reach int // shard s is held by the cells (s + j) mod Cells, j from 0 to Reach - 1
 	PartsPerCall         int // most parts that travel in one call
 
-	MaxExecutions  int   // of one part
-	MaxHeld        int   // queries and parts held at once
-	Cancels        bool  // executions may be cancelled
-	Probes         bool  // replicas may be probed
-	ComeBack       bool  // a declined client hears when to come back
-	MaxComeBack    int64 // longest wait that a client honours, ns
-	ConnectTimeout int64 // a connection not up by then has failed, ns
+	MaxExecutions int   // of one part
+	Cancels       bool  // executions may be cancelled
+	Probes        bool  // replicas may be probed
+	ComeBack      bool  // a declined client hears when to come back
+	MaxComeBack   int64 // longest wait that a client honours, ns
 
-	DrainGrace   int64   // sends to a draining or gone replica stop within this, ns
 	ColdShare    float64 // of its capacity that a fresh replica starts with, at least
 	ColdRamp     int64   // a fresh replica is warm after this at the latest, ns
 	FallMultiple float64 // of its present capacity that pushes a cold replica over
@@ -72,7 +67,6 @@
 	Cell     int
 	Standing Standing
 	Started  int64 // when it last started, ns; 0 for long ago
-	Kind     int
 }
 
 // Arrival is a query as it is handed over; its parts follow by Query.AddPart.
--- a/wire/deployment.go
+++ b/wire/deployment.go
@@ -13,12 +13,11 @@
 		Number: boot.int("index"), Aggregators: boot.int("balancers"), Tick: boot.time("tick"),
 		Shards: domain.int("slices"), Cells: domain.int("cells"), Reach: domain.int("in_a_row"),
 		PartsPerCall:  domain.int("parts_a_call"),
-		MaxExecutions: caps.int("max_attempts"), MaxHeld: caps.int("most_held"),
-		Cancels: caps.bool("cancel"), Probes: caps.bool("probes"),
+		MaxExecutions: caps.int("max_attempts"),
+		Cancels:       caps.bool("cancel"), Probes: caps.bool("probes"),
 		ComeBack: caps.bool("retry_after"), MaxComeBack: caps.mayTime("max_retry_after"),
-		ConnectTimeout: caps.time("connect_timeout"),
-		DrainGrace:     rules.time("drain_grace"), ColdShare: rules.number("cold_from"),
-		ColdRamp: rules.time("ramp_time"), FallMultiple: rules.number("fall_multiple"),
+		ColdShare: rules.number("cold_from"),
+		ColdRamp:  rules.time("ramp_time"), FallMultiple: rules.number("fall_multiple"),
 		FallSpan:    rules.time("fall"),
 		AsksForList: boot.string("membership_mode") == "ask", AskWithin: rules.mayTime("must_ask_in"),
 		Budgeted: rules.has("ratio_span"), FurtherSpan: rules.mayTime("ratio_span"),
@@ -43,8 +42,8 @@
 		}
 		c := &fields{raw: raw}
 		w := balance.Workload{
-			LatencyGoal: c.time("slo"), CutOff: c.time("give_up"), Revenue: c.number("worth"),
-			LateShare: c.number("late_worth"), RepeatWindow: c.mayTime("window"),
+			LatencyGoal: c.time("slo"),
+			LateShare:   c.number("late_worth"), RepeatWindow: c.mayTime("window"),
 			Floor: floor[i], Need: need[i], PartialShare: partial[i], FollowUp: followUp[i],
 		}
 		switch repeat := c.string("repeat"); repeat {
@@ -63,12 +62,5 @@
 		}
 		d.Workloads = append(d.Workloads, w)
 	}
-	if boot.has("kinds") {
-		var kinds []string
-		boot.into("kinds", &kinds)
-		for i, name := range kinds {
-			in.kinds[name] = i
-		}
-	}
 	return d, boot.err
 }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -23,7 +23,6 @@
 	replicas  map[string]int
 	addresses []json.RawMessage
 	workloads map[string]int
-	kinds     map[string]int
 	shards    int
 	requests  map[uint64]request
 	groups    map[int64]*held
@@ -185,7 +184,7 @@
 func (h *host) open(who int, f *fields) error {
 	in := &instance{
 		replicas: map[string]int{}, workloads: map[string]int{},
-		kinds: map[string]int{}, requests: map[uint64]request{}, groups: map[int64]*held{},
+		requests: map[uint64]request{}, groups: map[int64]*held{},
 		handles: map[*balance.Query]*held{},
 	}
 	seed, boot := f.number("prng"), f.object("boot_info")
@@ -233,9 +232,6 @@
 		default:
 			e.fail("lifecycle", "is unknown")
 		}
-		var kind string
-		e.may("generation_hw", &kind)
-		l.Kind = in.kinds[kind]
 		l.Replica = in.replica(e)
 		if e.err != nil {
 			return e.err
