--- a/balance/balance.go
+++ b/balance/balance.go
@@ -524,7 +524,7 @@
 	if e.overdue || !a.Cancels || !q.mayRun(now, p) || max(now, due)+q.workload.middle > q.end {
 		return q.end
 	}
-	lost := n == 0 && r.newest > e.turn && 2*now >= half+due && a.expect(now, q.workload, p.shard) <= q.workload.middle
+	lost := n == 0 && r.newest > e.turn && now >= due && a.expect(now, q.workload, p.shard) <= q.workload.middle
 	if now < due && !lost {
 		return due
 	}
