--- a/balance/balance.go
+++ b/balance/balance.go
@@ -16,11 +16,11 @@
 	ms    = 1_000_000 // ns
 	never = -1        // no time
 
-	priority   = 2  // Base Reference Cost of every replica: the source's default
-	channels   = 32 // own calls in flight at one server: the source's default
-	costLimit  = 127
-	waitShare  = 10 // a part waits at most its time budget / this for a channel: the design page's tenth
-	spareTicks = 3  // ticks kept free before a goal or a client's end, for the way back and a late round
+	priority   = 2   // Base Reference Cost of every replica: the source's default
+	channels   = 32  // own calls in flight at one server: the source's default
+	costLimit  = 127 // channels x priority stay within it: the source's requirement
+	waitShare  = 10  // a part waits at most its time budget / this for a channel: the design page's tenth
+	spareTicks = 3   // ticks kept free before a goal or a client's end, for the way back and a late round
 
 	spanBuckets  = 8         // buckets in a ring: the span is known to an eighth
 	timeSpan     = 4000 * ms // how far back part times count: dozens of them, and it follows a jam
@@ -140,7 +140,7 @@
 	fails    int   // failures since the last fulfilled execution
 	slot     mean  // time for each own call, ns
 	heard    int64 // last fulfilled execution
-	sends    int
+	sends    int   // executions sent there so far
 	newest   int   // turn of the latest send that was fulfilled
 	fulls    int   // parts turned away as full since the last fulfilled one
 	jammed   int64 // until then it is taken to be full
@@ -151,8 +151,8 @@
 	unproved bool  // set aside, and no probe has been answered since
 	probing  bool
 	quota    int // parts a holdFirst, doubled while it goes well
-	used     int
-	good     int
+	used     int // of the quota
+	good     int // fulfilled since the quota was set
 }
 
 // call is what travels together to one replica; the count falls when its last part is done.
@@ -200,9 +200,9 @@
 	taken    int64
 	goal     int64 // latest time for an answer within the latency goal
 	end      int64 // latest time for any answer
-	step     int
-	begun    int  // steps whose parts were asked for
-	whole    bool // of the first step
+	step     int   // 0, or 1 for the second
+	begun    int   // steps whose parts were asked for
+	whole    bool  // of the first step
 	open     bool
 }
 
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -256,20 +256,13 @@
 			p.fatal("the outcome was not taken")
 		}
 	}
-	for i := range p.agg.replicasOrNone() {
+	for i := 0; p.agg != nil && i < len(p.agg.replicas); i++ {
 		if p.agg.replicas[i].calls < 0 {
 			p.fatal("the count of %s fell below zero", p.names[i])
 		}
 	}
 }
 
-func (a *Aggregator) replicasOrNone() []replica {
-	if a == nil {
-		return nil
-	}
-	return a.replicas
-}
-
 func TestScenarios(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.txt")
 	if err != nil || len(files) == 0 {
