Ask works each part's time out once a call; stale comments and one long line mended

ask compared every unasked part anew for each part it chose, so a query of n parts cost n x n looks at its replicas; nothing changes between the choices, so it now looks once and sorts. The replica of an outcome is looked up once. Comments on the typical times, on full replicas and on recalls said what earlier texts did.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -8,6 +8,7 @@
 package balance
 
 import (
+	"cmp"
 	"math"
 	"slices"
 )
@@ -75,8 +76,8 @@
 
 // within covers no more than the span: the oldest bucket is left out.
 func (r *ring) within(now int64) float64 {
-	r.turn(now)
-	return r.sum(now) - r.sums[(r.newest+1)%int64(len(r.sums))]
+	s := r.sum(now)
+	return s - r.sums[(r.newest+1)%int64(len(r.sums))]
 }
 
 // mean is an average over a ring's span.
@@ -116,7 +117,7 @@
 // workload is the table's row: what the module reads of a workload, and its recent part times.
 type workload struct {
 	Workload
-	logs   mean  // logarithms of part times; one cut short counts with what was seen of it
+	logs   mean  // logarithms of the times of fulfilled parts
 	taken  mean  // as the aggregator's
 	middle int64 // the typical part time, about the median
 }
@@ -142,8 +143,8 @@
 	heard    int64 // last fulfilled execution
 	sends    int   // executions sent there so far
 	newest   int   // turn of the latest send that was fulfilled
-	fulls    int   // parts turned away as full since the last fulfilled one
-	jammed   int64 // until then it is taken to be full
+	fulls    int   // parts it turned away or took no connection for, since the last fulfilled one
+	jammed   int64 // until then it is left alone for that
 	stale    bool  // its connection is in doubt: nothing is sent until it has been given back
 	aside    bool
 	hold     int64 // how long the last rest was
@@ -184,6 +185,7 @@
 	stage      stage
 	step       int
 	since      int64 // wanted since
+	offer      int64 // how long it should take, when it was last offered to be asked for
 	mayHaveRun int64 // when the first execution that may have run was sent
 	executions []execution
 	spared     bool // another part was asked for, should this one not come
@@ -319,13 +321,13 @@
 		return false
 	}
 	e.over = true
+	r := &q.agg.replicas[e.replica]
 	if e.call.parts--; e.call.parts == 0 {
-		q.agg.replicas[e.replica].calls--
+		r.calls--
 	}
 	if result.NeverRan() && p.mayHaveRun == e.sentAt {
 		p.mayHaveRun = never
 	}
-	r := &q.agg.replicas[e.replica]
 	switch result {
 	case Fulfilled:
 		r.slot.add(now, float64(took), float64(e.slots))
@@ -505,7 +507,7 @@
 // recall cancels an overdue execution on a replica that is in doubt, so that the part can run elsewhere.
 //
 // Danger: what is cancelled may go on running, so recalls add load. A replica that is only busy keeps its
-// parts; only one that is set aside, or has been silent since the execution was sent, loses them.
+// parts; it loses them when set aside or silent since the send, and one that was overtaken if a peer is idle.
 func (q *Query) recall(now int64, number int) int64 {
 	a, p := q.agg, &q.parts[number]
 	n := len(p.executions) - 1
@@ -524,7 +526,8 @@
 	if e.overdue || !a.Cancels || !q.mayRun(now, p) || max(now, due)+q.workload.middle > q.end {
 		return q.end
 	}
-	lost := n == 0 && r.newest > e.turn && 2*now >= half+due && a.expect(now, q.workload, p.shard) <= q.workload.middle
+	lost := n == 0 && r.newest > e.turn && 2*now >= half+due &&
+		a.expect(now, q.workload, p.shard) <= q.workload.middle
 	if now < due && !lost {
 		return due
 	}
@@ -591,24 +594,22 @@
 // ask marks the cheapest parts to be sent until they weigh need, leaving out those that should take longer
 // than limit; it returns the weight still missing.
 func (q *Query) ask(now int64, need float64, limit int64) float64 {
-	for need > 1e-9 {
-		best, least := -1, limit
-		for i := range q.parts {
-			p := &q.parts[i]
-			if p.step != q.step || p.stage != unasked {
-				continue
-			}
-			if t := q.agg.expect(now, q.workload, p.shard); t < least || best < 0 && t == least {
-				best, least = i, t
-			}
+	var offers []*part
+	for i := range q.parts {
+		if p := &q.parts[i]; p.step == q.step && p.stage == unasked {
+			p.offer = q.agg.expect(now, q.workload, p.shard)
+			offers = append(offers, p)
 		}
-		if best < 0 {
-			return need
+	}
+	slices.SortStableFunc(offers, func(x, y *part) int { return cmp.Compare(x.offer, y.offer) })
+	for _, p := range offers {
+		if need <= 1e-9 || p.offer > limit {
+			break
 		}
-		q.parts[best].stage, q.parts[best].since = wanted, now
-		need -= q.parts[best].weight
+		p.stage, p.since = wanted, now
+		need -= p.weight
 	}
-	return 0
+	return need
 }
 
 // expect is how long a part sent now should take at the best replica of its shard: the replica's time for
@@ -660,7 +661,7 @@
 		return
 	}
 	for i := range q.parts {
-		if p := &q.parts[i]; p.stage == unasked && missing > 0 {
+		if p := &q.parts[i]; p.stage == unasked && missing > 1e-9 {
 			p.stage = given
 		}
 	}
