--- a/balance/balance.go
+++ b/balance/balance.go
@@ -23,22 +23,26 @@
 	waitShare  = 10  // a part waits at most its time budget / this for a channel: the design page's tenth
 	spareTicks = 3   // ticks kept free before a goal or a client's end, for the way back and a late round
 
-	spanBuckets  = 8         // buckets in a ring: the span is known to an eighth
-	timeSpan     = 4000 * ms // how far back part times count: dozens of them, and it follows a jam
-	healthSpan   = 4000 * ms // how far back a replica's record counts
-	priorShare   = 6         // a part not yet timed is taken to need its latency goal / this
-	patienceMul  = 7         // an execution is overdue at so many typical times: sooner, recalls jam peers
-	admitShare   = 0.55      // a query is taken on when it should need no more of its latency goal than this
-	jamDoublings = 4         // a full replica rests a typical part time, doubled so often at most
-	fairness     = 1.0       // how much the admission of a workload that is taken on less than others is widened
-	failRun      = 2         // failures in a row that set a replica aside: one alone is chance
-	fleetFails   = 0.3       // when more than this share of all executions fails, the cause is not a replica
-	holdFirst    = 1000 * ms // a replica set aside rests so long first, then doubled; a quota is for so long
-	holdLast     = 8000 * ms // and so long at most
-	trickleFull  = 16        // quota at which a replica is back in
-	coldSafety   = 0.9       // share of the cold budget used: the list is late and work is a guess
-	comeBack     = 500 * ms  // advice to a declined client: a few part times
-	askAgain     = 1000 * ms // first wait after a failed list call, doubled up to eight times, with chance
+	spanBuckets   = 8          // buckets in a ring: the span is known to an eighth
+	timeSpan      = 4000 * ms  // how far back part times count: dozens of them, and it follows a jam
+	paceSpan      = 16000 * ms // how far back a replica's own times count
+	paceDoubt     = 0.25       // a replica's times are taken together with so many typical ones
+	slowMul       = 2          // a replica that should take so many times as long as a peer is passed over
+	priorShare    = 6          // a part not yet timed is taken to need its latency goal / this
+	patience      = 7          // an execution is overdue at so many typical times to begin with,
+	patienceStep  = 1.05       // times or over this after each recall that did not help, or did,
+	patienceLeast = 4          // at least: ordinary parts take up to three
+	patienceMost  = 14         // and at most: what is hung is found before clients leave
+	admitShare    = 0.55       // a query is taken on when it should need no more of its latency goal than this
+	fairness      = 1.0        // how much the admission of a workload taken on less than others is widened
+	failRun       = 2          // failures in a row that set a replica aside: one alone is chance
+	atOnce        = 4          // a reset before this part of a typical time is laid to the query
+	holdFirst     = 1000 * ms  // a replica set aside rests so long first, then doubled; a quota is for so long
+	holdLast      = 8000 * ms  // and so long at most
+	trickleFull   = 16         // quota at which a replica is back in
+	coldSafety    = 0.9        // share of the cold budget used: the list is late and work is a guess
+	comeBack      = 500 * ms   // advice to a declined client: a few part times
+	askAgain      = 1000 * ms  // first wait after a failed list call, doubled up to eight times, with chance
 )
 
 // ring sums what happened over a span, in buckets of fixed width that are used again.
@@ -52,10 +56,7 @@
 
 func (r *ring) turn(now int64) {
 	n := now / r.width
-	for ; r.newest < n; r.newest++ {
-		if n-r.newest > int64(len(r.sums)) {
-			r.newest = n - int64(len(r.sums))
-		}
+	for r.newest = max(r.newest, n-int64(len(r.sums))); r.newest < n; r.newest++ {
 		r.sums[(r.newest+1)%int64(len(r.sums))] = 0
 	}
 }
@@ -90,13 +91,6 @@
 	m.n.add(now, n)
 }
 
-// mark adds one that is so, or one that is not.
-func (m *mean) mark(now int64, so bool) {
-	if m.n.add(now, 1); so {
-		m.sum.add(now, 1)
-	}
-}
-
 // of is the average, or what is given where nothing was seen.
 func (m *mean) of(now int64, unseen float64) float64 {
 	if n := m.n.sum(now); n > 0 {
@@ -122,9 +116,7 @@
 	middle int64 // the typical part time, about the median
 }
 
-// look brings the typical part time up to date.
-//
-// Danger: without traffic there are no new times; one kept from a jam would decline all for ever.
+// look brings the typical part time up to date. Danger: one kept from a jam would decline all for ever.
 func (w *workload) look(now int64) {
 	w.middle = int64(math.Exp(w.logs.of(now, math.Log(float64(w.LatencyGoal)/priorShare))))
 }
@@ -137,13 +129,10 @@
 	started  int64
 	calls    int // own calls in flight: the count that the design goes by
 	shared   *call
-	coldWork ring  // own work sent while cold, ns
+	sent     ring  // executions there over the span of the cold rule
 	fails    int   // failures since the last fulfilled execution
 	slot     mean  // time for each own call, ns
 	heard    int64 // last fulfilled execution
-	sends    int   // executions sent there so far
-	newest   int   // turn of the latest send that was fulfilled
-	fulls    int   // parts it turned away or took no connection for, since the last fulfilled one
 	jammed   int64 // until then it is left alone for that
 	stale    bool  // its connection is in doubt: nothing is sent until it has been given back
 	aside    bool
@@ -164,7 +153,6 @@
 	sentAt  int64
 	replica int
 	slots   int // own calls out there at the send, with this one
-	turn    int // which of the sends to the replica
 	over    bool
 	overdue bool // given up by this aggregator as too long
 }
@@ -184,9 +172,10 @@
 	weight     float64
 	stage      stage
 	step       int
-	since      int64 // wanted since
-	offer      int64 // how long it should take, when it was last offered to be asked for
-	mayHaveRun int64 // when the first execution that may have run was sent
+	since      int64   // wanted since
+	lot        float64 // a cold replica takes it when its share is above that
+	offer      int64   // how long it should take, when it was last offered to be asked for
+	mayHaveRun int64   // when the first execution that may have run was sent
 	executions []execution
 	spared     bool // another part was asked for, should this one not come
 }
@@ -195,8 +184,8 @@
 type Query struct {
 	agg      *Aggregator
 	workload *workload
-	broke    int  // the replica of its first reset, + 1
-	deadly   bool // it was reset by two replicas
+	broke    int  // the replica that it was last reset by at once, + 1
+	deadly   bool // it was reset at once by two replicas
 	parts    []part
 	expected int
 	taken    int64
@@ -219,10 +208,12 @@
 	replicas   []replica
 	holders    [][]int // by shard
 	pointers   []int   // by shard: the next tied pick
+	up         int     // replicas listed as up
+	patience   float64 // typical times until an execution is overdue
+	sent       ring    // executions, for what a replica is usually sent
 	queries    []*Query
 	handed     ring // queries and parts, for the budget of further executions
 	further    ring
-	failed     mean // failures among all outcomes
 	taken      mean // queries taken on among those handed over
 	rounds     int
 	round      Round
@@ -236,7 +227,7 @@
 func New(now int64, d Deployment) *Aggregator {
 	a := &Aggregator{Deployment: d, chance: chance{x: uint32(d.Seed) | 1, c: uint32(d.Seed>>32)%4294957664 + 1},
 		holders: make([][]int, d.Shards), pointers: slices.Repeat([]int{d.Number}, d.Shards), askWait: askAgain,
-		handed: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan), failed: newMean(healthSpan),
+		patience: patience, sent: newRing(d.FallSpan), handed: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan),
 		taken: newMean(timeSpan)}
 	a.workloads = make([]workload, len(d.Workloads))
 	for i, w := range d.Workloads {
@@ -261,8 +252,7 @@
 	a.subscribed, a.askWait = true, askAgain
 	for _, l := range list {
 		for len(a.replicas) <= l.Replica {
-			a.replicas = append(a.replicas, replica{coldWork: newRing(a.FallSpan),
-				slot: newMean(healthSpan)})
+			a.replicas = append(a.replicas, replica{slot: newMean(paceSpan), sent: newRing(a.FallSpan)})
 		}
 		r := &a.replicas[l.Replica]
 		if l.Started != r.started { // a new process: what the old one did says nothing
@@ -272,12 +262,17 @@
 	}
 	for s := range a.holders {
 		a.holders[s] = a.holders[s][:0]
-		for i := range a.replicas {
-			r := &a.replicas[i]
-			if r.listed && r.standing == Up && ((r.cell-s)%a.Cells+a.Cells)%a.Cells < a.Reach {
+	}
+	a.up = 0
+	for i, r := range a.replicas {
+		for j := 0; r.listed && r.standing == Up && j < a.Reach; j++ {
+			for s := ((r.cell-j)%a.Cells + a.Cells) % a.Cells; s < a.Shards; s += a.Cells {
 				a.holders[s] = append(a.holders[s], i)
 			}
 		}
+		if r.listed && r.standing == Up {
+			a.up++
+		}
 	}
 }
 
@@ -306,7 +301,8 @@
 
 // AddPart adds one part: right after Take, or as a second step's after the first answer.
 func (q *Query) AddPart(shard int, weight float64) {
-	q.parts = append(q.parts, part{shard: shard, weight: weight, step: q.step, mayHaveRun: never})
+	q.parts = append(q.parts, part{shard: shard, weight: weight, step: q.step, mayHaveRun: never,
+		lot: q.agg.chance.next()})
 	q.agg.handed.add(q.taken, 1)
 }
 
@@ -331,15 +327,18 @@
 	switch result {
 	case Fulfilled:
 		r.slot.add(now, float64(took), float64(e.slots))
-		r.heard, r.fulls, r.stale, r.newest = now, 0, false, max(r.newest, e.turn)
+		r.heard, r.stale = now, false
+		q.workload.logs.add(now, math.Log(float64(max(took, ms))), 1)
+		q.workload.look(now)
 	case Full, ConnectFailed:
 		// Danger: a replica that turns all away at once always has the lowest count and draws every part.
-		r.jammed = now + q.workload.middle<<min(r.fulls, jamDoublings)
-		r.fulls++
+		r.jammed = now + q.workload.middle
 	case Reset:
-		// Danger: a query that kills its replicas kills their peers as well if its parts run again there.
-		q.deadly = q.deadly || q.broke > 0 && q.broke != e.replica+1
-		q.broke = e.replica + 1
+		// Danger: a query that kills its replicas, at once, kills their peers as well if its parts run again.
+		if took < q.workload.middle/atOnce {
+			q.deadly = q.deadly || q.broke > 0 && q.broke != e.replica+1
+			q.broke = e.replica + 1
+		}
 	case Cancelled, TimedOut:
 		// Danger: leaving out what was cut short would show a jammed replica at its best.
 		if float64(took) > r.slot.of(now, 0)*float64(e.slots) {
@@ -349,7 +348,14 @@
 			result = TimedOut
 		}
 	}
-	q.agg.judge(now, r, q.workload, result, took)
+	if execution > 0 && p.executions[execution-1].overdue && result != Cancelled && result != Moot {
+		step := patienceStep
+		if result == Fulfilled && took < 2*q.workload.middle {
+			step = 1 / step
+		}
+		q.agg.patience = min(max(q.agg.patience*step, patienceLeast), patienceMost)
+	}
+	q.agg.judge(now, r, result)
 	switch {
 	case result == Fulfilled && q.open && p.stage != given:
 		p.stage = in
@@ -385,15 +391,10 @@
 }
 
 // judge books an outcome in its replica's record and sets the replica aside or lets it back.
-func (a *Aggregator) judge(now int64, r *replica, w *workload, result Result, took int64) {
+func (a *Aggregator) judge(now int64, r *replica, result Result) {
 	if result == Moot || result == Cancelled || result == Full { // a jam says nothing of health
 		return
 	}
-	if result == Fulfilled {
-		w.logs.add(now, math.Log(float64(max(took, ms))), 1)
-		w.look(now)
-	}
-	a.failed.mark(now, result != Fulfilled)
 	if r.fails++; result == Fulfilled {
 		r.fails = 0
 	}
@@ -408,9 +409,8 @@
 		return
 	}
 	// Danger: a hung or dead replica draws parts as fast as it drops them, and every query that meets it is
-	// late. When many executions fail the cause is not one replica, and nobody is set aside. A slow replica
-	// is not: its count keeps its share small, and its peers may have no room for that share.
-	if r.fails >= failRun && a.failed.of(now, 0) < fleetFails {
+	// late. A slow one is not set aside but passed over, for its peers may have no room for its share.
+	if r.fails >= failRun {
 		a.setAside(now, r)
 	}
 }
@@ -423,43 +423,44 @@
 
 // letIn forgets what was held against a replica.
 func (r *replica) letIn() {
-	r.aside, r.fails, r.hold, r.fulls, r.jammed = false, 0, 0, 0, 0
-}
-
-func (a *Aggregator) cold(now int64, r *replica) bool {
-	return r.started != 0 && now-r.started < a.ColdRamp
+	r.aside, r.fails, r.hold, r.jammed = false, 0, 0, 0
 }
 
-// coldRoom tells whether a cold replica may be sent one more part.
+// coldRoom tells whether a cold replica may be sent a part.
 //
-// Danger: right after its start a replica falls over under its usual load, and stays down. It bears a
-// multiple of what it can do now. Once that is what it does do: a part may follow each that was fulfilled.
-// The rest may be out at once, an even share for each aggregator. Any replica can run one part at a time,
-// so its full capacity is no less than one unit of work a unit of time.
-func (a *Aggregator) coldRoom(now int64, r *replica, work int64) bool {
-	if !a.cold(now, r) {
+// Danger: right after its start a replica falls over under its usual load, and stays down. It bears a multiple
+// of what it can do now. If each aggregator sends it no more than that share of its own usual traffic, all stay
+// within it together, however many they are and however little each sends, and a shard with none but cold ones
+// is not starved. So each part has a lot, drawn once; and one just back, whose cost is lowest, gets no burst.
+func (a *Aggregator) coldRoom(now int64, r *replica, p *part) bool {
+	if r.started == 0 || now-r.started >= a.ColdRamp {
 		return true
 	}
 	present := a.ColdShare + (1-a.ColdShare)*float64(max(now-r.started, 0))/float64(a.ColdRamp)
-	budget := present * (a.FallMultiple - 1) * float64(a.FallSpan) * coldSafety / float64(a.Aggregators)
-	spent := r.coldWork.sum(now)
-	if r.calls == 0 && r.fulls == 0 && r.fails == 0 && r.heard > r.started {
-		spent = 0
-	}
-	return spent+float64(work) <= budget
+	share := coldSafety * a.FallMultiple * present
+	usual := a.sent.sum(now) / float64(max(a.up, 1))
+	return p.lot < share && r.sent.sum(now) < max(share*usual, 1)
+}
+
+// takes is how long a part sent now to a replica should take: its time for each own call, times the calls.
+func (r *replica) takes(now int64, w *workload) int64 {
+	pace := (r.slot.sum.sum(now) + paceDoubt*float64(w.middle)) / (r.slot.n.sum(now) + paceDoubt)
+	return int64(pace * float64(r.calls+1))
 }
 
 // pick chooses the replica with the lowest Running Execution Cost for a part, or -1; ties go round.
 func (a *Aggregator) pick(now int64, p *part, w *workload, overCap bool) int {
 	holders := a.holders[p.shard]
 	from := a.pointers[p.shard] % max(len(holders), 1)
+	limit := slowMul * float64(a.expect(now, w, p))
 	for level := range 3 {
 		best, choice, tied := costLimit-priority+1, -1, false
 		for k := range holders {
 			i := holders[(from+k)%len(holders)]
 			r := &a.replicas[i]
 			// A replica set aside, and one that has just failed this part, are there when no other is.
-			if level < 2 && r.aside && !r.trickles(now) || !a.coldRoom(now, r, w.middle) ||
+			if level < 2 && r.aside && !r.trickles(now) || !a.coldRoom(now, r, p) ||
+				level < 1 && float64(r.takes(now, w)) > limit ||
 				level < 1 && slices.ContainsFunc(p.executions, func(e execution) bool { return e.replica == i }) ||
 				(r.calls >= channels || now < r.jammed || r.stale) && !overCap {
 				continue
@@ -489,10 +490,9 @@
 	return now >= r.since && r.used < r.quota && !r.unproved
 }
 
-// overdue is how long an execution may take before it is late by the recent part times. A part that was
-// overdue once may be a heavy one: each further execution gets longer.
+// overdue is how long an execution may take; each further one gets longer, for the part may be a heavy one.
 func (q *Query) overdue(executions int) int64 {
-	return int64(float64(q.workload.middle)*patienceMul) << (executions - 1)
+	return int64(float64(q.workload.middle)*q.agg.patience) << (executions - 1)
 }
 
 // cut is when an execution is dropped at the replica: where nothing can be cancelled, when it is overdue.
@@ -507,7 +507,8 @@
 // recall cancels an overdue execution on a replica that is in doubt, so that the part can run elsewhere.
 //
 // Danger: what is cancelled may go on running, so recalls add load. A replica that is only busy keeps its
-// parts; it loses them when set aside or silent since the send, and one that was overtaken if a peer is idle.
+// parts; it loses them when set aside or silent since the send. Whether that helps shows: where the part then
+// comes soon the next recall is sooner, and else later, as where what is cancelled goes on and jams the peers.
 func (q *Query) recall(now int64, number int) int64 {
 	a, p := q.agg, &q.parts[number]
 	n := len(p.executions) - 1
@@ -522,16 +523,14 @@
 		p.spared = true
 		q.ask(now, p.weight, math.MaxInt64)
 	}
+	if now < due {
+		return due
+	}
 	// Danger: what cannot be sent again, by the rules or for the time left, must not be taken back.
-	if e.overdue || !a.Cancels || !q.mayRun(now, p) || max(now, due)+q.workload.middle > q.end {
+	if e.overdue || !a.Cancels || !q.mayRun(now, p) || now+q.workload.middle > q.end {
 		return q.end
 	}
-	lost := n == 0 && r.newest > e.turn && 2*now >= half+due &&
-		a.expect(now, q.workload, p.shard) <= q.workload.middle
-	if now < due && !lost {
-		return due
-	}
-	if lost || r.aside || r.heard < e.sentAt {
+	if r.aside || r.heard < e.sentAt {
 		e.overdue = true
 		a.cancels = append(a.cancels, Cancel{q, number, n})
 	}
@@ -546,18 +545,16 @@
 		r.calls++
 	}
 	r.shared.parts++
-	if a.cold(now, r) {
-		r.coldWork.add(now, float64(q.workload.middle))
-	}
+	r.sent.add(now, 1)
 	if r.aside {
 		r.used++
 	}
 	if len(p.executions) > 0 {
 		a.further.add(now, 1)
 	}
-	r.sends++
+	a.sent.add(now, 1)
 	p.executions = append(p.executions,
-		execution{call: r.shared, sentAt: now, replica: to, slots: r.calls, turn: r.sends})
+		execution{call: r.shared, sentAt: now, replica: to, slots: r.calls})
 	p.stage = out
 	if p.mayHaveRun == never {
 		p.mayHaveRun = now
@@ -597,7 +594,7 @@
 	var offers []*part
 	for i := range q.parts {
 		if p := &q.parts[i]; p.step == q.step && p.stage == unasked {
-			p.offer = q.agg.expect(now, q.workload, p.shard)
+			p.offer = q.agg.expect(now, q.workload, p)
 			offers = append(offers, p)
 		}
 	}
@@ -614,14 +611,14 @@
 
 // expect is how long a part sent now should take at the best replica of its shard: the replica's time for
 // each own call, times the calls.
-func (a *Aggregator) expect(now int64, w *workload, shard int) int64 {
+func (a *Aggregator) expect(now int64, w *workload, p *part) int64 {
 	best, aside := int64(math.MaxInt64), int64(math.MaxInt64)
-	for _, h := range a.holders[shard] {
+	for _, h := range a.holders[p.shard] {
 		r := &a.replicas[h]
-		if now < r.jammed || r.stale || !a.coldRoom(now, r, w.middle) {
+		if now < r.jammed || r.stale || !a.coldRoom(now, r, p) {
 			continue
 		}
-		t := int64(r.slot.of(now, float64(w.middle)) * float64(r.calls+1))
+		t := r.takes(now, w)
 		if aside = min(aside, t); !r.aside {
 			best = min(best, t)
 		}
@@ -634,9 +631,9 @@
 
 // begin asks for the parts of the present step, or declines the query.
 //
-// Danger: work beyond what the replicas can do fills their queues with parts that come too late, and
-// clients that come again add to it. A query that should be late is declined before it has cost anything,
-// and a part that should be late is not asked for where an answer can be given without it.
+// Danger: work beyond what the replicas can do fills their queues with parts that come too late. A query that
+// should be late is declined before it has cost anything, and a part that should be late is not asked for
+// where an answer can be given without it.
 func (q *Query) begin(now int64) {
 	a, w := q.agg, q.workload
 	q.begun++
@@ -654,12 +651,14 @@
 	fair := 1 + fairness*(a.taken.of(now, 0)-w.taken.of(now, 0))
 	missing := q.ask(now, min(need, total), int64(admitShare*fair*float64(q.goal-now)))
 	taken := need-missing >= least-1e-6
-	w.taken.mark(now, taken)
-	a.taken.mark(now, taken)
+	w.taken.add(now, 0, 1)
+	a.taken.add(now, 0, 1)
 	if !taken {
 		q.giveUp()
 		return
 	}
+	w.taken.add(now, 1, 0)
+	a.taken.add(now, 1, 0)
 	for i := range q.parts {
 		if p := &q.parts[i]; p.stage == unasked && missing > 1e-9 {
 			p.stage = given
