--- a/balance/balance.go
+++ b/balance/balance.go
@@ -2,7 +2,7 @@
 // again, when a query is answered and whom to decline.
 //
 // How to call it: New makes an aggregator. Facts go in as calls: ListWhole, ListChanged, ListFailed, Take,
-// Probed, and on the handle that Take returns AddPart, Outcome and Leave. Decide(now), once a tick, returns
+// and on the handle that Take returns AddPart, Outcome and Leave. Decide(now), once a tick, returns
 // what to do. Calls come in order of time, from one goroutine; instances share nothing, and nothing here
 // reads a clock or does I/O. The plain types of this interface are in types.go.
 package balance
@@ -27,13 +27,13 @@
 	timeSpan      = 4000 * ms  // how far back part times count: dozens of them, and it follows a jam
 	paceSpan      = 16000 * ms // how far back a replica's own times count
 	paceDoubt     = 0.25       // a replica's times are taken together with so many typical ones
-	slowMul       = 2          // a replica that should take so many times as long as a peer is passed over
+	slowMul       = 1.5        // a replica that should take so many times as long as a peer is passed over
 	priorShare    = 6          // a part not yet timed is taken to need its latency goal / this
 	patience      = 7          // an execution is overdue at so many typical times to begin with,
 	patienceStep  = 1.05       // times or over this after each recall that did not help, or did,
 	patienceLeast = 4          // at least: ordinary parts take up to three
 	patienceMost  = 14         // and at most: what is hung is found before clients leave
-	admitShare    = 0.55       // a query is taken on when it should need no more of its latency goal than this
+	admitShare    = 0.5        // a query is taken on when it should need no more of its latency goal than this
 	fairness      = 1.0        // how much the admission of a workload taken on less than others is widened
 	failRun       = 2          // failures in a row that set a replica aside: one alone is chance
 	atOnce        = 4          // a reset before this part of a typical time is laid to the query
@@ -41,7 +41,7 @@
 	holdLast      = 8000 * ms  // and so long at most
 	trickleFull   = 16         // quota at which a replica is back in
 	coldSafety    = 0.9        // share of the cold budget used: the list is late and work is a guess
-	comeBack      = 500 * ms   // advice to a declined client: a few part times
+	comeBack      = 1000 * ms  // advice to a declined client: a few part times
 	askAgain      = 1000 * ms  // first wait after a failed list call, doubled up to eight times, with chance
 )
 
@@ -138,11 +138,9 @@
 	aside    bool
 	hold     int64 // how long the last rest was
 	since    int64 // the trickle's present quota counts from here
-	unproved bool  // set aside, and no probe has been answered since
-	probing  bool
-	quota    int // parts a holdFirst, doubled while it goes well
-	used     int // of the quota
-	good     int // fulfilled since the quota was set
+	quota    int   // parts a holdFirst, doubled while it goes well
+	used     int   // of the quota
+	good     int   // fulfilled since the quota was set
 }
 
 // call is what travels together to one replica; the count falls when its last part is done.
@@ -208,6 +206,8 @@
 	replicas   []replica
 	holders    [][]int // by shard
 	pointers   []int   // by shard: the next tied pick
+	slot       mean    // time for each own call at all replicas, ns
+	most       int     // the most holders that a shard ever had
 	up         int     // replicas listed as up
 	patience   float64 // typical times until an execution is overdue
 	sent       ring    // executions, for what a replica is usually sent
@@ -227,8 +227,9 @@
 func New(now int64, d Deployment) *Aggregator {
 	a := &Aggregator{Deployment: d, chance: chance{x: uint32(d.Seed) | 1, c: uint32(d.Seed>>32)%4294957664 + 1},
 		holders: make([][]int, d.Shards), pointers: slices.Repeat([]int{d.Number}, d.Shards), askWait: askAgain,
-		patience: patience, sent: newRing(d.FallSpan), handed: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan),
-		taken: newMean(timeSpan)}
+		patience: patience, slot: newMean(timeSpan), sent: newRing(d.FallSpan), handed: newRing(d.FurtherSpan),
+		further: newRing(d.FurtherSpan),
+		taken:   newMean(timeSpan)}
 	a.workloads = make([]workload, len(d.Workloads))
 	for i, w := range d.Workloads {
 		a.workloads[i] = workload{Workload: w, logs: newMean(timeSpan), taken: newMean(timeSpan)}
@@ -268,6 +269,7 @@
 		for j := 0; r.listed && r.standing == Up && j < a.Reach; j++ {
 			for s := ((r.cell-j)%a.Cells + a.Cells) % a.Cells; s < a.Shards; s += a.Cells {
 				a.holders[s] = append(a.holders[s], i)
+				a.most = max(a.most, len(a.holders[s]))
 			}
 		}
 		if r.listed && r.standing == Up {
@@ -326,7 +328,6 @@
 	}
 	switch result {
 	case Fulfilled:
-		r.slot.add(now, float64(took), float64(e.slots))
 		r.heard, r.stale = now, false
 		q.workload.logs.add(now, math.Log(float64(max(took, ms))), 1)
 		q.workload.look(now)
@@ -340,14 +341,16 @@
 			q.broke = e.replica + 1
 		}
 	case Cancelled, TimedOut:
-		// Danger: leaving out what was cut short would show a jammed replica at its best.
-		if float64(took) > r.slot.of(now, 0)*float64(e.slots) {
-			r.slot.add(now, float64(took), float64(e.slots))
-		}
 		if e.overdue {
 			result = TimedOut
 		}
 	}
+	// Danger: leaving out what was cut short would show a jammed replica at its best.
+	if slots := float64(e.slots); result == Fulfilled || (result == Cancelled || result == TimedOut) &&
+		float64(took) > r.slot.of(now, 0)*slots {
+		r.slot.add(now, float64(took), slots)
+		q.agg.slot.add(now, float64(took), slots)
+	}
 	if execution > 0 && p.executions[execution-1].overdue && result != Cancelled && result != Moot {
 		step := patienceStep
 		if result == Fulfilled && took < 2*q.workload.middle {
@@ -380,16 +383,6 @@
 	}
 }
 
-// Probed takes in the answer to a probe.
-func (a *Aggregator) Probed(now int64, number int, result Result, took int64) {
-	r := &a.replicas[number]
-	if r.probing = false; result == Fulfilled {
-		r.unproved, r.since = false, now
-	} else if r.aside {
-		a.setAside(now, r)
-	}
-}
-
 // judge books an outcome in its replica's record and sets the replica aside or lets it back.
 func (a *Aggregator) judge(now int64, r *replica, result Result) {
 	if result == Moot || result == Cancelled || result == Full { // a jam says nothing of health
@@ -415,10 +408,10 @@
 	}
 }
 
-// setAside rests a replica, longer each time; a trickle follows, after a probe where there are probes.
+// setAside rests a replica, longer each time; a trickle follows. Danger: a probe proves nothing about parts.
 func (a *Aggregator) setAside(now int64, r *replica) {
 	r.hold = min(max(2*r.hold, holdFirst), holdLast)
-	r.aside, r.unproved, r.quota, r.used, r.good, r.since = true, a.Probes, 1, 0, 0, now+r.hold
+	r.aside, r.quota, r.used, r.good, r.since = true, 1, 0, 0, now+r.hold
 }
 
 // letIn forgets what was held against a replica.
@@ -432,19 +425,27 @@
 // of what it can do now. If each aggregator sends it no more than that share of its own usual traffic, all stay
 // within it together, however many they are and however little each sends, and a shard with none but cold ones
 // is not starved. So each part has a lot, drawn once; and one just back, whose cost is lowest, gets no burst.
+// What peers that are away should bear comes on top of the usual: the share is that much smaller.
 func (a *Aggregator) coldRoom(now int64, r *replica, p *part) bool {
 	if r.started == 0 || now-r.started >= a.ColdRamp {
 		return true
 	}
 	present := a.ColdShare + (1-a.ColdShare)*float64(max(now-r.started, 0))/float64(a.ColdRamp)
-	share := coldSafety * a.FallMultiple * present
+	open := 0.0
+	for _, h := range a.holders[p.shard] {
+		if peer := &a.replicas[h]; !peer.aside && now >= peer.jammed && !peer.stale {
+			open++
+		}
+	}
+	share := coldSafety * a.FallMultiple * present * max(open, 1) / float64(a.most)
 	usual := a.sent.sum(now) / float64(max(a.up, 1))
 	return p.lot < share && r.sent.sum(now) < max(share*usual, 1)
 }
 
 // takes is how long a part sent now to a replica should take: its time for each own call, times the calls.
-func (r *replica) takes(now int64, w *workload) int64 {
-	pace := (r.slot.sum.sum(now) + paceDoubt*float64(w.middle)) / (r.slot.n.sum(now) + paceDoubt)
+func (a *Aggregator) takes(now int64, r *replica, w *workload) int64 {
+	prior := max(float64(w.middle), a.slot.of(now, 0))
+	pace := (r.slot.sum.sum(now) + paceDoubt*prior) / (r.slot.n.sum(now) + paceDoubt)
 	return int64(pace * float64(r.calls+1))
 }
 
@@ -453,15 +454,15 @@
 	holders := a.holders[p.shard]
 	from := a.pointers[p.shard] % max(len(holders), 1)
 	limit := slowMul * float64(a.expect(now, w, p))
-	for level := range 3 {
+	for level := range 4 {
 		best, choice, tied := costLimit-priority+1, -1, false
 		for k := range holders {
 			i := holders[(from+k)%len(holders)]
 			r := &a.replicas[i]
-			// A replica set aside, and one that has just failed this part, are there when no other is.
-			if level < 2 && r.aside && !r.trickles(now) || !a.coldRoom(now, r, p) ||
-				level < 1 && float64(r.takes(now, w)) > limit ||
-				level < 1 && slices.ContainsFunc(p.executions, func(e execution) bool { return e.replica == i }) ||
+			// A slow replica, one that has just failed this part and one set aside are there when no other is.
+			if level < 3 && r.aside && !r.trickles(now) || !a.coldRoom(now, r, p) ||
+				level < 1 && float64(a.takes(now, r, w)) > limit ||
+				level < 2 && slices.ContainsFunc(p.executions, func(e execution) bool { return e.replica == i }) ||
 				(r.calls >= channels || now < r.jammed || r.stale) && !overCap {
 				continue
 			}
@@ -484,10 +485,10 @@
 
 // trickles tells whether a replica that was set aside may have one more part now.
 func (r *replica) trickles(now int64) bool {
-	if now >= r.since+holdFirst && !r.unproved {
+	if now >= r.since+holdFirst {
 		r.used, r.since = 0, now
 	}
-	return now >= r.since && r.used < r.quota && !r.unproved
+	return now >= r.since && r.used < r.quota
 }
 
 // overdue is how long an execution may take; each further one gets longer, for the part may be a heavy one.
@@ -618,7 +619,7 @@
 		if now < r.jammed || r.stale || !a.coldRoom(now, r, p) {
 			continue
 		}
-		t := r.takes(now, w)
+		t := a.takes(now, r, w)
 		if aside = min(aside, t); !r.aside {
 			best = min(best, t)
 		}
@@ -735,7 +736,7 @@
 func (a *Aggregator) Decide(now int64) *Round {
 	a.rounds++
 	r := &a.round
-	*r = Round{Sends: r.Sends[:0], Cancels: r.Cancels[:0], Endings: r.Endings[:0], Probes: r.Probes[:0],
+	*r = Round{Sends: r.Sends[:0], Cancels: r.Cancels[:0], Endings: r.Endings[:0],
 		Releases: r.Releases[:0]}
 	wake := int64(math.MaxInt64)
 	for _, q := range a.queries {
@@ -775,12 +776,6 @@
 			r.stale = false
 			a.round.Releases = append(a.round.Releases, i)
 		}
-		if r.listed && r.aside && r.unproved && !r.probing {
-			if wake = min(wake, r.since); now >= r.since {
-				r.probing = true
-				a.round.Probes = append(a.round.Probes, i)
-			}
-		}
 	}
 	if a.AsksForList && !a.subscribed {
 		if now >= a.askAt {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -20,13 +20,11 @@
 //	take QUERY WORKLOAD PATIENCE SHARD[*WEIGHT] ...   hands over a query; weights are even unless stated
 //	step QUERY SHARD ...        the parts of a second step
 //	ok|errored|full|timeout|noconn|reset|cancelled|moot QUERY.PART TOOK   the part's last execution ended
-//	probed REPLICA RESULT TOOK  a probe ended
 //	leave QUERY                 the client went
 //	flood N QUERY ...           take, N times, with a number behind the name
 //	> send QUERY.PART REPLICA [until T]
 //	> cancel QUERY.PART EXECUTION
 //	> end QUERY whole|partial|declined|forfeited
-//	> probe REPLICA
 //	> release REPLICA
 //	> subscribe
 //	> ...                       anything more
@@ -84,7 +82,7 @@
 		"shards": func() { d.Shards = int(n) }, "cells": func() { d.Cells = int(n) },
 		"reach": func() { d.Reach = int(n) }, "parts_per_call": func() { d.PartsPerCall = int(n) },
 		"executions": func() { d.MaxExecutions = int(n) }, "cancels": func() { d.Cancels = n > 0 },
-		"probes": func() { d.Probes = n > 0 }, "asks": func() { d.AsksForList = n > 0 },
+		"asks":       func() { d.AsksForList = n > 0 },
 		"ask_within": func() { d.AskWithin = int64(n * ms) },
 		"free":       func() { d.Budgeted, d.FurtherFree = true, n },
 		"share":      func() { d.Budgeted, d.FurtherShare = true, n },
@@ -178,9 +176,6 @@
 		final := []string{"whole", "partial", "declined", "forfeited"}[e.Final]
 		p.got = append(p.got, fmt.Sprintf("end %s %s", name(e.Query), final))
 	}
-	for _, replica := range r.Probes {
-		p.got = append(p.got, "probe "+p.names[replica])
-	}
 	for _, replica := range r.Releases {
 		p.got = append(p.got, "release "+p.names[replica])
 	}
@@ -243,8 +238,6 @@
 		p.step(p.queries[words[1]], words[2:])
 	case "leave":
 		p.queries[words[1]].Leave(p.now)
-	case "probed":
-		p.start().Probed(p.now, p.numbers[words[1]], results[words[2]], p.time(words[3]))
 	default:
 		result, ok := results[words[0]]
 		if !ok {
--- a/balance/types.go
+++ b/balance/types.go
@@ -34,7 +34,6 @@
 
 	MaxExecutions int   // of one part
 	Cancels       bool  // executions may be cancelled
-	Probes        bool  // replicas may be probed
 	ComeBack      bool  // a declined client hears when to come back
 	MaxComeBack   int64 // longest wait that a client honours, ns
 
@@ -76,7 +75,7 @@
 	Parts    int   // how many its first step has
 }
 
-// Result is how an execution or a probe ended.
+// Result is how an execution ended.
 type Result uint8
 
 const (
@@ -135,13 +134,12 @@
 }
 
 // Round is what one Decide asks for, to be carried out in this order: sends, cancels, endings,
-// probes, releases, list.
+// releases, list.
 // Its slices are used again by the next Decide.
 type Round struct {
 	Sends    []Send
 	Cancels  []Cancel
 	Endings  []Ending
-	Probes   []int // replicas
 	Releases []int // replicas whose idle connections are given back
 	List     ListCall
 	Wake     int64 // when Decide wants to be called again at the latest; 0 for no such time
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -155,16 +155,11 @@
 			r.query.Leave(h.now)
 			in.end(r.held)
 		}
-	case "SAMPLED":
-		result, took := resultOf(f), f.time("cost_time")
-		if replica, ok := in.replicas[f.string("replica")]; ok && f.err == nil {
-			in.agg.Probed(h.now, replica, result, took)
-		}
 	case "FIRED":
 		if f.string("token") == wakeToken && in.timer <= h.now {
 			in.timer = 0
 		}
-	case "BEGUN", "HEARD": // streams and peers have no part in this service
+	case "BEGUN", "HEARD", "SAMPLED": // streams, peers and probes have no part in this service
 	default:
 		return errors.New("unknown event")
 	}
@@ -403,9 +398,6 @@
 			in.end(q)
 		}
 	}
-	for _, replica := range round.Probes {
-		fmt.Fprintf(h.out, `{"event_type":"CHECK","who":%d,"replica":%s}`+"\n", who, in.addresses[replica])
-	}
 	for _, replica := range round.Releases {
 		fmt.Fprintf(h.out, `{"event_type":"RELEASE","who":%d,"replica":%s}`+"\n", who, in.addresses[replica])
 	}
