Parts an answer can do without fit the shortest goal; patience moves by an eighth

What an answer can do without is now asked for only within half of the shortest goal of all workloads.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -30,7 +30,7 @@
 	slowMul       = 1.5        // a replica that should take so many times as long as a peer is passed over
 	priorShare    = 6          // a part not yet timed is taken to need its latency goal / this
 	patience      = 7          // an execution is overdue at so many typical times to begin with,
-	patienceStep  = 1.05       // times or over this after each recall that did not help, or did,
+	patienceStep  = 1.12       // times or over this after each recall that did not help, or did,
 	patienceLeast = 4          // at least: ordinary parts take up to three
 	patienceMost  = 14         // and at most: what is hung is found before clients leave
 	admitShare    = 0.5        // a query is taken on when it should need no more of its latency goal than this
@@ -207,6 +207,7 @@
 	holders    [][]int // by shard
 	pointers   []int   // by shard: the next tied pick
 	slot       mean    // time for each own call at all replicas, ns
+	shortest   int64   // latency goal of any workload
 	most       int     // the most holders that a shard ever had
 	up         int     // replicas listed as up
 	patience   float64 // typical times until an execution is overdue
@@ -227,13 +228,13 @@
 func New(now int64, d Deployment) *Aggregator {
 	a := &Aggregator{Deployment: d, chance: chance{x: uint32(d.Seed) | 1, c: uint32(d.Seed>>32)%4294957664 + 1},
 		holders: make([][]int, d.Shards), pointers: slices.Repeat([]int{d.Number}, d.Shards), askWait: askAgain,
-		patience: patience, slot: newMean(timeSpan), sent: newRing(d.FallSpan), handed: newRing(d.FurtherSpan),
-		further: newRing(d.FurtherSpan),
-		taken:   newMean(timeSpan)}
+		patience: patience, shortest: math.MaxInt64, slot: newMean(timeSpan), taken: newMean(timeSpan),
+		sent: newRing(d.FallSpan), handed: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan)}
 	a.workloads = make([]workload, len(d.Workloads))
 	for i, w := range d.Workloads {
 		a.workloads[i] = workload{Workload: w, logs: newMean(timeSpan), taken: newMean(timeSpan)}
 		a.workloads[i].look(now)
+		a.shortest = min(a.shortest, w.LatencyGoal)
 	}
 	return a
 }
@@ -421,11 +422,11 @@
 
 // coldRoom tells whether a cold replica may be sent a part.
 //
-// Danger: right after its start a replica falls over under its usual load, and stays down. It bears a multiple
-// of what it can do now. If each aggregator sends it no more than that share of its own usual traffic, all stay
-// within it together, however many they are and however little each sends, and a shard with none but cold ones
-// is not starved. So each part has a lot, drawn once; and one just back, whose cost is lowest, gets no burst.
-// What peers that are away should bear comes on top of the usual: the share is that much smaller.
+// Danger: right after its start a replica falls over under its usual load, and stays down. It bears a
+// multiple of what it can do now. If each aggregator sends it no more than that share of its own usual
+// traffic, all stay within it together, however many they are and however little each sends, and a shard with
+// none but cold ones is not starved. So each part has a lot, drawn once; and one just back, whose cost is
+// lowest, gets no burst. What peers that are away should bear comes on top: the share is that much smaller.
 func (a *Aggregator) coldRoom(now int64, r *replica, p *part) bool {
 	if r.started == 0 || now-r.started >= a.ColdRamp {
 		return true
@@ -634,7 +635,7 @@
 //
 // Danger: work beyond what the replicas can do fills their queues with parts that come too late. A query that
 // should be late is declined before it has cost anything, and a part that should be late is not asked for
-// where an answer can be given without it.
+// where an answer can be given without it; in a long goal such parts take the room of workloads with short ones.
 func (q *Query) begin(now int64) {
 	a, w := q.agg, q.workload
 	q.begun++
@@ -650,7 +651,11 @@
 	}
 	// Danger: a query of many parts meets the worst of many replicas, so a crowd would shut out its workload.
 	fair := 1 + fairness*(a.taken.of(now, 0)-w.taken.of(now, 0))
-	missing := q.ask(now, min(need, total), int64(admitShare*fair*float64(q.goal-now)))
+	limit := admitShare * fair * float64(q.goal-now)
+	missing := q.ask(now, min(least, total), int64(limit)) + need - least
+	if need > least {
+		missing = q.ask(now, missing, int64(min(limit, admitShare*float64(a.shortest))))
+	}
 	taken := need-missing >= least-1e-6
 	w.taken.add(now, 0, 1)
 	a.taken.add(now, 0, 1)
@@ -736,8 +741,7 @@
 func (a *Aggregator) Decide(now int64) *Round {
 	a.rounds++
 	r := &a.round
-	*r = Round{Sends: r.Sends[:0], Cancels: r.Cancels[:0], Endings: r.Endings[:0],
-		Releases: r.Releases[:0]}
+	*r = Round{Sends: r.Sends[:0], Cancels: r.Cancels[:0], Endings: r.Endings[:0], Releases: r.Releases[:0]}
 	wake := int64(math.MaxInt64)
 	for _, q := range a.queries {
 		if q.open {
