--- a/balance/balance.go
+++ b/balance/balance.go
@@ -510,7 +510,7 @@
 //
 // Danger: what is cancelled may go on running, so recalls add load. A replica that is only busy keeps its
 // parts; it loses them when set aside or silent since the send. Whether that helps shows: where the part then
-// comes soon the next recall is sooner, and else later, as where what is cancelled goes on and jams the peers.
+// comes soon the next recall is sooner, and else later, as where what is cancelled goes on and jams peers.
 func (q *Query) recall(now int64, number int) int64 {
 	a, p := q.agg, &q.parts[number]
 	n := len(p.executions) - 1
@@ -635,7 +635,7 @@
 //
 // Danger: work beyond what the replicas can do fills their queues with parts that come too late. A query that
 // should be late is declined before it has cost anything, and a part that should be late is not asked for
-// where an answer can be given without it; in a long goal such parts take the room of workloads with short ones.
+// where an answer can be given without it: in a long goal such parts take the room of the short ones.
 func (q *Query) begin(now int64) {
 	a, w := q.agg, q.workload
 	q.begun++
