--- a/balance/balance.go
+++ b/balance/balance.go
@@ -41,6 +41,7 @@
 	holdLast      = 8000 * ms  // and so long at most
 	trickleFull   = 16         // quota at which a replica is back in
 	coldSafety    = 0.9        // share of the cold budget used: the list is late and work is a guess
+	leaveShare    = 0.1        // when more clients than this leave early the goal follows them: a few always do
 	comeBack      = 1000 * ms  // advice to a declined client: a few part times
 	askAgain      = 1000 * ms  // first wait after a failed list call, doubled up to eight times, with chance
 )
@@ -123,24 +124,23 @@
 
 // replica is what is known of one server.
 type replica struct {
-	listed   bool
-	standing Standing
-	cell     int
-	started  int64
-	calls    int // own calls in flight: the count that the design goes by
-	shared   *call
-	sent     ring  // executions there over the span of the cold rule
-	fails    int   // failures since the last fulfilled execution
-	slot     mean  // time for each own call, ns
-	heard    int64 // last fulfilled execution
-	jammed   int64 // until then it is left alone for that
-	stale    bool  // its connection is in doubt: nothing is sent until it has been given back
-	aside    bool
-	hold     int64 // how long the last rest was
-	since    int64 // the trickle's present quota counts from here
-	quota    int   // parts a holdFirst, doubled while it goes well
-	used     int   // of the quota
-	good     int   // fulfilled since the quota was set
+	listed  bool // as up
+	cell    int
+	started int64
+	calls   int // own calls in flight: the count that the design goes by
+	shared  *call
+	sent    ring  // executions there over the span of the cold rule
+	fails   int   // failures since the last fulfilled execution
+	slot    mean  // time for each own call, ns
+	heard   int64 // last fulfilled execution
+	jammed  int64 // until then it is left alone for that
+	stale   bool  // its connection is in doubt: nothing is sent until it has been given back
+	aside   bool
+	hold    int64 // how long the last rest was
+	since   int64 // the trickle's present quota counts from here
+	quota   int   // parts a holdFirst, doubled while it goes well
+	used    int   // of the quota
+	good    int   // fulfilled since the quota was set
 }
 
 // call is what travels together to one replica; the count falls when its last part is done.
@@ -208,6 +208,7 @@
 	pointers   []int   // by shard: the next tied pick
 	slot       mean    // time for each own call at all replicas, ns
 	shortest   int64   // latency goal of any workload
+	left       mean    // share of their time after which clients left
 	most       int     // the most holders that a shard ever had
 	up         int     // replicas listed as up
 	patience   float64 // typical times until an execution is overdue
@@ -229,7 +230,8 @@
 	a := &Aggregator{Deployment: d, chance: chance{x: uint32(d.Seed) | 1, c: uint32(d.Seed>>32)%4294957664 + 1},
 		holders: make([][]int, d.Shards), pointers: slices.Repeat([]int{d.Number}, d.Shards), askWait: askAgain,
 		patience: patience, shortest: math.MaxInt64, slot: newMean(timeSpan), taken: newMean(timeSpan),
-		sent: newRing(d.FallSpan), handed: newRing(d.FurtherSpan), further: newRing(d.FurtherSpan)}
+		left: newMean(timeSpan), sent: newRing(d.FallSpan)}
+	a.handed, a.further = newRing(d.FurtherSpan), newRing(d.FurtherSpan)
 	a.workloads = make([]workload, len(d.Workloads))
 	for i, w := range d.Workloads {
 		a.workloads[i] = workload{Workload: w, logs: newMean(timeSpan), taken: newMean(timeSpan)}
@@ -260,20 +262,20 @@
 		if l.Started != r.started { // a new process: what the old one did says nothing
 			r.letIn()
 		}
-		r.listed, r.standing, r.cell, r.started = l.Standing != Gone, l.Standing, l.Cell, l.Started
+		r.listed, r.cell, r.started = l.Standing == Up, l.Cell, l.Started
 	}
 	for s := range a.holders {
 		a.holders[s] = a.holders[s][:0]
 	}
 	a.up = 0
 	for i, r := range a.replicas {
-		for j := 0; r.listed && r.standing == Up && j < a.Reach; j++ {
+		for j := 0; r.listed && j < a.Reach; j++ {
 			for s := ((r.cell-j)%a.Cells + a.Cells) % a.Cells; s < a.Shards; s += a.Cells {
 				a.holders[s] = append(a.holders[s], i)
 				a.most = max(a.most, len(a.holders[s]))
 			}
 		}
-		if r.listed && r.standing == Up {
+		if r.listed {
 			a.up++
 		}
 	}
@@ -297,6 +299,9 @@
 		q.end = min(q.end, q.goal)
 	}
 	q.goal = min(q.goal, q.end)
+	if n := a.left.n.sum(now); n > leaveShare*a.taken.n.sum(now) {
+		q.goal = min(q.goal, now+int64(a.left.of(now, 1)*float64(q.end-now)))
+	}
 	a.queries = append(a.queries, q)
 	a.handed.add(now, 1)
 	return q
@@ -327,6 +332,9 @@
 	if result.NeverRan() && p.mayHaveRun == e.sentAt {
 		p.mayHaveRun = never
 	}
+	if e.overdue && result == Cancelled {
+		result = TimedOut
+	}
 	switch result {
 	case Fulfilled:
 		r.heard, r.stale = now, false
@@ -341,10 +349,6 @@
 			q.deadly = q.deadly || q.broke > 0 && q.broke != e.replica+1
 			q.broke = e.replica + 1
 		}
-	case Cancelled, TimedOut:
-		if e.overdue {
-			result = TimedOut
-		}
 	}
 	// Danger: leaving out what was cut short would show a jammed replica at its best.
 	if slots := float64(e.slots); result == Fulfilled || (result == Cancelled || result == TimedOut) &&
@@ -369,8 +373,11 @@
 	return true
 }
 
-// Leave tells that the client has gone.
-func (q *Query) Leave(now int64) { q.close() }
+// Leave tells that the client has gone. Danger: where many go before the time told, later answers are lost.
+func (q *Query) Leave(now int64) {
+	q.agg.left.add(now, float64(now-q.taken)/float64(max(q.end-q.taken, 1)), 1)
+	q.close()
+}
 
 // close ends the query and cancels what is still out, so that replicas that can stop do.
 func (q *Query) close() {
@@ -392,20 +399,16 @@
 	if r.fails++; result == Fulfilled {
 		r.fails = 0
 	}
-	if r.aside {
-		if result != Fulfilled {
-			a.setAside(now, r)
-		} else if r.good++; r.good >= r.quota {
+	// Danger: a hung or dead replica draws parts as fast as it drops them, and every query that meets it is
+	// late. A slow one is not set aside but passed over, for its peers may have no room for its share.
+	if result != Fulfilled && (r.aside || r.fails >= failRun) {
+		a.setAside(now, r)
+	} else if r.aside {
+		if r.good++; r.good >= r.quota {
 			if r.quota, r.used, r.good, r.since = 2*r.quota, 0, 0, now; r.quota >= trickleFull {
 				r.letIn()
 			}
 		}
-		return
-	}
-	// Danger: a hung or dead replica draws parts as fast as it drops them, and every query that meets it is
-	// late. A slow one is not set aside but passed over, for its peers may have no room for its share.
-	if r.fails >= failRun {
-		a.setAside(now, r)
 	}
 }
 
@@ -508,9 +511,8 @@
 
 // recall cancels an overdue execution on a replica that is in doubt, so that the part can run elsewhere.
 //
-// Danger: what is cancelled may go on running, so recalls add load. A replica that is only busy keeps its
-// parts; it loses them when set aside or silent since the send. Whether that helps shows: where the part then
-// comes soon the next recall is sooner, and else later, as where what is cancelled goes on and jams peers.
+// Danger: what is cancelled may go on running and jam peers. Only replicas set aside or silent since the send
+// lose their parts. Where a part then comes soon the next recall is sooner, else later.
 func (q *Query) recall(now int64, number int) int64 {
 	a, p := q.agg, &q.parts[number]
 	n := len(p.executions) - 1
@@ -611,8 +613,7 @@
 	return need
 }
 
-// expect is how long a part sent now should take at the best replica of its shard: the replica's time for
-// each own call, times the calls.
+// expect is how long a part sent now should take at the best replica of its shard.
 func (a *Aggregator) expect(now int64, w *workload, p *part) int64 {
 	best, aside := int64(math.MaxInt64), int64(math.MaxInt64)
 	for _, h := range a.holders[p.shard] {
@@ -806,13 +807,8 @@
 			return min(late, now+4*a.Tick)
 		}
 	}
-	return q.drop(now, p)
-}
-
-// drop gives a part up and asks for another where any so many will do.
-func (q *Query) drop(now int64, p *part) int64 {
 	p.stage = given
-	if q.step == 0 && q.workload.Floor >= q.workload.Need {
+	if q.step == 0 && q.workload.Floor >= q.workload.Need { // any so many do: ask for another
 		q.ask(now, p.weight, math.MaxInt64)
 	}
 	return now
