--- a/balance/balance.go
+++ b/balance/balance.go
@@ -648,7 +648,7 @@
 	}
 	need, least := w.Need, w.Need
 	if w.Floor < w.Need {
-		need, least = total, (w.Floor+w.Need)/2
+		need, least = total, w.Floor
 	}
 	// Danger: a query of many parts meets the worst of many replicas, so a crowd would shut out its workload.
 	fair := 1 + fairness*(a.taken.of(now, 0)-w.taken.of(now, 0))
