--- a/balance/balance.go
+++ b/balance/balance.go
@@ -447,9 +447,11 @@
 }
 
 // takes is how long a part sent now to a replica should take: its time for each own call, times the calls.
+// Danger: one old time would bar its shard while it is kept; the more is declined, the less it counts.
 func (a *Aggregator) takes(now int64, r *replica, w *workload) int64 {
 	prior := max(float64(w.middle), a.slot.of(now, 0))
-	pace := (r.slot.sum.sum(now) + paceDoubt*prior) / (r.slot.n.sum(now) + paceDoubt)
+	doubt := paceDoubt / max(a.taken.of(now, 1), 0.02)
+	pace := (r.slot.sum.sum(now) + doubt*prior) / (r.slot.n.sum(now) + doubt)
 	return int64(pace * float64(r.calls+1))
 }
 
