--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -10,7 +10,7 @@
 	"testing"
 )
 
-// A scenario is a text file, a command a line; # starts a comment, times are in ms.
+// A scenario is a text file, a command a line or several with ; between; # starts a comment, times are in ms.
 //
 //	deploy KEY=VALUE ...        the deployment; left out keys have the defaults of newPlay
 //	workload NAME KEY=VALUE ... one more workload
@@ -19,7 +19,7 @@
 //	at T                        sets the clock, and decides; what is asked for must follow in lines with >
 //	take QUERY WORKLOAD PATIENCE SHARD[*WEIGHT] ...   hands over a query; weights are even unless stated
 //	step QUERY SHARD ...        the parts of a second step
-//	ok|errored|full|timeout|noconn|reset|cancelled|moot QUERY.PART TOOK   the part's last execution ended
+//	ok|errored|full|timeout|noconn|reset|cancelled|moot QUERY.PART ... TOOK   the parts' last executions ended
 //	leave QUERY                 the client went
 //	flood N QUERY ...           take, N times, with a number behind the name
 //	> send QUERY.PART REPLICA [until T]
@@ -207,7 +207,9 @@
 	p.line = line
 	switch words[0] {
 	case ">":
-		p.expect(strings.Join(words[1:], " "))
+		for _, want := range strings.Split(strings.Join(words[1:], " "), "; ") {
+			p.expect(want)
+		}
 	case "deploy":
 		for _, pair := range words[1:] {
 			key, value, _ := strings.Cut(pair, "=")
@@ -243,10 +245,12 @@
 		if !ok {
 			p.fatal("unknown command")
 		}
-		name, number, _ := strings.Cut(words[1], ".")
-		q, part := p.queries[name], int(p.number(number))
-		if !q.Outcome(p.now, part, len(q.parts[part].executions)-1, result, p.time(words[2])) {
-			p.fatal("the outcome was not taken")
+		for _, word := range words[1 : len(words)-1] {
+			name, number, _ := strings.Cut(word, ".")
+			q, part := p.queries[name], int(p.number(number))
+			if !q.Outcome(p.now, part, len(q.parts[part].executions)-1, result, p.time(words[len(words)-1])) {
+				p.fatal("the outcome was not taken")
+			}
 		}
 	}
 	for i := 0; p.agg != nil && i < len(p.agg.replicas); i++ {
@@ -269,8 +273,15 @@
 			}
 			p := newPlay(t)
 			for _, line := range strings.Split(string(text), "\n") {
-				if line, _, _ = strings.Cut(line, "#"); strings.TrimSpace(line) != "" {
-					p.command(strings.TrimSpace(line))
+				line, _, _ = strings.Cut(line, "#")
+				commands := strings.Split(line, ";")
+				if strings.HasPrefix(line, ">") {
+					commands = []string{line}
+				}
+				for _, command := range commands {
+					if command = strings.TrimSpace(command); command != "" {
+						p.command(command)
+					}
 				}
 			}
 			if len(p.got) > 0 {
