One test for what is left alone; a guess once a pick; literals in the block; one split

The check for a full or silent replica stood three times; the mean of all and the share taken on were worked out for every holder of every part; two tuned values and a copy of the rounding slack stood outside the block of constants; what was taken on was booked in two halves; the test runner split lines in two places with a special case for '>'. Scenarios keep their commands and assertions.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -17,20 +17,23 @@
 	ms    = 1_000_000 // ns
 	never = -1        // no time
 
-	priority   = 2   // Base Reference Cost of every replica: the source's default
-	channels   = 32  // own calls in flight at one server: the source's default
-	costLimit  = 127 // channels x priority stay within it: the source's requirement
-	waitShare  = 10  // a part waits at most its time budget / this for a channel: the design page's tenth
-	spareTicks = 3   // ticks kept free before a goal or a client's end, for the way back and a late round
+	priority   = 2    // Base Reference Cost of every replica: the source's default
+	channels   = 32   // own calls in flight at one server: the source's default
+	costLimit  = 127  // channels x priority stay within it: the source's requirement
+	waitShare  = 10   // a part waits at most its time budget / this for a channel: the design page's tenth
+	slack      = 1e-6 // weights sum to 1 but for rounding
+	spareTicks = 3    // ticks kept free before a goal or a client's end, for the way back and a late round
 
 	spanBuckets   = 8          // buckets in a ring: the span is known to an eighth
 	timeSpan      = 4000 * ms  // how far back part times count: dozens of them, and it follows a jam
 	paceSpan      = 16000 * ms // how far back a replica's own times count
 	paceDoubt     = 0.25       // a replica's times are taken together with so many typical ones
+	takenLeast    = 0.02       // the share taken on is reckoned no smaller: some doubt in old times is enough
 	slowMul       = 1.5        // a replica that should take so many times as long as a peer is passed over
 	priorShare    = 6          // a part not yet timed is taken to need its latency goal / this
 	patience      = 7          // an execution is overdue at so many typical times to begin with,
 	patienceStep  = 1.12       // times or over this after each recall that did not help, or did,
+	soonMul       = 2          // it helped if the part then came within so many typical times
 	patienceLeast = 4          // at least: ordinary parts take up to three
 	patienceMost  = 14         // and at most: what is hung is found before clients leave
 	admitShare    = 0.5        // a query is taken on when it should need no more of its latency goal than this
@@ -207,7 +210,7 @@
 	holders    [][]int // by shard
 	pointers   []int   // by shard: the next tied pick
 	slot       mean    // time for each own call at all replicas, ns
-	shortest   int64   // latency goal of any workload
+	shortest   int64   // the shortest latency goal of all workloads
 	left       mean    // share of their time after which clients left
 	most       int     // the most holders that a shard ever had
 	up         int     // replicas listed as up
@@ -358,7 +361,7 @@
 	}
 	if execution > 0 && p.executions[execution-1].overdue && result != Cancelled && result != Moot {
 		step := patienceStep
-		if result == Fulfilled && took < 2*q.workload.middle {
+		if result == Fulfilled && took < soonMul*q.workload.middle {
 			step = 1 / step
 		}
 		q.agg.patience = min(max(q.agg.patience*step, patienceLeast), patienceMost)
@@ -403,11 +406,9 @@
 	// late. A slow one is not set aside but passed over, for its peers may have no room for its share.
 	if result != Fulfilled && (r.aside || r.fails >= failRun) {
 		a.setAside(now, r)
-	} else if r.aside {
-		if r.good++; r.good >= r.quota {
-			if r.quota, r.used, r.good, r.since = 2*r.quota, 0, 0, now; r.quota >= trickleFull {
-				r.letIn()
-			}
+	} else if r.good++; r.aside && r.good >= r.quota {
+		if r.quota, r.used, r.good, r.since = 2*r.quota, 0, 0, now; r.quota >= trickleFull {
+			r.letIn()
 		}
 	}
 }
@@ -423,6 +424,8 @@
 	r.aside, r.fails, r.hold, r.jammed = false, 0, 0, 0
 }
 
+func (r *replica) leftAlone(now int64) bool { return now < r.jammed || r.stale }
+
 // coldRoom tells whether a cold replica may be sent a part.
 //
 // Danger: right after its start a replica falls over under its usual load, and stays down. It bears a
@@ -437,7 +440,7 @@
 	present := a.ColdShare + (1-a.ColdShare)*float64(max(now-r.started, 0))/float64(a.ColdRamp)
 	open := 0.0
 	for _, h := range a.holders[p.shard] {
-		if peer := &a.replicas[h]; !peer.aside && now >= peer.jammed && !peer.stale {
+		if peer := &a.replicas[h]; !peer.aside && !peer.leftAlone(now) {
 			open++
 		}
 	}
@@ -446,11 +449,14 @@
 	return p.lot < share && r.sent.sum(now) < max(share*usual, 1)
 }
 
-// takes is how long a part sent now to a replica should take: its time for each own call, times the calls.
+// guess is what a replica not met lately is taken to need for a call, and how many calls' worth that counts.
 // Danger: one old time would bar its shard while it is kept; the more is declined, the less it counts.
-func (a *Aggregator) takes(now int64, r *replica, w *workload) int64 {
-	prior := max(float64(w.middle), a.slot.of(now, 0))
-	doubt := paceDoubt / max(a.taken.of(now, 1), 0.02)
+func (a *Aggregator) guess(now int64, w *workload) (prior, doubt float64) {
+	return max(float64(w.middle), a.slot.of(now, 0)), paceDoubt / max(a.taken.of(now, 1), takenLeast)
+}
+
+// takes is how long a part sent now should take: the replica's time for each own call, times the calls.
+func (r *replica) takes(now int64, prior, doubt float64) int64 {
 	pace := (r.slot.sum.sum(now) + doubt*prior) / (r.slot.n.sum(now) + doubt)
 	return int64(pace * float64(r.calls+1))
 }
@@ -459,7 +465,8 @@
 func (a *Aggregator) pick(now int64, p *part, w *workload, overCap bool) int {
 	holders := a.holders[p.shard]
 	from := a.pointers[p.shard] % max(len(holders), 1)
-	limit := slowMul * float64(a.expect(now, w, p))
+	prior, doubt := a.guess(now, w)
+	limit := slowMul * float64(a.expect(now, p, prior, doubt))
 	for level := range 4 {
 		best, choice, tied := costLimit-priority+1, -1, false
 		for k := range holders {
@@ -467,9 +474,9 @@
 			r := &a.replicas[i]
 			// A slow replica, one that has just failed this part and one set aside are there when no other is.
 			if level < 3 && r.aside && !r.trickles(now) || !a.coldRoom(now, r, p) ||
-				level < 1 && float64(a.takes(now, r, w)) > limit ||
+				level < 1 && float64(r.takes(now, prior, doubt)) > limit ||
 				level < 2 && slices.ContainsFunc(p.executions, func(e execution) bool { return e.replica == i }) ||
-				(r.calls >= channels || now < r.jammed || r.stale) && !overCap {
+				(r.calls >= channels || r.leftAlone(now)) && !overCap {
 				continue
 			}
 			switch cost := priority * r.calls; {
@@ -533,10 +540,8 @@
 		return due
 	}
 	// Danger: what cannot be sent again, by the rules or for the time left, must not be taken back.
-	if e.overdue || !a.Cancels || !q.mayRun(now, p) || now+q.workload.middle > q.end {
-		return q.end
-	}
-	if r.aside || r.heard < e.sentAt {
+	if (r.aside || r.heard < e.sentAt) && !e.overdue && a.Cancels && q.mayRun(now, p) &&
+		now+q.workload.middle <= q.end {
 		e.overdue = true
 		a.cancels = append(a.cancels, Cancel{q, number, n})
 	}
@@ -559,8 +564,7 @@
 		a.further.add(now, 1)
 	}
 	a.sent.add(now, 1)
-	p.executions = append(p.executions,
-		execution{call: r.shared, sentAt: now, replica: to, slots: r.calls})
+	p.executions = append(p.executions, execution{call: r.shared, sentAt: now, replica: to, slots: r.calls})
 	p.stage = out
 	if p.mayHaveRun == never {
 		p.mayHaveRun = now
@@ -598,9 +602,10 @@
 // than limit; it returns the weight still missing.
 func (q *Query) ask(now int64, need float64, limit int64) float64 {
 	var offers []*part
+	prior, doubt := q.agg.guess(now, q.workload)
 	for i := range q.parts {
 		if p := &q.parts[i]; p.step == q.step && p.stage == unasked {
-			p.offer = q.agg.expect(now, q.workload, p)
+			p.offer = q.agg.expect(now, p, prior, doubt)
 			offers = append(offers, p)
 		}
 	}
@@ -616,14 +621,14 @@
 }
 
 // expect is how long a part sent now should take at the best replica of its shard.
-func (a *Aggregator) expect(now int64, w *workload, p *part) int64 {
+func (a *Aggregator) expect(now int64, p *part, prior, doubt float64) int64 {
 	best, aside := int64(math.MaxInt64), int64(math.MaxInt64)
 	for _, h := range a.holders[p.shard] {
 		r := &a.replicas[h]
-		if now < r.jammed || r.stale || !a.coldRoom(now, r, p) {
+		if r.leftAlone(now) || !a.coldRoom(now, r, p) {
 			continue
 		}
-		t := a.takes(now, r, w)
+		t := r.takes(now, prior, doubt)
 		if aside = min(aside, t); !r.aside {
 			best = min(best, t)
 		}
@@ -659,15 +664,14 @@
 	if need > least {
 		missing = q.ask(now, missing, int64(min(limit, admitShare*float64(a.shortest))))
 	}
-	taken := need-missing >= least-1e-6
-	w.taken.add(now, 0, 1)
-	a.taken.add(now, 0, 1)
-	if !taken {
+	if need-missing < least-slack {
+		w.taken.add(now, 0, 1)
+		a.taken.add(now, 0, 1)
 		q.giveUp()
 		return
 	}
-	w.taken.add(now, 1, 0)
-	a.taken.add(now, 1, 0)
+	w.taken.add(now, 1, 1)
+	a.taken.add(now, 1, 1)
 	for i := range q.parts {
 		if p := &q.parts[i]; p.stage == unasked && missing > 1e-9 {
 			p.stage = given
@@ -720,7 +724,6 @@
 	if q.step > 0 {
 		need = total
 	}
-	const slack = 1e-6
 	whole := have >= need-slack
 	enough := have >= floor-slack && (floor < need || whole)
 	switch {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -207,9 +207,7 @@
 	p.line = line
 	switch words[0] {
 	case ">":
-		for _, want := range strings.Split(strings.Join(words[1:], " "), "; ") {
-			p.expect(want)
-		}
+		p.expect(strings.Join(words[1:], " "))
 	case "deploy":
 		for _, pair := range words[1:] {
 			key, value, _ := strings.Cut(pair, "=")
@@ -274,11 +272,7 @@
 			p := newPlay(t)
 			for _, line := range strings.Split(string(text), "\n") {
 				line, _, _ = strings.Cut(line, "#")
-				commands := strings.Split(line, ";")
-				if strings.HasPrefix(line, ">") {
-					commands = []string{line}
-				}
-				for _, command := range commands {
+				for _, command := range strings.Split(line, ";") {
 					if command = strings.TrimSpace(command); command != "" {
 						p.command(command)
 					}
