--- /dev/null
+++ b/counters/counters.go
@@ -0,0 +1,82 @@
+// Package counters counts what the process takes in, sends and answers.
+package counters
+
+import (
+	"encoding/json"
+	"sync/atomic"
+)
+
+// Count is one counter; it is safe for use by several goroutines and encodes as a number.
+type Count struct{ atomic.Int64 }
+
+// MarshalJSON encodes the present value.
+func (c *Count) MarshalJSON() ([]byte, error) { return json.Marshal(c.Load()) }
+
+// Highest keeps the highest value it was shown.
+type Highest struct{ Count }
+
+// Show keeps v if it is the highest so far.
+func (h *Highest) Show(v int64) {
+	for was := h.Load(); v > was && !h.CompareAndSwap(was, v); was = h.Load() {
+	}
+}
+
+// Workload counts the queries of one workload.
+type Workload struct {
+	Taken     Count `json:"taken"`
+	Whole     Count `json:"whole"`
+	Partial   Count `json:"partial"`
+	Declined  Count `json:"declined"`
+	Forfeited Count `json:"forfeited"`
+	Left      Count `json:"left"` // by their clients
+}
+
+// Executions counts executions by how they ended.
+type Executions struct {
+	Sent          Count `json:"sent"`
+	Fulfilled     Count `json:"fulfilled"`
+	Errored       Count `json:"errored"`
+	Full          Count `json:"full"`
+	TimedOut      Count `json:"timed_out"`
+	ConnectFailed Count `json:"connect_failed"`
+	Reset         Count `json:"reset"`
+	Cancelled     Count `json:"cancelled"`
+	Moot          Count `json:"moot"`
+}
+
+// Counters are all counters of a process.
+type Counters struct {
+	Workloads  map[string]*Workload `json:"workloads"`
+	Executions Executions           `json:"executions"`
+
+	LateReplies       Count `json:"late_replies"` // to executions that were given up
+	ConnectionsOpened Count `json:"connections_opened"`
+	ConnectionsFailed Count `json:"connections_failed"` // never came up
+	ConnectionsClosed Count `json:"connections_closed"` // failed ones too
+
+	ClientsAccepted Count `json:"clients_accepted"`
+	ClientsClosed   Count `json:"clients_closed"` // idle ones, to make room
+	BadRequests     Count `json:"bad_requests"`
+	Crowded         Count `json:"crowded"`     // declined before the decisions, for want of room
+	Undelivered     Count `json:"undelivered"` // answers that did not reach their clients
+	Panics          Count `json:"panics"`
+
+	ListNews     Count `json:"list_news"`
+	ListFailures Count `json:"list_failures"`
+	ListOddities Count `json:"list_oddities"` // entries left out
+
+	Rounds       Count   `json:"rounds"`
+	DelayTotal   Count   `json:"delay_total_ns"` // from a fact's birth to the loop, over all facts
+	Facts        Count   `json:"facts"`
+	DelayHighest Highest `json:"delay_highest_ns"`
+	HeldHighest  Highest `json:"held_highest"`
+}
+
+// New makes counters for the workloads named.
+func New(workloads map[string]int) *Counters {
+	c := &Counters{Workloads: map[string]*Workload{}}
+	for name := range workloads {
+		c.Workloads[name] = &Workload{}
+	}
+	return c
+}
--- /dev/null
+++ b/deployment/start.go
@@ -0,0 +1,134 @@
+package deployment
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"strconv"
+
+	"willowsill/fields"
+)
+
+// Terms are what the deployment states of an aggregator's sockets and of what it may hold. Times in ns.
+type Terms struct {
+	MostHeld      int   // queries and parts
+	Streams       int   // calls at a time on one connection to a replica
+	ConnectWithin int64 // a connection to a replica is up by then, or not at all
+	IdleAfter     int64 // a replica closes a connection that has carried nothing for so long
+}
+
+// Start is what one aggregator on sockets is told at its start.
+type Start struct {
+	Deployment
+	Terms
+	Name      string
+	Listen    string // where clients connect
+	Discovery string
+	Cores     float64
+	Memory    int64           // bytes
+	Sockets   int             // descriptors
+	Known     json.RawMessage // the list as this aggregator last held it, in discovery's form
+}
+
+// variables are those of the environment that must be there.
+const (
+	variableConfig    = "NODE_CONFIG"
+	variableName      = "NODE_NAME"
+	variableListen    = "NODE_LISTEN"
+	variableDiscovery = "NODE_DISCOVERY"
+)
+
+// Defaults for limits that are not stated.
+const (
+	defaultCores   = 1.0
+	defaultMemory  = 192 // MB
+	defaultSockets = 1024
+	leastSockets   = 64
+	megabyte       = 1 << 20
+)
+
+// FromEnvironment reads what this process is told; get is os.Getenv.
+func FromEnvironment(get func(string) string) (s Start, err error) {
+	values := map[string]*string{variableName: &s.Name, variableListen: &s.Listen,
+		variableDiscovery: &s.Discovery}
+	for _, name := range []string{variableConfig, variableName, variableListen, variableDiscovery} {
+		if get(name) == "" {
+			return s, fmt.Errorf("variable %s is missing", name)
+		}
+		if v := values[name]; v != nil {
+			*v = get(name)
+		}
+	}
+	for _, name := range []string{variableListen, variableDiscovery} {
+		if _, _, err := net.SplitHostPort(*values[name]); err != nil {
+			return s, fmt.Errorf("variable %s: %w", name, err)
+		}
+	}
+	text, err := os.ReadFile(get(variableConfig))
+	if err != nil {
+		return s, fmt.Errorf("variable %s: %w", variableConfig, err)
+	}
+	if err := s.read(text); err != nil {
+		return s, fmt.Errorf("%s: %w", get(variableConfig), err)
+	}
+	return s, nil
+}
+
+// read reads the configuration's text.
+func (s *Start) read(text []byte) error {
+	top := &fields.Object{}
+	if err := json.Unmarshal(text, &top.Raw); err != nil {
+		return fmt.Errorf("not a JSON object: %w", err)
+	}
+	statement, seed := top.Object("settings"), top.String("seed")
+	limits := &fields.Object{}
+	top.May("limits", &limits.Raw)
+	if top.Has("known") {
+		s.Known = top.Text("known")
+	}
+	if top.Err != nil {
+		return top.Err
+	}
+	memory := float64(defaultMemory)
+	s.Cores, s.Sockets = defaultCores, defaultSockets
+	limits.May("cores", &s.Cores)
+	limits.May("memory_mb", &memory)
+	limits.May("sockets", &s.Sockets)
+	s.Memory = int64(memory * megabyte)
+	for key, bad := range map[string]bool{"cores": s.Cores <= 0, "memory_mb": memory < 1,
+		"sockets": s.Sockets < leastSockets} {
+		if bad {
+			limits.Fail(key, "is too small")
+		}
+	}
+	if limits.Err != nil {
+		return fmt.Errorf("limits: %w", limits.Err)
+	}
+	var err error
+	if s.Deployment, err = Read(statement); err != nil {
+		return fmt.Errorf("settings: %w", err)
+	}
+	if s.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
+		return fmt.Errorf("field %q is no number of 16 hex digits", "seed")
+	}
+	caps := statement.Object("caps")
+	s.Terms = Terms{MostHeld: caps.Int("most_held"), Streams: caps.Int("streams_per_conn"),
+		ConnectWithin: caps.Time("connect_timeout"), IdleAfter: caps.Time("conn_idle")}
+	for key, v := range map[string]int64{"most_held": int64(s.MostHeld), "streams_per_conn": int64(s.Streams),
+		"connect_timeout": s.ConnectWithin, "conn_idle": s.IdleAfter} {
+		if v <= 0 {
+			caps.Fail(key, "is not above 0")
+		}
+	}
+	if caps.Err != nil {
+		return fmt.Errorf("settings: caps: %w", caps.Err)
+	}
+	for _, w := range s.Workloads {
+		if w.FollowUp > 0 { // the protocol with clients and replicas has no form for it
+			return errors.New(`settings: field "follow_up": a second step is not served on sockets`)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/node/admit.go
@@ -0,0 +1,115 @@
+package node
+
+import (
+	"context"
+
+	"willowsill/balance"
+)
+
+// Query is a query as a front hands it over.
+type Query struct {
+	ID       string
+	Workload int
+	Until    int64 // when its client gives up
+	Text     []byte
+	Parts    []Part
+}
+
+// Part is one part of a query.
+type Part struct {
+	Shard  int
+	Weight float64 // share of the whole answer
+}
+
+// query is one that the node holds.
+type query struct {
+	Query
+	handle     *balance.Query
+	answer     chan Answer // has room for the one answer
+	executions [][]*execution
+	values     []string // of the parts that are in
+	in         []bool
+	out        int // executions without an outcome
+	over       bool
+}
+
+type (
+	arrival   struct{ query *query }
+	departure struct{ query *query }
+)
+
+// Serve takes a query through the node and returns its one answer. When ctx ends first the client has left;
+// the answer then has no reader.
+//
+// Danger: more queries than the loop can take would fill the queue and keep outcomes out.
+func (n *Node) Serve(ctx context.Context, asked Query) (Answer, bool) {
+	q := &query{Query: asked, answer: make(chan Answer, 1),
+		executions: make([][]*execution, len(asked.Parts)),
+		values:     make([]string, len(asked.Parts)), in: make([]bool, len(asked.Parts))}
+	if len(n.facts) >= queueLength/frontShare {
+		n.count.Crowded.Add(1)
+		return Answer{Final: balance.Declined}, true
+	}
+	n.facts <- fact{n.Now(), arrival{q}}
+	select {
+	case a := <-q.answer:
+		return a, true
+	case <-ctx.Done():
+		n.facts <- fact{n.Now(), departure{q}}
+		return Answer{}, false
+	}
+}
+
+// admit hands a query to the module, or declines it where the node holds as much as it may, or where its
+// client's time is up.
+func (n *Node) admit(now int64, q *query) {
+	count := n.count.Workloads[n.names[q.Workload]]
+	count.Taken.Add(1)
+	if n.held >= n.terms.MostHeld || q.Until <= now {
+		n.count.Crowded.Add(1)
+		count.Declined.Add(1)
+		q.over = true
+		q.answer <- Answer{Final: balance.Declined}
+		return
+	}
+	q.handle = n.agg.Take(now, balance.Arrival{Workload: q.Workload, Patience: q.Until - now, Parts: len(q.Parts)})
+	for _, p := range q.Parts {
+		q.handle.AddPart(p.Shard, p.Weight)
+	}
+	n.queries[q.handle] = q
+	n.held += 1 + len(q.Parts)
+	n.count.HeldHighest.Show(int64(n.held))
+}
+
+// depart ends a query whose client has left.
+func (n *Node) depart(now int64, q *query) {
+	if q.over {
+		return
+	}
+	n.count.Workloads[n.names[q.Workload]].Left.Add(1)
+	q.handle.Leave(now)
+	n.end(q)
+}
+
+// end marks a query as over. What is still out is the module's to cancel; what has not left yet must not.
+//
+// Danger: a call that waits for its connection would be sent after the answer.
+func (n *Node) end(q *query) {
+	q.over = true
+	n.held -= 1 + len(q.Parts)
+	for _, tries := range q.executions {
+		for _, e := range tries {
+			if !e.over && n.pool.Unsent(e.ticket) {
+				n.giveUp(e, balance.Moot, false)
+			}
+		}
+	}
+	n.forget(q)
+}
+
+// forget lets go of a query that is over once its last outcome is in.
+func (n *Node) forget(q *query) {
+	if q.over && q.out == 0 {
+		delete(n.queries, q.handle)
+	}
+}
--- /dev/null
+++ b/node/book.go
@@ -0,0 +1,115 @@
+package node
+
+import (
+	"go.uber.org/zap"
+
+	"willowsill/balance"
+	"willowsill/counters"
+	"willowsill/replica"
+	"willowsill/roster"
+)
+
+// outcome is one that came up while a round was carried out; the module hears of it afterwards.
+type outcome struct {
+	execution *execution
+	result    balance.Result
+}
+
+// later ends an execution now and tells the module after the round.
+func (n *Node) later(e *execution, result balance.Result) {
+	e.over = true
+	n.pending = append(n.pending, outcome{e, result})
+}
+
+// bookPending books what has come up meanwhile.
+func (n *Node) bookPending() {
+	for i := 0; i < len(n.pending); i++ {
+		n.bookOutcome(n.Now(), n.pending[i].execution, n.pending[i].result, n.Now())
+	}
+	n.pending = n.pending[:0]
+}
+
+// bookNotice books what a connection had to tell.
+func (n *Node) bookNotice(now int64, v replica.Notice) {
+	if v.Err != nil {
+		n.log.Info("a connection to a replica broke or did not come up", zap.Error(v.Err))
+	}
+	for _, r := range n.pool.Note(v) {
+		e := n.out[r.Ticket]
+		if r.Result == balance.Fulfilled && !e.query.in[e.part] {
+			e.query.in[e.part], e.query.values[e.part] = true, r.Value
+		}
+		n.bookOutcome(now, e, r.Result, r.At)
+	}
+}
+
+// expire drops the executions whose time is up.
+func (n *Node) expire(now int64) {
+	for n.cuts.next() <= now {
+		n.giveUp(n.cuts[0], balance.TimedOut, false)
+	}
+	if len(n.pending) > 0 {
+		n.bookPending()
+	}
+}
+
+// bookOutcome tells the module how an execution ended, once.
+func (n *Node) bookOutcome(now int64, e *execution, result balance.Result, at int64) {
+	e.over = true
+	delete(n.out, e.ticket)
+	n.countEnd(result)
+	q := e.query
+	q.out--
+	q.handle.Outcome(now, e.part, e.number, result, max(at-e.sentAt, 0))
+	n.forget(q)
+	n.moved = true
+}
+
+func (n *Node) countEnd(result balance.Result) {
+	x := &n.count.Executions
+	[...]*counters.Count{
+		balance.Fulfilled: &x.Fulfilled, balance.Errored: &x.Errored, balance.Full: &x.Full,
+		balance.TimedOut: &x.TimedOut, balance.ConnectFailed: &x.ConnectFailed, balance.Reset: &x.Reset,
+		balance.Cancelled: &x.Cancelled, balance.Moot: &x.Moot,
+	}[result].Add(1)
+}
+
+// bookNews books what discovery said; live is false for the list remembered from an earlier life. A replica
+// is known by its host: the address it is dialled at may differ and change.
+func (n *Node) bookNews(now int64, news roster.News, live bool) {
+	for _, err := range news.Oddities {
+		n.count.ListOddities.Add(1)
+		n.log.Warn("an entry of the list was left out", zap.Error(err))
+	}
+	if news.Err != nil {
+		n.count.ListFailures.Add(1)
+		n.log.Warn("a call for the list failed", zap.Error(news.Err))
+		if n.AsksForList {
+			n.agg.ListFailed(now)
+		}
+		return
+	}
+	n.count.ListNews.Add(1)
+	listings := make([]balance.Listing, 0, len(news.Entries))
+	for _, e := range news.Entries {
+		i, known := n.index[e.Host]
+		if !known {
+			i = len(n.index)
+			n.index[e.Host] = i
+			n.pool.Address(i, e.Dial)
+		} else if e.Dial != "" {
+			n.pool.Address(i, e.Dial)
+		}
+		listings = append(listings, balance.Listing{Replica: i, Cell: e.Cell, Standing: e.Standing,
+			Started: n.Wall(e.Born)})
+		if e.Standing == balance.Up && !n.isReady {
+			n.isReady = true
+			close(n.ready)
+		}
+	}
+	if news.Whole || !live {
+		n.agg.ListWhole(now, listings, live)
+	} else {
+		n.agg.ListChanged(now, listings)
+	}
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,200 @@
+// Package node takes queries through the stages behind a front: admit, route, send, relay and book. One
+// goroutine owns the decision module and the state of every query; facts come to it through one bounded
+// queue, and nothing in it waits for a socket.
+package node
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"willowsill/balance"
+	"willowsill/counters"
+	"willowsill/deployment"
+	"willowsill/replica"
+	"willowsill/roster"
+	"willowsill/sockets"
+)
+
+const (
+	queueLength = 1024            // facts that may wait for the loop
+	frontShare  = 2               // queries fill no more than this part of it, so that outcomes have room
+	sweepEvery  = time.Second     // between two looks for idle connections
+	clockStart  = 1 << 20 * 1e9   // ns: a replica that started before this process still did so after 0
+	longDelay   = 50 * int64(1e6) // ns that a fact may wait for the loop before that is logged
+)
+
+// Clock tells monotonic time in whole ns from an arbitrary start.
+type Clock struct{ base time.Time }
+
+// NewClock starts a clock.
+func NewClock() Clock { return Clock{time.Now().Add(-clockStart)} }
+
+// Now is the present time.
+func (c Clock) Now() int64 { return int64(time.Since(c.base)) }
+
+// Wall turns ms of Unix time into this clock's time; 0 stays 0.
+func (c Clock) Wall(ms int64) int64 {
+	if ms == 0 {
+		return 0
+	}
+	return max(int64(time.UnixMilli(ms).Sub(c.base.Round(0))), 1)
+}
+
+// fact is something that happened, on its way to the loop.
+type fact struct {
+	at   int64
+	what any // arrival, departure, replica.Notice, roster.News or stop
+}
+
+type stop struct{}
+
+// Node is one aggregator on sockets.
+type Node struct {
+	Clock
+	deployment.Deployment
+	terms   deployment.Terms
+	names   []string // of the workloads, by row
+	log     *zap.Logger
+	count   *counters.Counters
+	ask     func() // starts a watch of the list
+	facts   chan fact
+	ended   chan struct{}
+	ready   chan struct{} // closed once a list with a replica is there
+	isReady bool
+
+	// Of the loop alone from here.
+	agg     *balance.Aggregator
+	pool    *replica.Pool
+	index   map[string]int // of each replica, by host
+	queries map[*balance.Query]*query
+	held    int // queries and parts without an answer
+	out     map[*replica.Ticket]*execution
+	cuts    cuts
+	pending []outcome // that came up while a round was carried out
+	last    int64     // the last round
+	wake    int64     // when the module wants the next one at the latest, 0 for no such time
+	moved   bool      // something has happened since the last round
+	sweep   int64
+	stopped bool
+}
+
+// Plan is what a node is made from.
+type Plan struct {
+	Clock      Clock
+	Deployment deployment.Deployment
+	Terms      deployment.Terms
+	Known      roster.News // the list as it was last held
+	Budget     *sockets.Budget
+	Count      *counters.Counters
+	Log        *zap.Logger
+	Ask        func() // asks for a watch of the list; it must not wait
+}
+
+// New starts a node.
+func New(p Plan) *Node {
+	n := &Node{
+		Clock: p.Clock, Deployment: p.Deployment, terms: p.Terms, log: p.Log, count: p.Count, ask: p.Ask,
+		facts: make(chan fact, queueLength), ended: make(chan struct{}), ready: make(chan struct{}),
+		index: map[string]int{}, queries: map[*balance.Query]*query{}, out: map[*replica.Ticket]*execution{},
+		names: make([]string, len(p.Deployment.Workloads)),
+	}
+	for name, row := range p.Deployment.Workload {
+		n.names[row] = name
+	}
+	n.agg = balance.New(n.Now(), p.Deployment.Deployment)
+	n.pool = replica.NewPool(replica.Terms{Streams: p.Terms.Streams, ConnectWithin: p.Terms.ConnectWithin,
+		IdleAfter: p.Terms.IdleAfter, Now: n.Now},
+		func(v replica.Notice) { n.facts <- fact{n.Now(), v} }, p.Budget, p.Count)
+	n.bookNews(n.Now(), p.Known, false)
+	go n.run()
+	return n
+}
+
+// Ready is closed once the node can serve.
+func (n *Node) Ready() <-chan struct{} { return n.ready }
+
+// News hands on what discovery said.
+func (n *Node) News(ctx context.Context, news roster.News) {
+	select {
+	case n.facts <- fact{n.Now(), news}:
+	case <-ctx.Done():
+	}
+}
+
+// Close ends the node; no query may be under way any more. It returns when all connections have ended.
+func (n *Node) Close() {
+	n.facts <- fact{n.Now(), stop{}}
+	<-n.ended
+}
+
+// run is the loop: facts, then a round when one is due.
+func (n *Node) run() {
+	defer close(n.ended)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for !n.stopped || n.pool.Open() > 0 {
+		select {
+		case f := <-n.facts:
+			n.take(f)
+		case <-timer.C:
+		}
+		for more := true; more; {
+			select {
+			case f := <-n.facts:
+				n.take(f)
+			default:
+				more = false
+			}
+		}
+		now := n.Now()
+		n.expire(now)
+		if now >= n.due() {
+			n.round(now)
+		}
+		if now >= n.sweep {
+			n.sweep = now + int64(sweepEvery)
+			n.pool.Sweep()
+		}
+		timer.Reset(time.Duration(max(min(n.due(), n.cuts.next(), n.sweep)-n.Now(), 0)))
+	}
+}
+
+// due is when the next round has to come: rounds stand a tick apart at least.
+func (n *Node) due() int64 {
+	next := int64(1<<63 - 1)
+	if n.moved {
+		next = n.last + n.Tick
+	}
+	if n.wake > 0 {
+		next = min(next, max(n.wake, n.last+n.Tick))
+	}
+	return next
+}
+
+// take takes one fact in. How long it waited is measured, for the simulator knows no such delay.
+func (n *Node) take(f fact) {
+	now := n.Now()
+	delay := now - f.at
+	n.count.Facts.Add(1)
+	n.count.DelayTotal.Add(delay)
+	n.count.DelayHighest.Show(delay)
+	if delay > longDelay {
+		n.log.Warn("a fact waited long for the loop", zap.Duration("delay", time.Duration(delay)))
+	}
+	switch v := f.what.(type) {
+	case arrival:
+		n.admit(now, v.query)
+	case departure:
+		n.depart(now, v.query)
+	case replica.Notice:
+		n.bookNotice(now, v)
+	case roster.News:
+		n.bookNews(now, v, true)
+	case stop:
+		n.stopped = true
+		n.pool.Close()
+	}
+	n.moved = true
+}
--- /dev/null
+++ b/replica/connection.go
@@ -0,0 +1,184 @@
+package replica
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	readBuffer = 4 << 10         // bytes: replies are short
+	writeWait  = 2 * time.Second // a peer that takes in nothing for so long is gone
+	givenMost  = 1024            // ids given up on a connection without a late reply, kept apart
+	idleMargin = 8               // retired before this part of the idle time is left
+)
+
+// Notice is what a connection has to tell its pool: a reply, or that it is down.
+type Notice struct {
+	conn  *connection
+	reply Reply
+	at    int64 // ns
+	down  bool
+	wasUp bool
+	Err   error // why it is down, nil where this side closed it
+}
+
+// frame is one message on its way out.
+type frame struct {
+	bytes   []byte
+	left    int  // tickets without an end; of the pool's goroutine
+	number  int  // in order of the pushes
+	written bool // its last byte has been; settled once the connection is down
+}
+
+// connection is one connection to a replica. The pool's goroutine owns all fields up to queue; run is its
+// own goroutine, and gives back all that it holds before its last notice.
+type connection struct {
+	line      *line
+	out       map[string]*Ticket  // by id
+	given     map[string]struct{} // ids given up whose reply may still come
+	calls     int
+	retired   bool // takes no more calls, and ends with its last one
+	heard     int64
+	idleSince int64
+
+	queue   queue
+	pool    *Pool
+	ctx     context.Context
+	shut    context.CancelFunc
+	readErr error
+}
+
+func newConnection(p *Pool, l *line, now int64) *connection {
+	c := &connection{line: l, pool: p, out: map[string]*Ticket{}, given: map[string]struct{}{}, idleSince: now}
+	c.queue.more = make(chan struct{}, 1)
+	c.ctx, c.shut = context.WithCancel(context.Background())
+	return c
+}
+
+// knows tells whether an id is in use on the connection, or was until it was given up.
+func (c *connection) knows(id string) bool {
+	_, given := c.given[id]
+	return given || c.out[id] != nil
+}
+
+// run opens the connection, writes what is queued and reads replies until it breaks or is shut.
+func (c *connection) run(dial string) {
+	dialer := net.Dialer{Timeout: time.Duration(c.pool.ConnectWithin), KeepAlive: -1}
+	conn, err := dialer.DialContext(c.ctx, "tcp", dial)
+	up := err == nil
+	if up {
+		var reading sync.WaitGroup
+		reading.Go(func() {
+			c.readErr = c.read(conn)
+			c.shut()
+		})
+		stop := context.AfterFunc(c.ctx, func() { conn.Close() })
+		err = c.write(conn)
+		c.shut()
+		stop()
+		conn.Close()
+		reading.Wait()
+		if err == nil {
+			err = c.readErr
+		}
+	}
+	c.shut()
+	if errors.Is(err, net.ErrClosed) || errors.Is(err, context.Canceled) {
+		err = nil
+	}
+	c.pool.tell(Notice{conn: c, at: c.pool.Now(), down: true, wasUp: up, Err: err})
+}
+
+// write writes the frames of each round at once.
+func (c *connection) write(conn net.Conn) error {
+	var buf []byte
+	for {
+		select {
+		case <-c.ctx.Done():
+			return nil
+		case <-c.queue.more:
+		}
+		frames := c.queue.take()
+		buf = buf[:0]
+		for _, f := range frames {
+			buf = append(buf, f.bytes...)
+		}
+		conn.SetWriteDeadline(time.Now().Add(writeWait))
+		n, err := conn.Write(buf)
+		for _, f := range frames {
+			n -= len(f.bytes)
+			f.written = n >= 0
+			f.bytes = nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// read passes on replies.
+func (c *connection) read(conn net.Conn) error {
+	r := bufio.NewReaderSize(conn, readBuffer)
+	for {
+		reply, err := readReply(r)
+		if err != nil {
+			if errors.Is(err, io.EOF) {
+				err = io.ErrUnexpectedEOF
+			}
+			return err
+		}
+		c.pool.tell(Notice{conn: c, reply: reply, at: c.pool.Now()})
+	}
+}
+
+// queue holds the frames that wait for the writer.
+type queue struct {
+	mu     sync.Mutex
+	frames []*frame
+	pushed int
+	more   chan struct{}
+}
+
+func (q *queue) push(f *frame) {
+	q.mu.Lock()
+	q.pushed++
+	f.number = q.pushed
+	q.frames = append(q.frames, f)
+	q.mu.Unlock()
+	select {
+	case q.more <- struct{}{}:
+	default:
+	}
+}
+
+func (q *queue) take() []*frame {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	frames := q.frames
+	q.frames = nil
+	return frames
+}
+
+// holds tells whether a frame still waits.
+func (q *queue) holds(f *frame) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return slices.Contains(q.frames, f)
+}
+
+// drop takes a frame out that still waits.
+func (q *queue) drop(f *frame) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	i := slices.Index(q.frames, f)
+	if i >= 0 {
+		q.frames = slices.Delete(q.frames, i, i+1)
+	}
+	return i >= 0
+}
--- /dev/null
+++ b/replica/pool.go
@@ -0,0 +1,257 @@
+package replica
+
+import (
+	"cmp"
+	"slices"
+
+	"willowsill/balance"
+	"willowsill/counters"
+	"willowsill/sockets"
+)
+
+// Ticket is one execution on its way; the pool fills in the rest. Its owner sees its end just once: either
+// the pool reports it, or the owner gives it up.
+type Ticket struct {
+	Part
+	conn  *connection
+	frame *frame
+	since int64
+	over  bool
+}
+
+// Report tells how a ticket ended.
+type Report struct {
+	Ticket *Ticket
+	Result balance.Result
+	Value  string
+	At     int64 // ns
+}
+
+// Pool owns the connections to all replicas: it opens, shares out and closes them. All its methods are for
+// the one goroutine that owns it; what connections have to tell comes to it through Notice.
+type Pool struct {
+	Terms
+	replicas []*line
+	tell     func(Notice)
+	budget   *sockets.Budget
+	count    *counters.Counters
+}
+
+// Terms are what the deployment states of connections, in ns.
+type Terms struct {
+	Streams       int
+	ConnectWithin int64
+	IdleAfter     int64
+	Now           func() int64
+}
+
+// line is all that is kept of one replica.
+type line struct {
+	dial  string
+	conns []*connection
+}
+
+// NewPool makes a pool that hands what its connections have to tell to tell, from their goroutines.
+func NewPool(t Terms, tell func(Notice), budget *sockets.Budget, count *counters.Counters) *Pool {
+	return &Pool{Terms: t, tell: tell, budget: budget, count: count}
+}
+
+// Address tells where a replica listens from now on.
+func (p *Pool) Address(replica int, dial string) {
+	for len(p.replicas) <= replica {
+		p.replicas = append(p.replicas, &line{})
+	}
+	l := p.replicas[replica]
+	if l.dial != dial {
+		for _, c := range l.conns { // what is out there may still come
+			c.retired = true
+		}
+		l.dial = dial
+		p.tidy(l)
+	}
+}
+
+// Call sends tickets to a replica as one call. It returns false if there is no room for a connection.
+func (p *Pool) Call(replica int, tickets []*Ticket) bool {
+	l, now := p.replicas[replica], p.Now()
+	c := p.choose(l, tickets, now)
+	if c == nil {
+		return false
+	}
+	f := &frame{}
+	parts := make([]Part, len(tickets))
+	for i, t := range tickets {
+		parts[i] = t.Part
+		t.conn, t.frame, t.since = c, f, now
+		c.out[t.ID] = t
+	}
+	f.left = len(tickets)
+	f.bytes = appendCall(nil, parts)
+	c.calls++
+	c.queue.push(f)
+	return true
+}
+
+// choose returns a connection with room, or a new one.
+//
+// Danger: a vanished machine says nothing, and its open connections swallow all that is written to them. One
+// on which a part was given up with nothing heard since its send takes no more parts. One that has stood idle
+// for almost as long as the replica keeps it would reset the next part. And an id that was given up on a
+// connection must not meet its own late reply there.
+func (p *Pool) choose(l *line, tickets []*Ticket, now int64) *connection {
+	p.retire(l, now)
+	for _, c := range l.conns {
+		if c.retired || c.calls >= p.Streams {
+			continue
+		}
+		if !slices.ContainsFunc(tickets, func(t *Ticket) bool { return c.knows(t.ID) }) {
+			return c
+		}
+	}
+	if !p.budget.Take(sockets.Replicas) {
+		p.makeRoom(now)
+		if !p.budget.Take(sockets.Replicas) {
+			return nil
+		}
+	}
+	c := newConnection(p, l, now)
+	l.conns = append(l.conns, c)
+	p.count.ConnectionsOpened.Add(1)
+	go c.run(l.dial)
+	return c
+}
+
+// makeRoom closes connections that carry nothing.
+func (p *Pool) makeRoom(now int64) {
+	for _, l := range p.replicas {
+		for _, c := range l.conns {
+			c.retired = c.retired || c.calls == 0
+		}
+		p.tidy(l)
+	}
+}
+
+// retire takes connections out of use before the replica closes them as idle.
+func (p *Pool) retire(l *line, now int64) {
+	for _, c := range l.conns {
+		if c.calls == 0 && now-c.idleSince >= p.IdleAfter-p.IdleAfter/idleMargin {
+			c.retired = true
+		}
+	}
+	p.tidy(l)
+}
+
+// Sweep retires idle connections everywhere.
+func (p *Pool) Sweep() {
+	for _, l := range p.replicas {
+		p.retire(l, p.Now())
+	}
+}
+
+// Release gives back the connections to a replica that carry nothing now.
+func (p *Pool) Release(replica int) {
+	for _, c := range p.replicas[replica].conns {
+		c.retired = c.retired || c.calls == 0
+	}
+	p.tidy(p.replicas[replica])
+}
+
+// tidy closes what is retired and carries nothing; the connection's end comes as a notice.
+func (p *Pool) tidy(l *line) {
+	for _, c := range l.conns {
+		if c.retired && c.calls == 0 {
+			c.shut()
+		}
+	}
+	l.conns = slices.DeleteFunc(l.conns, func(c *connection) bool { return c.retired && c.calls == 0 })
+}
+
+// GiveUp ends the wait for a ticket, which the pool will not report from then on. With tell the replica
+// hears of it. It returns true if the call never left.
+func (p *Pool) GiveUp(t *Ticket, tell bool) (unsent bool) {
+	c := t.conn
+	if t.frame.left == 1 && c.queue.drop(t.frame) {
+		p.done(t)
+		return true
+	}
+	if tell {
+		c.queue.push(&frame{bytes: appendGiveUp(nil, t.ID)})
+	}
+	if c.heard < t.since && p.Now()-t.since >= p.ConnectWithin {
+		c.retired = true
+	}
+	c.given[t.ID] = struct{}{}
+	if len(c.given) > givenMost {
+		c.retired = true
+	}
+	p.done(t)
+	return false
+}
+
+// Unsent tells whether no byte of the ticket's call has left.
+func (p *Pool) Unsent(t *Ticket) bool { return !t.over && t.conn.queue.holds(t.frame) }
+
+// done takes a ticket off its connection.
+func (p *Pool) done(t *Ticket) {
+	c := t.conn
+	t.over = true
+	delete(c.out, t.ID)
+	if t.frame.left--; t.frame.left == 0 {
+		c.calls--
+		c.idleSince = p.Now()
+	}
+	p.tidy(c.line)
+}
+
+// Note takes in what a connection had to tell and returns the tickets that it ended.
+func (p *Pool) Note(n Notice) (reports []Report) {
+	c := n.conn
+	if n.down {
+		p.budget.Give(sockets.Replicas)
+		p.count.ConnectionsClosed.Add(1)
+		if !n.wasUp {
+			p.count.ConnectionsFailed.Add(1)
+		}
+		c.retired = true
+		p.tidy(c.line)
+		for _, t := range c.out {
+			// What broke before its frame's last byte was written never ran.
+			result := balance.ConnectFailed
+			if t.frame.written {
+				result = balance.Reset
+			}
+			reports = append(reports, Report{Ticket: t, Result: result, At: n.at})
+		}
+		// The order of a map is chance; the module is to see that of the sends.
+		slices.SortFunc(reports, func(x, y Report) int {
+			return cmp.Or(cmp.Compare(x.Ticket.frame.number, y.Ticket.frame.number), cmp.Compare(x.Ticket.ID, y.Ticket.ID))
+		})
+	} else {
+		c.heard = n.at
+		t := c.out[n.reply.ID]
+		if t == nil {
+			delete(c.given, n.reply.ID)
+			p.count.LateReplies.Add(1)
+			return nil
+		}
+		result := [...]balance.Result{Ran: balance.Fulfilled, Failed: balance.Errored, TurnedAway: balance.Full}
+		reports = append(reports, Report{Ticket: t, Result: result[n.reply.End], Value: n.reply.Value, At: n.at})
+	}
+	for _, r := range reports {
+		p.done(r.Ticket)
+	}
+	return reports
+}
+
+// Close ends all connections.
+func (p *Pool) Close() {
+	for _, l := range p.replicas {
+		for _, c := range l.conns {
+			c.retired = true
+			c.shut()
+		}
+	}
+}
+
+// Open counts the connections that have not ended.
+func (p *Pool) Open() int { return p.budget.Taken(sockets.Replicas) }
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -12,6 +12,8 @@
 	"strconv"
 
 	"willowsill/balance"
+	"willowsill/deployment"
+	"willowsill/fields"
 )
 
 // wakeToken comes back with every timer; timers only wake the module.
@@ -92,19 +94,19 @@
 
 // line takes one message in; open tells whether a batch is under way, before and after it.
 func (h *host) line(line []byte, open bool) (bool, error) {
-	f := &fields{}
-	if err := json.Unmarshal(line, &f.raw); err != nil {
+	f := &fields.Object{}
+	if err := json.Unmarshal(line, &f.Raw); err != nil {
 		return open, fmt.Errorf("not a JSON object: %v", err)
 	}
-	event := f.string("event_type")
-	if f.err != nil {
-		return open, f.err
+	event := f.String("event_type")
+	if f.Err != nil {
+		return open, f.Err
 	}
 	switch {
 	case event == "TICK" && !open:
-		h.now = f.time("at_time")
-		f.into("n", &h.batch)
-		return true, f.err
+		h.now = f.Time("at_time")
+		f.Into("n", &h.batch)
+		return true, f.Err
 	case event == "TICK" || !open:
 		return open, fmt.Errorf("%s out of place", event)
 	case event == "FLUSH":
@@ -117,16 +119,16 @@
 }
 
 // event turns one event into calls.
-func (h *host) event(event string, f *fields) error {
+func (h *host) event(event string, f *fields.Object) error {
 	if event == "POOL" {
-		sheet, items := f.int("sheet"), []json.RawMessage{}
-		f.into("items", &items)
+		sheet, items := f.Int("sheet"), []json.RawMessage{}
+		f.Into("items", &items)
 		h.sheets[sheet] = items
-		return f.err
+		return f.Err
 	}
-	who := f.int("who")
-	if f.err != nil {
-		return f.err
+	who := f.Int("who")
+	if f.Err != nil {
+		return f.Err
 	}
 	in := h.instances[who]
 	if event == "OPEN_INSTANCE" {
@@ -150,20 +152,20 @@
 		return in.response(h.now, f)
 	case "VANISHED":
 		var id uint64
-		f.into("rid", &id)
-		if r, ok := in.requests[id]; ok && f.err == nil && !r.over && r.part < 0 {
+		f.Into("rid", &id)
+		if r, ok := in.requests[id]; ok && f.Err == nil && !r.over && r.part < 0 {
 			r.query.Leave(h.now)
 			in.end(r.held)
 		}
 	case "FIRED":
-		if f.string("token") == wakeToken && in.timer <= h.now {
+		if f.String("token") == wakeToken && in.timer <= h.now {
 			in.timer = 0
 		}
 	case "BEGUN", "HEARD", "SAMPLED": // streams, peers and probes have no part in this service
 	default:
 		return errors.New("unknown event")
 	}
-	return f.err
+	return f.Err
 }
 
 // touch marks an instance as one that may act in this reply.
@@ -176,48 +178,48 @@
 	h.touched = append(h.touched, who)
 }
 
-func (h *host) open(who int, f *fields) error {
+func (h *host) open(who int, f *fields.Object) error {
 	in := &instance{
-		replicas: map[string]int{}, workloads: map[string]int{},
+		replicas: map[string]int{},
 		requests: map[uint64]request{}, groups: map[int64]*held{},
 		handles: map[*balance.Query]*held{},
 	}
-	seed, boot := f.number("prng"), f.object("boot_info")
-	if f.err != nil {
-		return f.err
+	seed, boot := f.Number("prng"), f.Object("boot_info")
+	if f.Err != nil {
+		return f.Err
 	}
-	d, err := in.deployment(boot)
+	d, err := deployment.Read(boot)
 	if err != nil {
 		return err
 	}
 	d.Seed = math.Float64bits(seed)
-	in.shards = d.Shards
-	in.agg = balance.New(h.now, d)
+	in.workloads, in.shards = d.Workload, d.Shards
+	in.agg = balance.New(h.now, d.Deployment)
 	h.instances[who] = in
 	h.touch(who)
 	return nil
 }
 
 // members turns news of the list into one call.
-func (h *host) members(in *instance, f *fields) error {
-	scope := f.string("scope")
+func (h *host) members(in *instance, f *fields.Object) error {
+	scope := f.String("scope")
 	if scope == "Error" {
 		in.agg.ListFailed(h.now)
-		return f.err
+		return f.Err
 	}
-	items, ok := h.sheets[f.int("sheet")]
+	items, ok := h.sheets[f.Int("sheet")]
 	if !ok {
-		f.fail("sheet", "names a list that never came")
+		f.Fail("sheet", "names a list that never came")
 	}
 	listings := make([]balance.Listing, 0, len(items))
 	for _, item := range items {
-		e := &fields{}
-		if err := json.Unmarshal(item, &e.raw); err != nil {
-			f.fail("items", "has an entry that is no object")
+		e := &fields.Object{}
+		if err := json.Unmarshal(item, &e.Raw); err != nil {
+			f.Fail("items", "has an entry that is no object")
 			break
 		}
-		l := balance.Listing{Cell: e.int("place"), Started: e.mayTime("launched")}
-		switch e.string("lifecycle") {
+		l := balance.Listing{Cell: e.Int("place"), Started: e.MayTime("launched")}
+		switch e.String("lifecycle") {
 		case "U":
 			l.Standing = balance.Up
 		case "L":
@@ -225,16 +227,16 @@
 		case "D":
 			l.Standing = balance.Gone
 		default:
-			e.fail("lifecycle", "is unknown")
+			e.Fail("lifecycle", "is unknown")
 		}
 		l.Replica = in.replica(e)
-		if e.err != nil {
-			return e.err
+		if e.Err != nil {
+			return e.Err
 		}
 		listings = append(listings, l)
 	}
-	if f.err != nil {
-		return f.err
+	if f.Err != nil {
+		return f.Err
 	}
 	switch scope {
 	case "Partial":
@@ -250,29 +252,29 @@
 }
 
 // replica maps an address to its small index, new ones included.
-func (in *instance) replica(f *fields) int {
-	name := f.string("replica")
-	if f.err != nil {
+func (in *instance) replica(f *fields.Object) int {
+	name := f.String("replica")
+	if f.Err != nil {
 		return 0
 	}
 	i, ok := in.replicas[name]
 	if !ok {
 		i = len(in.addresses)
 		in.replicas[name] = i
-		in.addresses = append(in.addresses, f.text("replica"))
+		in.addresses = append(in.addresses, f.Text("replica"))
 	}
 	return i
 }
 
 // knock takes in a query or one of its parts.
-func (in *instance) knock(now int64, f *fields) error {
+func (in *instance) knock(now int64, f *fields.Object) error {
 	var id uint64
 	var group int64
-	f.into("rid", &id)
-	f.into("group_no", &group)
-	shard, measure := f.int("slab"), f.number("measure")
-	if f.err != nil {
-		return f.err
+	f.Into("rid", &id)
+	f.Into("group_no", &group)
+	shard, measure := f.Int("slab"), f.Number("measure")
+	if f.Err != nil {
+		return f.Err
 	}
 	if shard >= 0 {
 		q := in.groups[group]
@@ -287,13 +289,13 @@
 		q.query.AddPart(shard, measure)
 		return nil
 	}
-	w, ok := in.workloads[f.string("grade")]
+	w, ok := in.workloads[f.String("grade")]
 	if !ok {
-		f.fail("grade", "is not among the classes")
+		f.Fail("grade", "is not among the classes")
 	}
-	a := balance.Arrival{Workload: w, Patience: f.time("grace"), Parts: int(measure)}
-	if f.err != nil {
-		return f.err
+	a := balance.Arrival{Workload: w, Patience: f.Time("grace"), Parts: int(measure)}
+	if f.Err != nil {
+		return f.Err
 	}
 	q := &held{id: id, group: group, query: in.agg.Take(now, a)}
 	in.requests[id] = request{q, -1}
@@ -303,14 +305,14 @@
 }
 
 // response books the outcome of an execution.
-func (in *instance) response(now int64, f *fields) error {
+func (in *instance) response(now int64, f *fields.Object) error {
 	var id uint64
-	f.into("rid", &id)
-	execution, took, result := f.int("attempt"), f.time("cost_time"), resultOf(f)
+	f.Into("rid", &id)
+	execution, took, result := f.Int("attempt"), f.Time("cost_time"), resultOf(f)
 	var load []float64
-	f.may("gauge", &load)
-	if f.err != nil {
-		return f.err
+	f.May("gauge", &load)
+	if f.Err != nil {
+		return f.Err
 	}
 	r, ok := in.requests[id]
 	if !ok || r.part < 0 {
@@ -342,19 +344,19 @@
 }
 
 // resultOf decodes an outcome code.
-func resultOf(f *fields) balance.Result {
+func resultOf(f *fields.Object) balance.Result {
 	codes := [...]string{
 		balance.Fulfilled: "ok", balance.Errored: "error", balance.Full: "full", balance.TimedOut: "timeout",
 		balance.ConnectFailed: "connect_failed", balance.Reset: "reset", balance.Cancelled: "cancelled",
 		balance.Moot: "moot",
 	}
-	how := f.string("how")
+	how := f.String("how")
 	for r, code := range codes {
 		if code == how {
 			return balance.Result(r)
 		}
 	}
-	f.fail("how", "is unknown")
+	f.Fail("how", "is unknown")
 	return balance.Errored
 }
 
@@ -371,7 +373,7 @@
 }
 
 func (h *host) encode(who int, in *instance, round *balance.Round) {
-	ms := func(ns int64) string { return strconv.FormatFloat(millis(ns), 'f', -1, 64) }
+	ms := func(ns int64) string { return strconv.FormatFloat(fields.Millis(ns), 'f', -1, 64) }
 	for _, s := range round.Sends {
 		q := in.handles[s.Query]
 		q.out++
