--- a/cmd/willowsill/main.go
+++ b/cmd/willowsill/main.go
@@ -30,8 +30,9 @@
 const (
 	memoryShare = 0.7 // of the limit for the heap: the rest is for stacks, sockets and the runtime
 	logEach     = time.Second
-	logFirst    = 5   // lines of one text in each logEach, then
-	logThen     = 100 // every so many
+	logFirst    = 5                      // lines of one text in each logEach, then
+	logThen     = 100                    // every so many
+	leastWait   = 3 * int64(time.Second) // for what is under way when it is told to stop
 )
 
 func main() {
@@ -72,11 +73,13 @@
 	budget := sockets.NewBudget(start.Sockets)
 	clock := node.NewClock()
 
+	// TCP's own keep-alive would not notice a machine that vanished, and parts have limits of their own.
+	dialer := net.Dialer{KeepAlive: -1}
 	var core *node.Node
 	watch := roster.NewWatch(start.Discovery, start.Cells, known.Sequence,
-		func(ctx context.Context, n roster.News) { core.News(ctx, n) })
+		(&net.Dialer{}).DialContext, func(ctx context.Context, n roster.News) { core.News(ctx, n) })
 	core = node.New(node.Plan{Clock: clock, Deployment: start.Deployment, Terms: start.Terms, Known: known,
-		Budget: budget, Count: count, Log: log, Ask: watch.Ask})
+		Budget: budget, Count: count, Log: log, Ask: watch.Ask, Dial: dialer.DialContext})
 	watching, unwatch := context.WithCancel(context.Background())
 	defer unwatch()
 	watched := make(chan struct{})
@@ -90,7 +93,7 @@
 		return fmt.Errorf("variable NODE_LISTEN: %w", err)
 	}
 	server := front.NewServer(&front.Front{Core: core, Clock: clock, Workload: start.Workload,
-		Shards: start.Shards, Count: count, Log: log}, listener.(*net.TCPListener), budget)
+		Shards: start.Shards, Count: count, Log: log}, listener, budget)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve() }()
 	log.Info("serving", zap.String("listen", start.Listen), zap.Int("known", len(known.Entries)))
@@ -101,7 +104,7 @@
 	case <-stop.Done():
 	}
 	log.Info("leaving")
-	err = server.Stop(context.Background())
+	err = server.Stop(time.Duration(max(start.LongestCutOff, leastWait)))
 	if e := <-served; err == nil && !errors.Is(e, http.ErrServerClosed) {
 		err = e
 	}
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -47,8 +47,11 @@
 		}
 	}
 	for i, raw := range boot.List("classes") {
-		if i >= len(need) || i >= len(floor) || i >= len(partial) || i >= len(followUp) {
-			return d, fmt.Errorf("field %q is shorter than the list of classes", "domain")
+		for key, n := range map[string]int{"class_need": len(need), "class_floor": len(floor),
+			"incomplete_worth": len(partial), "follow_up": len(followUp)} {
+			if i >= n {
+				return d, fmt.Errorf("field %q is shorter than the list of classes", key)
+			}
 		}
 		c := &fields.Object{Raw: raw}
 		w := balance.Workload{
--- a/deployment/start.go
+++ b/deployment/start.go
@@ -17,6 +17,7 @@
 	Streams       int   // calls at a time on one connection to a replica
 	ConnectWithin int64 // a connection to a replica is up by then, or not at all
 	IdleAfter     int64 // a replica closes a connection that has carried nothing for so long
+	LongestCutOff int64 // of all workloads
 }
 
 // Start is what one aggregator on sockets is told at its start.
@@ -116,15 +117,31 @@
 	caps := statement.Object("caps")
 	s.Terms = Terms{MostHeld: caps.Int("most_held"), Streams: caps.Int("streams_per_conn"),
 		ConnectWithin: caps.Time("connect_timeout"), IdleAfter: caps.Time("conn_idle")}
-	for key, v := range map[string]int64{"most_held": int64(s.MostHeld), "streams_per_conn": int64(s.Streams),
-		"connect_timeout": s.ConnectWithin, "conn_idle": s.IdleAfter} {
-		if v <= 0 {
-			caps.Fail(key, "is not above 0")
-		}
-	}
 	if caps.Err != nil {
 		return fmt.Errorf("settings: caps: %w", caps.Err)
 	}
+	for _, c := range []struct {
+		key   string
+		value int64
+	}{{"most_held", int64(s.MostHeld)}, {"streams_per_conn", int64(s.Streams)},
+		{"connect_timeout", s.ConnectWithin}, {"conn_idle", s.IdleAfter},
+		{"max_attempts", int64(s.MaxExecutions)}, {"tick", s.Tick}, {"slices", int64(s.Shards)},
+		{"cells", int64(s.Cells)}, {"in_a_row", int64(s.Reach)}, {"parts_a_call", int64(s.PartsPerCall)},
+		{"classes", int64(len(s.Workloads))}} {
+		if c.value <= 0 {
+			return fmt.Errorf("settings: field %q is not above 0", c.key)
+		}
+	}
+	if mode := statement.String("membership_mode"); mode != "push" && mode != "ask" {
+		return fmt.Errorf("settings: field %q is unknown", "membership_mode")
+	}
+	for _, raw := range statement.List("classes") {
+		c := &fields.Object{Raw: raw}
+		s.LongestCutOff = max(s.LongestCutOff, c.Time("give_up"))
+		if c.Err != nil {
+			return fmt.Errorf("settings: classes: %w", c.Err)
+		}
+	}
 	for _, w := range s.Workloads {
 		if w.FollowUp > 0 { // the protocol with clients and replicas has no form for it
 			return errors.New(`settings: field "follow_up": a second step is not served on sockets`)
--- /dev/null
+++ b/deployment/start_test.go
@@ -0,0 +1,93 @@
+package deployment
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const good = `{"name":"n3","listen":"127.0.0.4:8081","discovery":"127.0.0.1:8500","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"seq":41,"whole":true,"hosts":[]},
+"settings":{"balancers":2,"index":1,"tick":5,"membership_mode":"push",
+"caps":{"cancel":true,"conn_idle":15000,"connect_timeout":250,"max_attempts":3,"max_retry_after":2000,
+"most_held":277,"retry_after":true,"streams_per_conn":32},
+"classes":[{"give_up":3000,"late_worth":0.3,"name":"report","repeat":"free","slo":1500,"window":5000}],
+"domain":{"cells":6,"class_floor":[1],"class_need":[1],"follow_up":[0],"in_a_row":1,"incomplete_worth":[0.9],
+"parts_a_call":1,"slices":12},
+"guarantees":{"cold_from":0.16,"fall":1000,"fall_multiple":4,"ramp_time":16000}}}`
+
+// environment is what a process is started with, and where the configuration stands.
+func environment(t *testing.T, text string) map[string]string {
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return map[string]string{"NODE_CONFIG": path, "NODE_NAME": "n3", "NODE_LISTEN": "127.0.0.4:8081",
+		"NODE_DISCOVERY": "127.0.0.1:8500"}
+}
+
+func TestStart(t *testing.T) {
+	env := environment(t, strings.Replace(good, `"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},`, "", 1))
+	s, err := FromEnvironment(func(k string) string { return env[k] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Seed != 0x8c1f30d27a5be964 || s.Sockets != 1024 || s.Memory != 192<<20 || s.Cores != 1 || s.Listen != "127.0.0.4:8081" {
+		t.Errorf("read %+v", s)
+	}
+	if s.Terms != (Terms{MostHeld: 277, Streams: 32, ConnectWithin: 250e6, IdleAfter: 15e9, LongestCutOff: 3e9}) {
+		t.Errorf("read the terms %+v", s.Terms)
+	}
+	if s.Tick != 5e6 || s.Number != 1 || s.Workload["report"] != 0 || s.Workloads[0].LatencyGoal != 1500e6 {
+		t.Errorf("read the deployment %+v", s.Deployment)
+	}
+}
+
+// Each message names the key or the variable at fault.
+func TestStartFaults(t *testing.T) {
+	for name, c := range map[string]struct{ old, new, want string }{
+		"not JSON":      {good, "{", "not a JSON object"},
+		"no seed":       {`"seed":"8c1f30d27a5be964",`, "", `"seed" is missing`},
+		"odd seed":      {`"8c1f30d27a5be964"`, `"seven"`, `"seed" is no number`},
+		"no statement":  {`"settings":`, `"other":`, `"settings" is missing`},
+		"no tick":       {`"tick":5,`, "", `"tick" is missing`},
+		"no tick, 0":    {`"tick":5,`, `"tick":0,`, `"tick" is not above 0`},
+		"form":          {`"tick":5,`, `"tick":"5",`, `"tick" has the wrong form`},
+		"effect":        {`"free"`, `"often"`, `"repeat" is unknown`},
+		"membership":    {`"push"`, `"shout"`, `"membership_mode" is unknown`},
+		"no cells":      {`"cells":6`, `"cells":0`, `"cells" is not above 0`},
+		"few floors":    {`"class_floor":[1]`, `"class_floor":[]`, `"class_floor" is shorter`},
+		"no classes":    {`"classes":[{"give_up":3000,"late_worth":0.3,"name":"report","repeat":"free","slo":1500,"window":5000}]`, `"classes":[]`, `"classes" is not above 0`},
+		"no cut-off":    {`"give_up":3000,`, "", `"give_up" is missing`},
+		"second step":   {`"follow_up":[0]`, `"follow_up":[2]`, `"follow_up"`},
+		"nothing held":  {`"most_held":277`, `"most_held":0`, `"most_held" is not above 0`},
+		"no idle time":  {`"conn_idle":15000,`, "", `"conn_idle" is missing`},
+		"few sockets":   {`"sockets":1024`, `"sockets":3`, `"sockets" is too small`},
+		"memory's form": {`"memory_mb":192`, `"memory_mb":"192"`, `"memory_mb" has the wrong form`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			if !strings.Contains(good, c.old) {
+				t.Fatalf("%q is not there", c.old)
+			}
+			env := environment(t, strings.Replace(good, c.old, c.new, 1))
+			_, err := FromEnvironment(func(k string) string { return env[k] })
+			if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
+				t.Errorf("got %v, want %s", err, c.want)
+			}
+		})
+	}
+	for _, variable := range []string{"NODE_CONFIG", "NODE_NAME", "NODE_LISTEN", "NODE_DISCOVERY"} {
+		env := environment(t, good)
+		for _, value := range []string{"", "nonsense"} {
+			env[variable] = value
+			_, err := FromEnvironment(func(k string) string { return env[k] })
+			if variable == "NODE_NAME" && value != "" {
+				continue
+			}
+			if err == nil || !strings.Contains(err.Error(), variable) {
+				t.Errorf("%s=%q gave %v", variable, value, err)
+			}
+		}
+	}
+}
--- a/front/front.go
+++ b/front/front.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -84,11 +85,7 @@
 			panic(http.ErrAbortHandler)
 		}
 	}()
-	select {
-	case <-f.closing:
-		w.Header().Set("Connection", "close")
-	default:
-	}
+	f.farewell(w)
 	switch r.URL.Path {
 	case "/healthz":
 		f.health(w, r)
@@ -99,16 +96,25 @@
 	}
 }
 
+// farewell has an answer close its connection once the word to stop has come.
+func (f *Front) farewell(w http.ResponseWriter) bool {
+	select {
+	case <-f.closing:
+		w.Header().Set("Connection", "close")
+		return true
+	default:
+		return false
+	}
+}
+
 func (f *Front) health(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodGet && r.Method != http.MethodHead {
 		f.refuse(w, refusal{http.StatusMethodNotAllowed, "GET only"})
 		return
 	}
-	select {
-	case <-f.closing:
+	if f.farewell(w) {
 		http.Error(w, "leaving", http.StatusServiceUnavailable)
 		return
-	default:
 	}
 	select {
 	case <-f.Core.Ready():
@@ -137,6 +143,7 @@
 	if !ok {
 		return // nobody reads it
 	}
+	f.farewell(w) // the word to stop may have come meanwhile
 	f.write(w, a)
 }
 
@@ -144,8 +151,8 @@
 // is not told; the earliest that is known of it is when its first byte came.
 func (f *Front) read(w http.ResponseWriter, r *http.Request) (q node.Query, err error) {
 	began := f.Clock.Now()
-	if t, ok := r.Context().Value(firstByte{}).(*conn); ok {
-		began = min(began, t.active.Load())
+	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+		began = min(began, c.began())
 	}
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	row, known := f.Workload[name]
@@ -168,11 +175,14 @@
 	}
 	q.Until = began + wait*unit
 
-	// A body that trickles holds its connection no longer than the client waits.
+	// Danger: a body that never ends would hold its connection for ever, here or in the stock server, which
+	// reads on after the answer. So the limit stays where the body did not come.
 	control := http.NewResponseController(w)
 	control.SetReadDeadline(time.Now().Add(time.Duration(q.Until - f.Clock.Now())))
 	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
-	control.SetReadDeadline(time.Time{})
+	if err == nil {
+		control.SetReadDeadline(time.Time{})
+	}
 	var long *http.MaxBytesError
 	switch {
 	case errors.As(err, &long):
@@ -254,7 +264,8 @@
 		}
 		w.Header().Set("Content-Type", "application/json")
 		w.Header().Set("Content-Length", strconv.Itoa(text.Len()))
-		if _, err := w.Write(text.Bytes()); err != nil {
+		_, err := w.Write(text.Bytes())
+		if err = cmp.Or(err, http.NewResponseController(w).Flush()); err != nil {
 			f.Count.Undelivered.Add(1)
 		}
 	case balance.Declined:
--- /dev/null
+++ b/front/front_test.go
@@ -0,0 +1,313 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"willowsill/balance"
+	"willowsill/counters"
+	"willowsill/internal/pipes"
+	"willowsill/node"
+	"willowsill/sockets"
+)
+
+// core answers each query as serve says.
+type core struct {
+	serve func(context.Context, node.Query) (node.Answer, bool)
+	ready chan struct{}
+}
+
+func (c *core) Serve(ctx context.Context, q node.Query) (node.Answer, bool) { return c.serve(ctx, q) }
+func (c *core) Ready() <-chan struct{}                                      { return c.ready }
+
+// makeFront makes a front before a core that is ready.
+func makeFront(serve func(context.Context, node.Query) (node.Answer, bool)) *Front {
+	c := &core{serve, make(chan struct{})}
+	close(c.ready)
+	return &Front{Core: c, Clock: node.NewClock(), Workload: map[string]int{"report": 0, "lookup": 1}, Shards: 12,
+		Count: counters.New(nil), Log: zap.NewNop()}
+}
+
+const goodBody = `{"segments":[{"segment":3,"boost":0.25,"work":9000},{"segment":9,"boost":0.75}],"text":"c41e77d0"}`
+
+func request(method, path, body string, header ...string) *http.Request {
+	r := httptest.NewRequest(method, path, strings.NewReader(body))
+	for _, h := range append([]string{"X-Qos: lookup", "X-Trace-Id: 9b1f", "X-Expires-In-Ms: 480"}, header...) {
+		name, value, _ := strings.Cut(h, ": ")
+		r.Header.Set(name, value)
+	}
+	return r
+}
+
+func TestIntake(t *testing.T) {
+	for name, c := range map[string]struct {
+		request *http.Request
+		status  int
+	}{
+		"good":           {request("POST", "/lookup", goodBody), 200},
+		"longer path":    {request("POST", "/lookup/a/b?c=d", goodBody), 200},
+		"method":         {request("GET", "/lookup", goodBody), 405},
+		"path":           {request("POST", "/other", goodBody), 404},
+		"no path":        {request("POST", "/", goodBody), 404},
+		"other workload": {request("POST", "/lookup", goodBody, "X-Qos: report"), 400},
+		"no id":          {request("POST", "/lookup", goodBody, "X-Trace-Id: "), 400},
+		"id with spaces": {request("POST", "/lookup", goodBody, "X-Trace-Id: a b"), 400},
+		"no time":        {request("POST", "/lookup", goodBody, "X-Expires-In-Ms: "), 400},
+		"odd time":       {request("POST", "/lookup", goodBody, "X-Expires-In-Ms: -1"), 400},
+		"endless time":   {request("POST", "/lookup", goodBody, "X-Expires-In-Ms: 99999999999999"), 400},
+		"no body":        {request("POST", "/lookup", ""), 400},
+		"no JSON":        {request("POST", "/lookup", "{"), 400},
+		"no parts":       {request("POST", "/lookup", `{"segments":[],"text":"a"}`), 400},
+		"no text":        {request("POST", "/lookup", `{"segments":[{"segment":1,"boost":1}]}`), 400},
+		"no shard":       {request("POST", "/lookup", `{"segments":[{"boost":1}],"text":"a"}`), 400},
+		"no share":       {request("POST", "/lookup", `{"segments":[{"segment":1}],"text":"a"}`), 400},
+		"no shares":      {request("POST", "/lookup", `{"segments":[{"segment":1,"boost":0}],"text":"a"}`), 400},
+		"out of range":   {request("POST", "/lookup", `{"segments":[{"segment":12,"boost":1}],"text":"a"}`), 400},
+		"below range":    {request("POST", "/lookup", `{"segments":[{"segment":-1,"boost":1}],"text":"a"}`), 400},
+		"twice":          {request("POST", "/lookup", `{"segments":[{"segment":1,"boost":1},{"segment":1,"boost":1}],"text":""}`), 400},
+		"64 KiB":         {request("POST", "/lookup", goodBody+strings.Repeat(" ", bodyMost-len(goodBody))), 200},
+		"over 64 KiB":    {request("POST", "/lookup", goodBody+strings.Repeat(" ", bodyMost)), 413},
+		"health":         {request("GET", "/healthz", ""), 200},
+		"health, POST":   {request("POST", "/healthz", ""), 405},
+		"counters":       {request("GET", "/counters", ""), 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			served := 0
+			f := makeFront(func(_ context.Context, q node.Query) (node.Answer, bool) {
+				served++
+				if got := fmt.Sprint(q.ID, q.Workload, string(q.Text), q.Parts); got != "9b1f1c41e77d0[{3 0.25} {9 0.75}]" {
+					t.Errorf("the core got %s", got)
+				}
+				if left := q.Until - makeClock.Now(); left > 480e6 {
+					t.Errorf("the client has %d ns left", left)
+				}
+				return node.Answer{Final: balance.Whole}, true
+			})
+			f.Clock = makeClock
+			w := httptest.NewRecorder()
+			f.ServeHTTP(w, c.request)
+			if w.Code != c.status || served > 0 && c.status != 200 {
+				t.Errorf("status %d, want %d; the core was asked %d times", w.Code, c.status, served)
+			}
+		})
+	}
+}
+
+var makeClock = node.NewClock()
+
+func TestAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer node.Answer
+		want   string
+	}{
+		"whole": {node.Answer{Final: balance.Whole, Values: []node.Value{{Shard: 3, Value: `5be2"<é`}, {Shard: 9}}},
+			`200  {"all_in":true,"matches":[{"segment":3,"payload":"5be2\"<é"},{"segment":9,"payload":""}]}`},
+		"partial":   {node.Answer{Final: balance.Partial, Values: []node.Value{{Shard: 3, Value: "a"}}}, `200  {"all_in":false,"matches":[{"segment":3,"payload":"a"}]}`},
+		"declined":  {node.Answer{Final: balance.Declined}, "503  declined"},
+		"come back": {node.Answer{Final: balance.Declined, ComeBack: 1_000_000_001}, "503 1.001 declined"},
+		"forfeited": {node.Answer{Final: balance.Forfeited}, "500  no answer"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := httptest.NewRecorder()
+			makeFront(func(context.Context, node.Query) (node.Answer, bool) { return c.answer, true }).
+				ServeHTTP(w, request("POST", "/lookup", goodBody))
+			got := fmt.Sprint(w.Code, " ", w.Header().Get("Retry-After"), " ", strings.TrimSpace(w.Body.String()))
+			if got != c.want {
+				t.Errorf("answered %s", got)
+			}
+		})
+	}
+}
+
+// on plays a test against a server in a bubble of its own time. In the end nothing may be left running, and
+// no descriptor taken.
+func on(t *testing.T, serve func(context.Context, node.Query) (node.Answer, bool), play func(*Server, func() *client)) {
+	synctest.Test(t, func(t *testing.T) {
+		network, budget := &pipes.Network{}, sockets.NewBudget(64)
+		s := NewServer(makeFront(serve), network.Listen("w:1"), budget)
+		served := make(chan error, 1)
+		go func() { served <- s.Serve() }()
+		play(s, func() *client {
+			c, err := network.Dial(t.Context(), "", "w:1")
+			if err != nil {
+				return nil
+			}
+			return &client{c, bufio.NewReader(c)}
+		})
+		select {
+		case <-s.front.closing:
+		default:
+			if err := s.Stop(time.Second); err != nil {
+				t.Error(err)
+			}
+		}
+		if err := <-served; err != http.ErrServerClosed {
+			t.Error(err)
+		}
+		synctest.Wait()
+		if n := budget.Taken(sockets.Clients); n != 0 {
+			t.Errorf("%d descriptors are still taken", n)
+		}
+	})
+}
+
+// client is one connection of a client.
+type client struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+const sent = "POST /lookup HTTP/1.1\r\nHost: h\r\nX-Qos: lookup\r\nX-Trace-Id: 9b1f\r\nX-Expires-In-Ms: 480\r\nContent-Length: "
+
+func (c *client) send() { fmt.Fprintf(c, "%s%d\r\n\r\n%s", sent, len(goodBody), goodBody) }
+
+// status is that of the next answer, 0 for none; closing tells whether it is the connection's last.
+func (c *client) status() (code int, closing bool) {
+	r, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return 0, true
+	}
+	io.Copy(io.Discard, r.Body)
+	return r.StatusCode, r.Close
+}
+
+func whole(context.Context, node.Query) (node.Answer, bool) {
+	return node.Answer{Final: balance.Whole}, true
+}
+
+func TestClientLeaves(t *testing.T) {
+	left := make(chan struct{})
+	on(t, func(ctx context.Context, _ node.Query) (node.Answer, bool) {
+		<-ctx.Done()
+		close(left)
+		return node.Answer{}, false
+	}, func(_ *Server, dial func() *client) {
+		c := dial()
+		c.send()
+		synctest.Wait()
+		c.Close()
+		synctest.Wait()
+		select {
+		case <-left:
+		default:
+			t.Error("the core was not told")
+		}
+	})
+}
+
+// Danger: a client's time runs from when it sent, however slowly its request comes.
+func TestSlowRequest(t *testing.T) {
+	var until, began int64
+	on(t, func(_ context.Context, q node.Query) (node.Answer, bool) {
+		until = q.Until
+		return node.Answer{Final: balance.Whole}, true
+	}, func(s *Server, dial func() *client) {
+		c := dial()
+		for range 2 { // on a new connection, and on one that has stood idle
+			time.Sleep(3 * time.Second)
+			began = s.front.Clock.Now()
+			fmt.Fprint(c, sent[:60])
+			time.Sleep(100 * time.Millisecond)
+			fmt.Fprintf(c, "%s%d\r\n\r\n%s", sent[60:], len(goodBody), goodBody[:9])
+			time.Sleep(100 * time.Millisecond)
+			fmt.Fprint(c, goodBody[9:])
+			if code, _ := c.status(); code != 200 || until != began+480e6 {
+				t.Errorf("status %d, %d ns from the first byte on", code, until-began)
+			}
+		}
+		fmt.Fprintf(c, "%s%d\r\n\r\n%s", sent, len(goodBody), goodBody[:9])
+		began = s.front.Clock.Now()
+		if code, closing := c.status(); code != 400 || !closing || s.front.Clock.Now() != began+480e6 {
+			t.Errorf("a body that never ends got %d after %d ns", code, s.front.Clock.Now()-began)
+		}
+	})
+}
+
+func TestPanic(t *testing.T) {
+	on(t, func(_ context.Context, q node.Query) (node.Answer, bool) { panic(q.ID) }, func(s *Server, dial func() *client) {
+		for range 2 {
+			c := dial()
+			c.send()
+			if code, _ := c.status(); code != 0 {
+				t.Errorf("status %d", code)
+			}
+		}
+		if n := s.front.Count.Panics.Load(); n != 2 {
+			t.Errorf("%d panics", n)
+		}
+	})
+}
+
+// Danger: a flood of connections must not take the descriptors that replicas need; idle clients go first.
+func TestFlood(t *testing.T) {
+	on(t, whole, func(s *Server, dial func() *client) {
+		idle := dial()
+		idle.send()
+		idle.status()
+		for i := range 200 {
+			c := dial()
+			synctest.Wait()
+			if i == 150 {
+				c.send()
+				if code, _ := c.status(); code != 200 {
+					t.Errorf("status %d in the flood", code)
+				}
+			}
+		}
+		if most := s.budget.Taken(sockets.Clients); most > 12 {
+			t.Errorf("%d descriptors are taken by clients, of 12", most)
+		}
+		if code, _ := idle.status(); code != 0 {
+			t.Error("the idle client is still there")
+		}
+	})
+}
+
+// Danger: the stock shutdown loses what waits to be accepted, and clients that come a little later.
+func TestStop(t *testing.T) {
+	on(t, func(_ context.Context, q node.Query) (node.Answer, bool) {
+		time.Sleep(150 * time.Millisecond)
+		return node.Answer{Final: balance.Whole}, true
+	}, func(s *Server, dial func() *client) {
+		underWay, idle, fresh := dial(), dial(), dial()
+		idle.send()
+		idle.status()
+		underWay.send()
+		stopped := make(chan error, 1)
+		began := time.Now()
+		go func() { stopped <- s.Stop(3 * time.Second) }()
+		synctest.Wait()
+		if code, closing := underWay.status(); code != 200 || !closing {
+			t.Errorf("what was under way got %d, closing %t", code, closing)
+		}
+		for range 3 {
+			late := dial()
+			late.send()
+			if code, closing := late.status(); code != 200 || !closing {
+				t.Errorf("a late client got %d, closing %t", code, closing)
+			}
+		}
+		for _, c := range []*client{idle, fresh} {
+			if code, _ := c.status(); code != 0 {
+				t.Errorf("who asked nothing got %d", code)
+			}
+		}
+		if err := <-stopped; err != nil || time.Since(began) > 2*time.Second {
+			t.Errorf("stopped after %v with %v", time.Since(began), err)
+		}
+		if dial() != nil {
+			t.Error("clients are still accepted")
+		}
+	})
+}
--- a/front/server.go
+++ b/front/server.go
@@ -5,7 +5,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -14,30 +13,58 @@
 )
 
 const (
-	headerWait = 30 * time.Second       // that a new connection may take to bring its first header
+	headerWait = 30 * time.Second       // that a connection may take to bring a request's header
 	headerMost = 32 << 10               // bytes
-	stillComes = 600 * time.Millisecond // after the word to stop, new connections are accepted for so long
-	lastWait   = 3 * time.Second        // and what is under way then is waited for so long
+	stillComes = 600 * time.Millisecond // after the word to stop, new connections are accepted for so long,
+	quiet      = 100 * time.Millisecond // and until none has come for so long,
+	quietMost  = time.Second            // at most
 	crowdWait  = 5 * time.Millisecond   // between two looks for a client's connection to close
 )
 
-// firstByte is the key of a connection in a request's context.
-type firstByte struct{}
+// connKey is the key of a connection in its requests' contexts.
+type connKey struct{}
 
-// conn is one client's connection.
+// conn is one client's connection. It waits while no byte of a next request has come.
 type conn struct {
 	net.Conn
-	active atomic.Int64 // when the first byte of its present request came, ns
-	since  int64        // in its present state
-	state  http.ConnState
+	server *Server
 	once   sync.Once
-	closed func()
+
+	// Under the server's lock.
+	waits bool
+	fresh bool  // no request has come yet
+	since int64 // waits since, or the first byte of the present request came, ns
+}
+
+// Read notes when the first byte of a request comes: the stock server tells only when a header is whole.
+func (c *conn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.server.mu.Lock()
+		if c.waits {
+			c.waits, c.fresh, c.since = false, false, c.server.front.Clock.Now()
+		}
+		c.server.mu.Unlock()
+	}
+	return n, err
+}
+
+// began tells when the first byte of the present request came.
+func (c *conn) began() int64 {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return c.since
 }
 
 // Close closes the connection and gives its descriptor back, once.
 func (c *conn) Close() error {
 	err := c.Conn.Close()
-	c.once.Do(c.closed)
+	c.once.Do(func() {
+		c.server.mu.Lock()
+		delete(c.server.conns, c)
+		c.server.mu.Unlock()
+		c.server.budget.Give(sockets.Clients)
+	})
 	return err
 }
 
@@ -45,21 +72,22 @@
 type Server struct {
 	front    *Front
 	budget   *sockets.Budget
-	listener *net.TCPListener
+	listener net.Listener
 	http     http.Server
 
-	mu    sync.Mutex
-	conns map[*conn]struct{}
+	mu      sync.Mutex
+	conns   map[*conn]struct{}
+	arrived time.Time // the last connection
 }
 
 // NewServer makes a server on a listener.
-func NewServer(f *Front, l *net.TCPListener, b *sockets.Budget) *Server {
+func NewServer(f *Front, l net.Listener, b *sockets.Budget) *Server {
 	f.closing = make(chan struct{})
 	s := &Server{front: f, budget: b, listener: l, conns: map[*conn]struct{}{}}
 	s.http = http.Server{Handler: f, ReadHeaderTimeout: headerWait, MaxHeaderBytes: headerMost,
 		ErrorLog: zap.NewStdLog(f.Log), ConnState: s.note,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
-			return context.WithValue(ctx, firstByte{}, c)
+			return context.WithValue(ctx, connKey{}, c)
 		}}
 	return s
 }
@@ -75,56 +103,44 @@
 
 // Accept returns the next connection.
 //
-// Danger: out of descriptors the process can neither answer nor reach a replica. At the limit idle
-// connections are closed, the oldest first; what waits to be accepted waits.
+// Danger: out of descriptors the process can neither answer nor reach a replica. At the limit connections
+// that wait are closed; what has not been accepted stays where it is until then.
 func (l listener) Accept() (net.Conn, error) {
+	accepted, err := l.listener.Accept()
+	if err != nil {
+		return nil, err
+	}
 	for !l.budget.Take(sockets.Clients) {
-		if !l.closeIdle() {
+		if !l.closeWaiting() {
 			time.Sleep(crowdWait)
 		}
 	}
-	accepted, err := l.listener.AcceptTCP()
-	if err != nil {
-		l.budget.Give(sockets.Clients)
-		return nil, err
-	}
 	l.front.Count.ClientsAccepted.Add(1)
-	c := &conn{Conn: accepted, since: l.front.Clock.Now(), state: http.StateNew}
-	c.active.Store(c.since)
-	c.closed = func() {
-		l.budget.Give(sockets.Clients)
-		l.mu.Lock()
-		delete(l.conns, c)
-		l.mu.Unlock()
-	}
+	c := &conn{Conn: accepted, server: l.Server, waits: true, fresh: true, since: l.front.Clock.Now()}
 	l.mu.Lock()
+	l.arrived = time.Now()
 	l.conns[c] = struct{}{}
 	l.mu.Unlock()
 	return c, nil
 }
 
-// note follows the state of a connection.
+// note follows the stock server: a connection waits again once its answer is out.
 func (s *Server) note(n net.Conn, state http.ConnState) {
-	c := n.(*conn)
-	now := s.front.Clock.Now()
-	if state == http.StateActive {
-		c.active.Store(now)
+	if state == http.StateIdle {
+		c := n.(*conn)
+		s.mu.Lock()
+		c.waits, c.since = true, s.front.Clock.Now()
+		s.mu.Unlock()
 	}
-	s.mu.Lock()
-	c.state, c.since = state, now
-	s.mu.Unlock()
 }
 
-// closeIdle closes the connection that has been idle for longest, or one that never brought a request.
-func (s *Server) closeIdle() bool {
+// closeWaiting closes the connection that has waited for longest; those that never brought a request come
+// last, for theirs is likely to be on its way.
+func (s *Server) closeWaiting() bool {
 	s.mu.Lock()
 	var oldest *conn
 	for c := range s.conns {
-		if c.state == http.StateActive {
-			continue
-		}
-		if oldest == nil || c.state == http.StateIdle && oldest.state == http.StateNew ||
-			c.state == oldest.state && c.since < oldest.since {
+		if c.waits && (oldest == nil || !c.fresh && oldest.fresh || c.fresh == oldest.fresh && c.since < oldest.since) {
 			oldest = c
 		}
 	}
@@ -137,18 +153,26 @@
 	return true
 }
 
-// Stop ends the service without losing a query.
+// Stop ends the service without losing a query; what is under way is waited for as long as lastWait.
 //
 // Danger: for a while after the word to stop clients still come, and what the machine has accepted counts as
-// taken. The stock shutdown closes the listener first, and loses what waits there. So all goes on as before
-// for that while, but every answer closes its connection; then the listener is closed.
-func (s *Server) Stop(ctx context.Context) error {
+// taken. The stock shutdown closes the listener first, and loses what waits there; it also waits seconds for
+// connections that never brought a request. So all goes on as before for that while, but every answer closes
+// its connection; then the listener is closed, and whatever waits.
+func (s *Server) Stop(lastWait time.Duration) error {
 	close(s.front.closing)
-	select {
-	case <-time.After(stillComes):
-	case <-ctx.Done():
+	began := time.Now()
+	for wait := stillComes; wait > 0 && time.Since(began) < quietMost; {
+		time.Sleep(wait)
+		s.mu.Lock()
+		wait = time.Until(s.arrived.Add(quiet))
+		s.mu.Unlock()
 	}
-	ctx, cancel := context.WithTimeout(ctx, lastWait)
+	s.http.RegisterOnShutdown(func() { // once the listener is closed
+		for s.closeWaiting() {
+		}
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), lastWait)
 	defer cancel()
 	return s.http.Shutdown(ctx)
 }
--- a/node/node.go
+++ b/node/node.go
@@ -90,6 +90,7 @@
 	Count      *counters.Counters
 	Log        *zap.Logger
 	Ask        func() // asks for a watch of the list; it must not wait
+	Dial       replica.Dial
 }
 
 // New starts a node.
@@ -105,9 +106,10 @@
 	}
 	n.agg = balance.New(n.Now(), p.Deployment.Deployment)
 	n.pool = replica.NewPool(replica.Terms{Streams: p.Terms.Streams, ConnectWithin: p.Terms.ConnectWithin,
-		IdleAfter: p.Terms.IdleAfter, Now: n.Now},
+		IdleAfter: p.Terms.IdleAfter, Now: n.Now, Dial: p.Dial},
 		func(v replica.Notice) { n.facts <- fact{n.Now(), v} }, p.Budget, p.Count)
 	n.bookNews(n.Now(), p.Known, false)
+	n.moved = true // the first round is for the list, which may have to be asked for
 	go n.run()
 	return n
 }
--- /dev/null
+++ b/node/node_test.go
@@ -0,0 +1,268 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"willowsill/balance"
+	"willowsill/counters"
+	"willowsill/deployment"
+	"willowsill/internal/pipes"
+	"willowsill/replica"
+	"willowsill/roster"
+	"willowsill/sockets"
+	"willowsill/standin"
+)
+
+// world is a node with stand-ins for all that is around it: two replicas, each holding both shards.
+type world struct {
+	*testing.T
+	*Node
+	network   *pipes.Network
+	discovery *standin.Discovery
+	count     *counters.Counters
+	listeners []*pipes.Listener
+}
+
+type answerer func(ctx context.Context, p replica.Part) (replica.Reply, bool)
+
+func host(i int, health string) standin.Host {
+	return standin.Host{Host: fmt.Sprint("s-", i), Dial: fmt.Sprint("r:", i), Health: health}
+}
+
+// on plays a test in a bubble of its own time. In the end nothing may be left running, held or taken.
+func on(t *testing.T, change func(*Plan), answer answerer, play func(*world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{T: t, network: &pipes.Network{}, discovery: standin.NewDiscovery(host(0, "active"), host(1, "active"))}
+		for i := range 2 {
+			l := w.network.Listen(fmt.Sprint("r:", i))
+			w.listeners = append(w.listeners, l)
+			go (&standin.Replica{Answer: answer}).Serve(l)
+		}
+		lists := &http.Server{Handler: w.discovery}
+		go lists.Serve(w.network.Listen("d:1"))
+		row := balance.Workload{LatencyGoal: 1000e6, LateShare: 0.3, Floor: 1, Need: 1, PartialShare: 0.9}
+		p := Plan{Clock: NewClock(), Log: zap.NewNop(), Budget: sockets.NewBudget(64), Dial: w.network.Dial,
+			Deployment: deployment.Deployment{Workload: map[string]int{"lookup": 0}, Deployment: balance.Deployment{
+				Aggregators: 1, Tick: 5e6, Workloads: []balance.Workload{row}, Shards: 2, Cells: 1, Reach: 1,
+				PartsPerCall: 1, MaxExecutions: 3, Cancels: true, ComeBack: true, MaxComeBack: 2000e6, ColdShare: 0.2,
+				ColdRamp: 9000e6, FallMultiple: 4, FallSpan: 1000e6}},
+			Terms: deployment.Terms{MostHeld: 30, Streams: 32, ConnectWithin: 250e6, IdleAfter: 15e9}}
+		p.Count = counters.New(p.Deployment.Workload)
+		w.count = p.Count
+		watch := roster.NewWatch("d:1", 1, 0, w.network.Dial, func(ctx context.Context, n roster.News) { w.News(ctx, n) })
+		p.Ask = watch.Ask
+		change(&p)
+		w.Node = New(p)
+		ctx, stop := context.WithCancel(t.Context())
+		watched := make(chan struct{})
+		go func() {
+			defer close(watched)
+			watch.Run(ctx, p.Deployment.AsksForList)
+		}()
+		<-w.Ready()
+		time.Sleep(10 * time.Millisecond) // the first rounds are over
+		play(w)
+		stop()
+		<-watched
+		w.Close()
+		lists.Close()
+		for _, l := range w.listeners {
+			l.Close()
+		}
+		if w.held != 0 || len(w.queries) != 0 || len(w.out) != 0 || p.Budget.Taken(sockets.Replicas) != 0 {
+			t.Errorf("left: %d held, %d queries, %d executions, %d descriptors", w.held, len(w.queries), len(w.out),
+				p.Budget.Taken(sockets.Replicas))
+		}
+	})
+}
+
+// serve asks for both shards and says how it went.
+func (w *world) serve(ctx context.Context, id string, patience time.Duration) string {
+	began := time.Now()
+	a, ok := w.Serve(ctx, Query{ID: id, Until: w.Now() + int64(patience), Text: []byte("text"),
+		Parts: []Part{{Shard: 0, Weight: 0.5}, {Shard: 1, Weight: 0.5}}})
+	if !ok {
+		return "left"
+	}
+	return fmt.Sprint(a.Final, a.Values, a.ComeBack/1e6, " after ", time.Since(began).Truncate(10*time.Millisecond))
+}
+
+func (w *world) expect(got, want string) {
+	w.Helper()
+	if got != want {
+		w.Errorf("got %q, want %q", got, want)
+	}
+}
+
+func value(_ context.Context, p replica.Part) (replica.Reply, bool) {
+	time.Sleep(50 * time.Millisecond)
+	return replica.Reply{ID: p.ID, Value: fmt.Sprint(p.ID, string(p.Text))}, true
+}
+
+func silent(ctx context.Context, _ replica.Part) (replica.Reply, bool) {
+	<-ctx.Done()
+	return replica.Reply{}, false
+}
+
+func asIs(*Plan) {}
+
+func TestQuery(t *testing.T) {
+	on(t, asIs, value, func(w *world) {
+		w.expect(w.serve(w.Context(), "q", 2*time.Second), "0 [{0 q.0text} {1 q.1text}] 0 after 50ms")
+		if x := &w.count.Executions; x.Sent.Load() != 2 || x.Fulfilled.Load() != 2 {
+			w.Errorf("%d sent, %d fulfilled", x.Sent.Load(), x.Fulfilled.Load())
+		}
+	})
+}
+
+func TestSharedCall(t *testing.T) {
+	on(t, func(p *Plan) { p.Deployment.PartsPerCall = 8 }, value, func(w *world) {
+		w.discovery.Change(host(1, "leaving"))
+		time.Sleep(10 * time.Millisecond)
+		w.expect(w.serve(w.Context(), "q", 2*time.Second), "0 [{0 q.0text} {1 q.1text}] 0 after 50ms")
+		if n := w.count.ConnectionsOpened.Load(); n != 1 {
+			w.Errorf("%d connections, and one replica is leaving", n)
+		}
+	})
+}
+
+// An answer must come before the client's time is up, whatever replicas do; with or without cancels.
+func TestSilentReplicas(t *testing.T) {
+	for _, cancels := range []bool{true, false} {
+		on(t, func(p *Plan) { p.Deployment.Cancels = cancels }, silent, func(w *world) {
+			got := w.serve(w.Context(), "q", 500*time.Millisecond)
+			if !strings.HasPrefix(got, "2 []") || !strings.HasSuffix(got, "after 480ms") {
+				w.Errorf("got %q", got)
+			}
+			time.Sleep(time.Second)
+		})
+	}
+}
+
+func TestErrorThenPeer(t *testing.T) {
+	first := true
+	on(t, asIs, func(ctx context.Context, p replica.Part) (replica.Reply, bool) {
+		if p.Shard == 0 && first {
+			first = false
+			return replica.Reply{ID: p.ID, End: replica.Failed}, true
+		}
+		return value(ctx, p)
+	}, func(w *world) {
+		w.expect(w.serve(w.Context(), "q", 2*time.Second), "0 [{0 q.0text} {1 q.1text}] 0 after 50ms")
+	})
+}
+
+func TestClientLeaves(t *testing.T) {
+	given := make(chan string, 8)
+	on(t, asIs, func(ctx context.Context, p replica.Part) (replica.Reply, bool) {
+		<-ctx.Done()
+		given <- p.ID
+		return replica.Reply{}, false
+	}, func(w *world) {
+		ctx, leave := context.WithTimeout(w.Context(), 100*time.Millisecond)
+		defer leave()
+		w.expect(w.serve(ctx, "q", 2*time.Second), "left")
+		time.Sleep(20 * time.Millisecond)
+		synctest.Wait()
+		if len(given) != 2 {
+			w.Errorf("%d parts were given up", len(given))
+		}
+	})
+}
+
+// Danger: a part that waits for its connection must not be sent once its query has its answer.
+func TestNothingAfterTheAnswer(t *testing.T) {
+	on(t, func(p *Plan) { p.Terms.ConnectWithin, p.Deployment.Cancels = 5e9, false }, value, func(w *world) {
+		w.network.Silence("r:0")
+		w.network.Silence("r:1")
+		w.serve(w.Context(), "q", 300*time.Millisecond)
+		time.Sleep(10 * time.Millisecond)
+		synctest.Wait()
+		if len(w.out) != 0 {
+			w.Errorf("%d executions wait to be sent", len(w.out))
+		}
+	})
+}
+
+// Danger: more than may be held is declined at once, and what is held is still served.
+func TestFlood(t *testing.T) {
+	on(t, asIs, value, func(w *world) {
+		answers := make(chan string, 40)
+		for i := range cap(answers) {
+			go func() { answers <- w.serve(w.Context(), fmt.Sprint("q", i), 2*time.Second) }()
+		}
+		served := 0
+		for range cap(answers) {
+			switch a := <-answers; a {
+			case "2 [] 0 after 0s", "2 [] 1000 after 0s": // by the node, by the module
+			default:
+				served++
+				if !strings.HasPrefix(a, "0 [{0 ") {
+					w.Errorf("answered %s", a)
+				}
+			}
+		}
+		if crowded := w.count.Crowded.Load(); crowded == 0 || served == 0 {
+			w.Errorf("%d declined for want of room, %d served", crowded, served)
+		}
+	})
+}
+
+func TestTimeIsUp(t *testing.T) {
+	on(t, asIs, value, func(w *world) {
+		w.expect(w.serve(w.Context(), "q", 0), "2 [] 0 after 0s")
+	})
+}
+
+func TestNoReplicas(t *testing.T) {
+	on(t, asIs, value, func(w *world) {
+		w.discovery.Change(host(0, "left"))
+		w.discovery.Change(host(1, "leaving"))
+		synctest.Wait()
+		got := w.serve(w.Context(), "q", time.Second)
+		if !strings.HasPrefix(got, "2 [] 1000") || w.count.Executions.Sent.Load() != 0 {
+			w.Errorf("got %q", got)
+		}
+	})
+}
+
+// What was known from an earlier life serves until discovery speaks; where it must be asked it is.
+func TestAskedList(t *testing.T) {
+	on(t, func(p *Plan) {
+		p.Deployment.AsksForList, p.Deployment.AskWithin = true, 10e9
+		p.Known = roster.News{Entries: []roster.Entry{{Host: "s-0", Dial: "r:9"}}}
+	}, value, func(w *world) {
+		time.Sleep(10 * time.Millisecond)
+		w.expect(w.serve(w.Context(), "q", 2*time.Second), "0 [{0 q.0text} {1 q.1text}] 0 after 50ms")
+		if w.count.ListNews.Load() < 2 || w.count.ListFailures.Load() != 0 {
+			w.Errorf("%d answers, %d failures", w.count.ListNews.Load(), w.count.ListFailures.Load())
+		}
+	})
+}
+
+// A replica that dies with parts out is no end for the query.
+func TestReplicaDies(t *testing.T) {
+	on(t, asIs, value, func(w *world) {
+		go func() {
+			time.Sleep(20 * time.Millisecond)
+			w.listeners[0].Close()
+		}()
+		w.expect(w.serve(w.Context(), "q", 2*time.Second), "0 [{0 q.0text} {1 q.1text}] 0 after 70ms")
+	})
+}
+
+func TestClock(t *testing.T) {
+	c := NewClock()
+	now, wall := c.Now(), time.Now().UnixMilli()
+	if d := c.Wall(wall) - now; d < -2e6 || d > 1e9 || c.Wall(0) != 0 || c.Wall(wall-3_600_000) <= 0 {
+		t.Errorf("the present is %d ns off", d)
+	}
+}
--- a/replica/connection.go
+++ b/replica/connection.go
@@ -69,8 +69,7 @@
 
 // run opens the connection, writes what is queued and reads replies until it breaks or is shut.
 func (c *connection) run(dial string) {
-	dialer := net.Dialer{Timeout: time.Duration(c.pool.ConnectWithin), KeepAlive: -1}
-	conn, err := dialer.DialContext(c.ctx, "tcp", dial)
+	conn, err := c.open(dial)
 	up := err == nil
 	if up {
 		var reading sync.WaitGroup
@@ -95,6 +94,13 @@
 	c.pool.tell(Notice{conn: c, at: c.pool.Now(), down: true, wasUp: up, Err: err})
 }
 
+// open dials within the time that the deployment states.
+func (c *connection) open(address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(c.ctx, time.Duration(c.pool.ConnectWithin))
+	defer cancel()
+	return c.pool.Dial(ctx, "tcp", address)
+}
+
 // write writes the frames of each round at once.
 func (c *connection) write(conn net.Conn) error {
 	var buf []byte
--- a/replica/frame.go
+++ b/replica/frame.go
@@ -7,17 +7,20 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strconv"
 	"strings"
 	"unicode/utf8"
 )
 
-// The letters that open frames of this service.
+// The letters that open frames.
 const (
-	letterCall   = 'R'
-	letterGiveUp = 'A'
-	letterReply  = 'Y'
-	letterNoUse  = 'N'
+	LetterCall   = 'R'
+	LetterGiveUp = 'A'
+	LetterReply  = 'Y'
+	LetterNoUse  = 'N'
+	LetterProbe  = 'G'
+	LetterLoad   = 'T'
 )
 
 const (
@@ -50,12 +53,20 @@
 	Value string
 }
 
+var endWords = [...]string{Ran: "OK", Failed: "ERROR", TurnedAway: "REJECTED"}
+
 var errNoUse = errors.New("the replica could not use a frame")
 
+// AppendFrame adds a frame to buf.
+func AppendFrame(buf []byte, letter byte, rest string) []byte {
+	buf = binary.BigEndian.AppendUint32(buf, uint32(1+len(rest)))
+	return append(append(buf, letter), rest...)
+}
+
 // appendCall adds the frame of one call to buf.
 func appendCall(buf []byte, parts []Part) []byte {
 	start := len(buf)
-	buf = append(buf, 0, 0, 0, 0, letterCall)
+	buf = AppendFrame(buf, LetterCall, "")
 	for _, p := range parts {
 		buf = append(append(buf, p.ID...), ' ')
 		buf = append(strconv.AppendInt(buf, int64(p.Shard), 10), " d="...)
@@ -67,14 +78,8 @@
 	return buf
 }
 
-// appendGiveUp adds the frame that gives a part up.
-func appendGiveUp(buf []byte, id string) []byte {
-	buf = binary.BigEndian.AppendUint32(buf, uint32(1+len(id)))
-	return append(append(buf, letterGiveUp), id...)
-}
-
-// readFrame returns the letter and the rest of the next frame.
-func readFrame(r *bufio.Reader) (byte, []byte, error) {
+// ReadFrame returns the letter and the rest of the next frame.
+func ReadFrame(r *bufio.Reader) (byte, []byte, error) {
 	var head [lengthBytes + 1]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
 		return 0, nil, err
@@ -93,15 +98,15 @@
 // readReply returns the next reply of a connection, passing over frames that tell nothing here.
 func readReply(r *bufio.Reader) (Reply, error) {
 	for {
-		letter, rest, err := readFrame(r)
+		letter, rest, err := ReadFrame(r)
 		switch {
 		case err != nil:
 			return Reply{}, err
-		case letter == letterReply:
+		case letter == LetterReply:
 			return parseReply(rest)
-		case letter == letterNoUse:
+		case letter == LetterNoUse:
 			return Reply{}, fmt.Errorf("%w: %.80q", errNoUse, rest)
-		case letter != 'G' && letter != 'T':
+		case letter != LetterProbe && letter != LetterLoad:
 			return Reply{}, fmt.Errorf("a frame with the letter %q", letter)
 		}
 	}
@@ -115,16 +120,11 @@
 		return Reply{}, fmt.Errorf("a reply that opens with %.80q", line)
 	}
 	reply := Reply{ID: words[0], Value: value}
-	switch words[1] {
-	case "OK":
-		reply.End = Ran
-	case "ERROR":
-		reply.End = Failed
-	case "REJECTED":
-		reply.End = TurnedAway
-	default:
+	end := slices.Index(endWords[:], words[1])
+	if end < 0 {
 		return Reply{}, fmt.Errorf("a reply that ends in %.20q", words[1])
 	}
+	reply.End = End(end)
 	// Danger: a value that is no text would reach the client changed, as an answer that no replica gave.
 	if reply.End == Ran && !utf8.ValidString(value) {
 		reply.End, reply.Value = Failed, ""
--- a/replica/pool.go
+++ b/replica/pool.go
@@ -2,6 +2,8 @@
 
 import (
 	"cmp"
+	"context"
+	"net"
 	"slices"
 
 	"willowsill/balance"
@@ -43,8 +45,12 @@
 	ConnectWithin int64
 	IdleAfter     int64
 	Now           func() int64
+	Dial          Dial
 }
 
+// Dial opens a connection, and keeps to the time it may take.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // line is all that is kept of one replica.
 type line struct {
 	dial  string
@@ -175,7 +181,7 @@
 		return true
 	}
 	if tell {
-		c.queue.push(&frame{bytes: appendGiveUp(nil, t.ID)})
+		c.queue.push(&frame{bytes: AppendFrame(nil, LetterGiveUp, t.ID)})
 	}
 	if c.heard < t.since && p.Now()-t.since >= p.ConnectWithin {
 		c.retired = true
--- /dev/null
+++ b/replica/pool_test.go
@@ -0,0 +1,309 @@
+package replica
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"willowsill/balance"
+	"willowsill/counters"
+	"willowsill/internal/pipes"
+	"willowsill/sockets"
+)
+
+// bench is a pool with one replica, played by the test by hand.
+type bench struct {
+	*testing.T
+	*Pool
+	network *pipes.Network
+	heard   []Notice
+	ticks   chan Notice
+}
+
+const address = "r:1"
+
+// on plays a test in a bubble of its own time; in the end nothing may be left open or running.
+func on(t *testing.T, play func(*bench)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &bench{T: t, network: &pipes.Network{}, ticks: make(chan Notice, 64)}
+		base := time.Now().Add(-time.Second)
+		b.Pool = NewPool(Terms{Streams: 2, ConnectWithin: 250e6, IdleAfter: 15e9, Dial: b.network.Dial,
+			Now: func() int64 { return int64(time.Since(base)) }},
+			func(n Notice) { b.ticks <- n }, sockets.NewBudget(64), counters.New(nil))
+		b.Address(0, address)
+		play(b)
+		b.Close()
+		synctest.Wait()
+		b.reports()
+		if open := b.Open(); open != 0 {
+			t.Errorf("%d connections are left open", open)
+		}
+	})
+}
+
+// call sends parts as one call.
+func (b *bench) call(ids ...string) (tickets []*Ticket) {
+	for _, id := range ids {
+		tickets = append(tickets, &Ticket{Part: Part{ID: id, Shard: 1, Wait: 100, Text: []byte("t")}})
+	}
+	if !b.Call(0, tickets) {
+		b.Fatal("no room")
+	}
+	return tickets
+}
+
+// reports lets things settle and writes down what the pool then reports.
+func (b *bench) reports() (all []string) {
+	synctest.Wait()
+	for {
+		select {
+		case n := <-b.ticks:
+			for _, r := range b.Note(n) {
+				all = append(all, fmt.Sprint(r.Ticket.ID, " ", r.Result, " ", r.Value))
+			}
+		default:
+			return all
+		}
+	}
+}
+
+func (b *bench) expect(want ...string) {
+	b.Helper()
+	if got := b.reports(); !slices.Equal(got, want) {
+		b.Errorf("reported %q, want %q", got, want)
+	}
+}
+
+// accept takes the next connection in.
+func accept(l *pipes.Listener) net.Conn {
+	c, _ := l.Accept()
+	return c
+}
+
+// next reads a frame's rest.
+func (b *bench) next(c net.Conn) string {
+	head := make([]byte, 5)
+	if _, err := io.ReadFull(c, head); err != nil {
+		return err.Error()
+	}
+	rest := make([]byte, int(head[2])<<8+int(head[3])-1)
+	io.ReadFull(c, rest)
+	return string(head[4]) + string(rest)
+}
+
+func (b *bench) reply(c net.Conn, id string, end End) {
+	c.Write(AppendReply(nil, Reply{id, end, "v"}, "-"))
+}
+
+var (
+	fulfilled     = fmt.Sprint(balance.Fulfilled)
+	connectFailed = fmt.Sprint(balance.ConnectFailed)
+	reset         = fmt.Sprint(balance.Reset)
+)
+
+func TestOutcomes(t *testing.T) {
+	for name, play := range map[string]func(*bench){
+		"refused": func(b *bench) {
+			b.call("a.1", "a.2")
+			b.expect("a.1 "+connectFailed+" ", "a.2 "+connectFailed+" ")
+		},
+		"never up": func(b *bench) {
+			b.network.Silence(address)
+			b.call("a.1")
+			time.Sleep(249 * time.Millisecond)
+			b.expect()
+			time.Sleep(time.Millisecond)
+			b.expect("a.1 " + connectFailed + " ")
+		},
+		"replies in any order": func(b *bench) {
+			l := b.network.Listen(address)
+			b.call("a.1", "a.2")
+			c := accept(l)
+			if got := b.next(c); got != "Ra.1 1 d=100 1\nta.2 1 d=100 1\nt" {
+				b.Errorf("called with %q", got)
+			}
+			b.reply(c, "a.2", Ran)
+			b.reply(c, "a.1", TurnedAway)
+			b.expect("a.2 "+fulfilled+" v", fmt.Sprint("a.1 ", balance.Full, " v"))
+		},
+		"break before the last byte": func(b *bench) {
+			l := b.network.Listen(address)
+			b.call("a.1")
+			c := accept(l)
+			io.ReadFull(c, make([]byte, 10))
+			c.Close()
+			b.expect("a.1 " + connectFailed + " ")
+		},
+		"break after the last byte": func(b *bench) {
+			l := b.network.Listen(address)
+			b.call("a.1", "a.2")
+			c := accept(l)
+			b.next(c)
+			b.call("a.3")
+			b.next(c)
+			c.Close()
+			b.expect("a.1 "+reset+" ", "a.2 "+reset+" ", "a.3 "+reset+" ")
+		},
+		"could not be used": func(b *bench) {
+			l := b.network.Listen(address)
+			b.call("a.1")
+			c := accept(l)
+			b.next(c)
+			c.Write(AppendFrame(nil, LetterNoUse, "words"))
+			b.expect("a.1 " + reset + " ")
+		},
+		"takes nothing in": func(b *bench) {
+			l := b.network.Listen(address)
+			b.call("a.1")
+			defer accept(l).Close()
+			time.Sleep(writeWait)
+			b.expect("a.1 " + connectFailed + " ")
+		},
+		"reply after giving up": func(b *bench) {
+			l := b.network.Listen(address)
+			tickets := b.call("a.1")
+			b.call("a.2")
+			c := accept(l)
+			b.next(c)
+			b.next(c)
+			if b.GiveUp(tickets[0], true) {
+				b.Error("what was sent counts as unsent")
+			}
+			if got := b.next(c); got != "Aa.1" {
+				b.Errorf("told %q", got)
+			}
+			b.reply(c, "a.1", Ran)
+			b.expect()
+			b.reply(c, "a.1", Ran) // and twice, or of what nobody knows
+			b.expect()
+			b.reply(c, "a.2", Ran)
+			b.expect("a.2 " + fulfilled + " v")
+		},
+		"given up before it left": func(b *bench) {
+			b.network.Silence(address)
+			tickets := b.call("a.1")
+			b.call("a.2")
+			time.Sleep(time.Millisecond)
+			if !b.Unsent(tickets[0]) || !b.GiveUp(tickets[0], true) {
+				b.Error("what waits for its connection counts as sent")
+			}
+			time.Sleep(time.Second)
+			b.expect("a.2 " + connectFailed + " ")
+		},
+		// Danger: a vanished machine's connection swallows whatever is written to it.
+		"silence": func(b *bench) {
+			l := b.network.Listen(address)
+			tickets := b.call("a.1")
+			b.next(accept(l))
+			time.Sleep(time.Second)
+			b.GiveUp(tickets[0], false)
+			b.call("b.1")
+			if got := b.next(accept(l)); got != "Rb.1 1 d=100 1\nt" {
+				b.Errorf("the next part is %q on a new connection", got)
+			}
+		},
+		"the same id again": func(b *bench) {
+			l := b.network.Listen(address)
+			tickets := b.call("a.1")
+			first := accept(l)
+			b.next(first)
+			b.GiveUp(tickets[0], false)
+			b.call("a.1")
+			second := accept(l)
+			b.next(second)
+			b.reply(first, "a.1", Failed)
+			b.expect()
+			b.reply(second, "a.1", Ran)
+			b.expect("a.1 " + fulfilled + " v")
+		},
+		"more calls than a connection takes": func(b *bench) {
+			l := b.network.Listen(address)
+			b.call("a.1")
+			c := accept(l)
+			b.call("a.2", "a.3")
+			b.call("a.4")
+			b.next(c)
+			b.next(c)
+			if got := b.next(accept(l)); got != "Ra.4 1 d=100 1\nt" {
+				b.Errorf("the second connection got %q", got)
+			}
+		},
+		"idle": func(b *bench) {
+			l := b.network.Listen(address)
+			b.call("a.1")
+			c := accept(l)
+			b.next(c)
+			b.reply(c, "a.1", Ran)
+			b.expect("a.1 " + fulfilled + " v")
+			time.Sleep(13 * time.Second)
+			b.Sweep()
+			b.call("a.2")
+			b.next(c) // still the same
+			b.reply(c, "a.2", Ran)
+			b.expect("a.2 " + fulfilled + " v")
+			time.Sleep(14 * time.Second)
+			b.Sweep()
+			if got := b.next(c); got != io.EOF.Error() {
+				b.Errorf("an old connection brings %q", got)
+			}
+			b.call("a.3")
+			b.next(accept(l))
+		},
+		"given back": func(b *bench) {
+			l := b.network.Listen(address)
+			b.call("a.1")
+			c := accept(l)
+			b.next(c)
+			b.Release(0) // it still carries something
+			b.reply(c, "a.1", Ran)
+			b.expect("a.1 " + fulfilled + " v")
+			b.Release(0)
+			if got := b.next(c); got != io.EOF.Error() {
+				b.Errorf("a connection given back brings %q", got)
+			}
+		},
+		"moved": func(b *bench) {
+			l := b.network.Listen(address)
+			b.call("a.1")
+			c := accept(l)
+			b.next(c)
+			other := b.network.Listen("r:2")
+			b.Address(0, "r:2")
+			b.call("a.2")
+			b.next(accept(other))
+			b.reply(c, "a.1", Ran)
+			b.expect("a.1 " + fulfilled + " v")
+		},
+	} {
+		t.Run(name, func(t *testing.T) { on(t, play) })
+	}
+}
+
+// Danger: connections beyond the limit on descriptors would end the process, or its service.
+func TestNoRoom(t *testing.T) {
+	on(t, func(b *bench) {
+		b.network.Silence(address)
+		var first []*Ticket
+		room := 0
+		for i := 0; ; i++ {
+			ticket := &Ticket{Part: Part{ID: fmt.Sprint("a.", i)}}
+			if !b.Call(0, []*Ticket{ticket}) {
+				break
+			}
+			first = append(first, ticket)
+			room++
+		}
+		if most := b.Open() * b.Streams; room != most || room == 0 {
+			t.Errorf("room for %d, at %d connections", room, b.Open())
+		}
+		for _, ticket := range first {
+			b.GiveUp(ticket, false)
+		}
+		b.reports()
+		b.call("b.1")
+	})
+}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -118,11 +118,15 @@
 	asked     chan struct{}
 }
 
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewWatch makes a watch that goes on from a list with that sequence number; tell hears each answer, in
 // order, and each failure.
-func NewWatch(address string, cells int, sequence int64, tell func(context.Context, News)) *Watch {
+func NewWatch(address string, cells int, sequence int64, dial Dial, tell func(context.Context, News)) *Watch {
 	return &Watch{address: address, cells: cells, sequence: sequence, tell: tell, asked: make(chan struct{}, 1),
-		transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2, DisableCompression: true}}
+		transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2, DisableCompression: true,
+			DialContext: dial}}
 }
 
 // Ask starts a watch that waits to be asked.
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,122 @@
+package roster
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"willowsill/balance"
+	"willowsill/internal/pipes"
+	"willowsill/standin"
+)
+
+func TestDecode(t *testing.T) {
+	const good = `{"host":"s-1","dial":"10.1.0.18:8081","block":3,"health":"active","born_ms":7}`
+	for name, c := range map[string]struct {
+		in, want string
+		odd      int
+	}{
+		"entry":       {`{"seq":4,"whole":true,"hosts":[` + good + `]}`, "4 true [{s-1 10.1.0.18:8081 3 0 7}]", 0},
+		"draining":    {`{"seq":4,"hosts":[{"host":"s","dial":"a:1","block":0,"health":"leaving"}]}`, "4 false [{s a:1 0 1 0}]", 0},
+		"gone":        {`{"seq":4,"hosts":[{"host":"s","health":"left"}]}`, "4 false [{s  0 2 0}]", 0},
+		"none":        {`{"seq":5}`, "5 false []", 0},
+		"odd ones":    {`{"seq":4,"hosts":[7,` + good + `,{"host":"s","dial":"a:1","block":0,"health":"ill"}]}`, "4 false [{s-1 10.1.0.18:8081 3 0 7}]", 2},
+		"no host":     {`{"seq":4,"hosts":[{"dial":"a:1","block":0,"health":"active"}]}`, "4 false []", 1},
+		"no address":  {`{"seq":4,"hosts":[{"host":"s","dial":"a","block":0,"health":"active"}]}`, "4 false []", 1},
+		"other block": {`{"seq":4,"hosts":[{"host":"s","dial":"a:1","block":4,"health":"active"}]}`, "4 false []", 1},
+		"no block":    {`{"seq":4,"hosts":[{"host":"s","dial":"a:1","health":"active"}]}`, "4 false []", 1},
+		"no version":  {`{"hosts":[]}`, `key "seq" is missing`, 0},
+		"no list":     {`[]`, "the list: json", 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			n, err := Decode([]byte(c.in), 4)
+			got := fmt.Sprint(n.Sequence, n.Whole, n.Entries)
+			if err != nil {
+				got = err.Error()
+			}
+			if !strings.Contains(got, c.want) || len(n.Oddities) != c.odd {
+				t.Errorf("got %s and %d oddities", got, len(n.Oddities))
+			}
+		})
+	}
+}
+
+// watching plays a watch against a discovery; what it tells comes by the channel.
+func watching(t *testing.T, onAsk bool, play func(w *Watch, d *standin.Discovery, told chan News)) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &pipes.Network{}
+		d := standin.NewDiscovery(standin.Host{Host: "s-1", Dial: "a:1", Health: "active"})
+		server := &http.Server{Handler: d}
+		go server.Serve(network.Listen("d:1"))
+		told := make(chan News, 16)
+		w := NewWatch("d:1", 1, 0, network.Dial, func(_ context.Context, n News) { told <- n })
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		go func() {
+			defer close(ended)
+			w.Run(ctx, onAsk)
+		}()
+		synctest.Wait()
+		play(w, d, told)
+		stop()
+		<-ended
+		server.Close()
+	})
+}
+
+func TestWatch(t *testing.T) {
+	watching(t, false, func(_ *Watch, d *standin.Discovery, told chan News) {
+		if n := <-told; !n.Whole || len(n.Entries) != 1 {
+			t.Fatalf("at first told %v", n)
+		}
+		began := time.Now()
+		if n := <-told; n.Err != nil || n.Whole || len(n.Entries) != 0 || time.Since(began) != wait {
+			t.Errorf("after a wait of %v without news told %v", time.Since(began), n)
+		}
+		d.Change(standin.Host{Host: "s-1", Dial: "a:1", Health: "leaving"})
+		if n := <-told; len(n.Entries) != 1 || n.Entries[0].Standing != balance.Draining || n.Sequence != 2 {
+			t.Errorf("of the change told %v", n)
+		}
+		d.Change(standin.Host{Host: "s-1", Health: "left"})
+		if n := <-told; n.Entries[0].Standing != balance.Gone {
+			t.Errorf("of the end told %v", n)
+		}
+	})
+}
+
+// Danger: a discovery that says nothing must not hold the watch up for ever.
+func TestWatchSilence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &pipes.Network{}
+		network.Silence("d:1")
+		failures := 0
+		w := NewWatch("d:1", 1, 0, network.Dial, func(_ context.Context, n News) {
+			if n.Err != nil {
+				failures++
+			}
+		})
+		ctx, stop := context.WithTimeout(t.Context(), 3*(spare+again))
+		defer stop()
+		w.Run(ctx, false)
+		if failures != 3 {
+			t.Errorf("told of %d failures", failures)
+		}
+	})
+}
+
+func TestWatchOnAsk(t *testing.T) {
+	watching(t, true, func(w *Watch, d *standin.Discovery, told chan News) {
+		time.Sleep(time.Minute)
+		if len(told) != 0 {
+			t.Fatalf("unasked it told %v", <-told)
+		}
+		w.Ask()
+		if n := <-told; !n.Whole {
+			t.Errorf("asked, it told %v", n)
+		}
+	})
+}
