Sockets: late loop kept off the clients' time, bounds on slow readers, moot for what never left

Read again for what could end or stall the process: a client that reads nothing held its connection without bound (front.write), a query left by its client ended in an empty 200 (front.query), executions given up before they left counted as cancelled though they prove that they never ran (node.giveUp), a full queue could keep the loop from its round (node.run).

Lateness of the loop, measured at each fact and timer, is taken off the time that the module is given, 50 ms at most.

--- a/cmd/willowsill/main.go
+++ b/cmd/willowsill/main.go
@@ -93,7 +93,7 @@
 		return fmt.Errorf("variable NODE_LISTEN: %w", err)
 	}
 	server := front.NewServer(&front.Front{Core: core, Clock: clock, Workload: start.Workload,
-		Shards: start.Shards, Count: count, Log: log}, listener, budget)
+		Shards: start.Shards, Longest: start.LongestCutOff, Count: count, Log: log}, listener, budget)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve() }()
 	log.Info("serving", zap.String("listen", start.Listen), zap.Int("known", len(known.Entries)))
--- a/front/front.go
+++ b/front/front.go
@@ -34,6 +34,7 @@
 	Clock    node.Clock
 	Workload map[string]int // rows, by name
 	Shards   int
+	Longest  int64 // cut-off of all workloads, ns: no body may take longer
 	Count    *counters.Counters
 	Log      *zap.Logger
 	closing  chan struct{}
@@ -44,6 +45,8 @@
 	idMost   = 128       // bytes of a query's id
 	waitMost = 3_600_000 // ms: no client waits an hour
 	unit     = 1e6       // ns in a ms, as headers count
+
+	writeWait = 2 * time.Second // a client that reads nothing for so long gets no answer
 )
 
 // refusal is a request that is not served, with what the client hears.
@@ -79,7 +82,11 @@
 // ServeHTTP serves one request. A panic in one does not end the others.
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	defer func() {
-		if p := recover(); p != nil {
+		switch p := recover(); p {
+		case nil:
+		case http.ErrAbortHandler:
+			panic(p)
+		default:
 			f.Count.Panics.Add(1)
 			f.Log.Error("a request ended in a panic", zap.Any("panic", p), zap.Stack("stack"))
 			panic(http.ErrAbortHandler)
@@ -140,8 +147,8 @@
 		return
 	}
 	a, ok := f.Core.Serve(r.Context(), q)
-	if !ok {
-		return // nobody reads it
+	if !ok { // an empty answer would be one that no replica gave
+		panic(http.ErrAbortHandler)
 	}
 	f.farewell(w) // the word to stop may have come meanwhile
 	f.write(w, a)
@@ -178,7 +185,8 @@
 	// Danger: a body that never ends would hold its connection for ever, here or in the stock server, which
 	// reads on after the answer. So the limit stays where the body did not come.
 	control := http.NewResponseController(w)
-	control.SetReadDeadline(time.Now().Add(time.Duration(q.Until - f.Clock.Now())))
+	limit := min(q.Until, began+f.Longest)
+	control.SetReadDeadline(time.Now().Add(time.Duration(limit - f.Clock.Now())))
 	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
 	if err == nil {
 		control.SetReadDeadline(time.Time{})
@@ -264,10 +272,15 @@
 		}
 		w.Header().Set("Content-Type", "application/json")
 		w.Header().Set("Content-Length", strconv.Itoa(text.Len()))
+		// Danger: a client that reads nothing would hold its connection for ever.
+		control := http.NewResponseController(w)
+		control.SetWriteDeadline(time.Now().Add(writeWait))
 		_, err := w.Write(text.Bytes())
-		if err = cmp.Or(err, http.NewResponseController(w).Flush()); err != nil {
+		if err = cmp.Or(err, control.Flush()); err != nil {
 			f.Count.Undelivered.Add(1)
+			panic(http.ErrAbortHandler)
 		}
+		control.SetWriteDeadline(time.Time{})
 	case balance.Declined:
 		if a.ComeBack > 0 {
 			w.Header().Set("Retry-After", seconds(a.ComeBack))
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -35,7 +35,7 @@
 func makeFront(serve func(context.Context, node.Query) (node.Answer, bool)) *Front {
 	c := &core{serve, make(chan struct{})}
 	close(c.ready)
-	return &Front{Core: c, Clock: node.NewClock(), Workload: map[string]int{"report": 0, "lookup": 1}, Shards: 12,
+	return &Front{Core: c, Clock: node.NewClock(), Workload: map[string]int{"report": 0, "lookup": 1}, Shards: 12, Longest: 3e9,
 		Count: counters.New(nil), Log: zap.NewNop()}
 }
 
@@ -234,6 +234,18 @@
 	})
 }
 
+// Danger: a client that reads nothing would hold its connection, and the stop, for ever.
+func TestClientReadsNothing(t *testing.T) {
+	on(t, whole, func(s *Server, dial func() *client) {
+		dial().send()
+		time.Sleep(writeWait)
+		synctest.Wait()
+		if n := s.front.Count.Undelivered.Load(); n != 1 || s.budget.Taken(sockets.Clients) != 0 {
+			t.Errorf("%d answers undelivered, %d connections", n, s.budget.Taken(sockets.Clients))
+		}
+	})
+}
+
 func TestPanic(t *testing.T) {
 	on(t, func(_ context.Context, q node.Query) (node.Answer, bool) { panic(q.ID) }, func(s *Server, dial func() *client) {
 		for range 2 {
--- a/front/server.go
+++ b/front/server.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	headerWait = 30 * time.Second       // that a connection may take to bring a request's header
+	headerWait = 10 * time.Second       // that a connection may take to bring a request's header
 	headerMost = 32 << 10               // bytes
 	stillComes = 600 * time.Millisecond // after the word to stop, new connections are accepted for so long,
 	quiet      = 100 * time.Millisecond // and until none has come for so long,
--- a/node/admit.go
+++ b/node/admit.go
@@ -65,14 +65,15 @@
 func (n *Node) admit(now int64, q *query) {
 	count := n.count.Workloads[n.names[q.Workload]]
 	count.Taken.Add(1)
-	if n.held >= n.terms.MostHeld || q.Until <= now {
+	patience := q.Until - now - n.lateness
+	if n.held >= n.terms.MostHeld || patience <= 0 {
 		n.count.Crowded.Add(1)
 		count.Declined.Add(1)
 		q.over = true
 		q.answer <- Answer{Final: balance.Declined}
 		return
 	}
-	q.handle = n.agg.Take(now, balance.Arrival{Workload: q.Workload, Patience: q.Until - now, Parts: len(q.Parts)})
+	q.handle = n.agg.Take(now, balance.Arrival{Workload: q.Workload, Patience: patience, Parts: len(q.Parts)})
 	for _, p := range q.Parts {
 		q.handle.AddPart(p.Shard, p.Weight)
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -22,6 +22,7 @@
 	frontShare  = 2               // queries fill no more than this part of it, so that outcomes have room
 	sweepEvery  = time.Second     // between two looks for idle connections
 	clockStart  = 1 << 20 * 1e9   // ns: a replica that started before this process still did so after 0
+	fade        = 256             // facts over which lateness fades
 	longDelay   = 50 * int64(1e6) // ns that a fact may wait for the loop before that is logged
 )
 
@@ -65,19 +66,20 @@
 	isReady bool
 
 	// Of the loop alone from here.
-	agg     *balance.Aggregator
-	pool    *replica.Pool
-	index   map[string]int // of each replica, by host
-	queries map[*balance.Query]*query
-	held    int // queries and parts without an answer
-	out     map[*replica.Ticket]*execution
-	cuts    cuts
-	pending []outcome // that came up while a round was carried out
-	last    int64     // the last round
-	wake    int64     // when the module wants the next one at the latest, 0 for no such time
-	moved   bool      // something has happened since the last round
-	sweep   int64
-	stopped bool
+	agg      *balance.Aggregator
+	pool     *replica.Pool
+	index    map[string]int // of each replica, by host
+	queries  map[*balance.Query]*query
+	held     int // queries and parts without an answer
+	out      map[*replica.Ticket]*execution
+	cuts     cuts
+	pending  []outcome // that came up while a round was carried out
+	last     int64     // the last round
+	wake     int64     // when the module wants the next one at the latest, 0 for no such time
+	moved    bool      // something has happened since the last round
+	lateness int64     // how late the loop was lately, ns
+	sweep    int64
+	stopped  bool
 }
 
 // Plan is what a node is made from.
@@ -136,19 +138,15 @@
 	defer close(n.ended)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	for !n.stopped || n.pool.Open() > 0 {
+	for next := n.Now(); !n.stopped; {
 		select {
 		case f := <-n.facts:
 			n.take(f)
 		case <-timer.C:
+			n.late(n.Now() - next)
 		}
-		for more := true; more; {
-			select {
-			case f := <-n.facts:
-				n.take(f)
-			default:
-				more = false
-			}
+		for range len(n.facts) {
+			n.take(<-n.facts)
 		}
 		now := n.Now()
 		n.expire(now)
@@ -159,8 +157,22 @@
 			n.sweep = now + int64(sweepEvery)
 			n.pool.Sweep()
 		}
-		timer.Reset(time.Duration(max(min(n.due(), n.cuts.next(), n.sweep)-n.Now(), 0)))
+		next = min(n.due(), n.cuts.next(), n.sweep)
+		timer.Reset(time.Duration(max(next-n.Now(), 0)))
 	}
+	for n.pool.Close(); n.pool.Open() > 0; {
+		n.take(<-n.facts)
+	}
+	n.bookPending()
+}
+
+// late notes how late the loop was, which the simulator has no word for: the module's times are kept that much
+// further from the clients'. Old lateness fades.
+//
+// Danger: after one long stall of the machine queries would seem to have no time left.
+func (n *Node) late(by int64) {
+	n.lateness = max(min(by, longDelay), n.lateness-n.lateness/fade)
+	n.count.DelayHighest.Show(by)
 }
 
 // due is when the next round has to come: rounds stand a tick apart at least.
@@ -181,7 +193,7 @@
 	delay := now - f.at
 	n.count.Facts.Add(1)
 	n.count.DelayTotal.Add(delay)
-	n.count.DelayHighest.Show(delay)
+	n.late(delay)
 	if delay > longDelay {
 		n.log.Warn("a fact waited long for the loop", zap.Duration("delay", time.Duration(delay)))
 	}
@@ -196,7 +208,6 @@
 		n.bookNews(now, v, true)
 	case stop:
 		n.stopped = true
-		n.pool.Close()
 	}
 	n.moved = true
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -259,6 +259,26 @@
 	})
 }
 
+// The module's times keep further from the clients' the later the loop is, but one stall is soon forgotten.
+func TestLateLoop(t *testing.T) {
+	n := &Node{count: counters.New(nil)}
+	n.late(20e6)
+	n.late(1e6)
+	if n.lateness < 19e6 || n.lateness > 20e6 {
+		t.Errorf("%d ns late", n.lateness)
+	}
+	n.late(3e9)
+	if n.lateness != longDelay {
+		t.Errorf("after a stall %d ns late", n.lateness)
+	}
+	for range 10 * fade {
+		n.late(0)
+	}
+	if n.lateness > 1e6 {
+		t.Errorf("long after it %d ns late", n.lateness)
+	}
+}
+
 func TestClock(t *testing.T) {
 	c := NewClock()
 	now, wall := c.Now(), time.Now().UnixMilli()
--- a/node/send.go
+++ b/node/send.go
@@ -72,9 +72,11 @@
 	}
 }
 
-// giveUp ends the wait for an execution that is out.
+// giveUp ends the wait for an execution that is out. One that never left proves that it did not run.
 func (n *Node) giveUp(e *execution, result balance.Result, tell bool) {
-	n.pool.GiveUp(e.ticket, tell)
+	if unsent := n.pool.GiveUp(e.ticket, tell); unsent {
+		result = balance.Moot
+	}
 	n.later(e, result)
 }
 
--- a/replica/frame.go
+++ b/replica/frame.go
@@ -24,9 +24,9 @@
 )
 
 const (
-	lengthBytes = 4         // of a frame, most significant first
-	frameMost   = 256 << 10 // bytes of an incoming frame: four times what an answer to a client may hold
-	frameLeast  = 1         // the letter
+	lengthBytes = 4        // of a frame, most significant first
+	frameMost   = 72 << 10 // bytes of an incoming frame: an answer to a client holds 64 KiB, and so may a value
+	frameLeast  = 1        // the letter
 )
 
 // End is how a replica says that it is done with a part.
