Sockets: shared calls drop parts given up unsent, shares of descriptors, the program tested whole

Calls are now encoded when they are written, so that parts can still be taken out.

The stock server's half-close after a request that was not read to its end works again behind the counted connection (front.conn). A test plays the whole program with toy peers, over its stop.

--- /dev/null
+++ b/cmd/willowsill/main_test.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"willowsill/counters"
+	"willowsill/deployment"
+	"willowsill/internal/pipes"
+	"willowsill/replica"
+	"willowsill/standin"
+)
+
+// The whole program with toy peers: a query before the word to stop, one under way at it, and one after it.
+// In the end nothing may be left running, and every connection must have been closed.
+func TestProgram(t *testing.T) {
+	env := map[string]string{"NODE_NAME": "n0", "NODE_LISTEN": "127.0.0.1:8081", "NODE_DISCOVERY": "127.0.0.1:8500",
+		"NODE_CONFIG": "../../examples/config.json"}
+	start, err := deployment.FromEnvironment(func(name string) string { return env[name] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	synctest.Test(t, func(t *testing.T) {
+		network, list := &pipes.Network{}, standin.NewDiscovery()
+		var replicas []*pipes.Listener
+		for i := range 2 * start.Cells {
+			h := standin.Host{Host: fmt.Sprint("s-", i), Dial: fmt.Sprint("r:", i), Block: i % start.Cells, Health: "active"}
+			list.Change(h)
+			replicas = append(replicas, network.Listen(h.Dial))
+			toy := standin.Replica{Answer: func(_ context.Context, p replica.Part) (replica.Reply, bool) {
+				time.Sleep(100 * time.Millisecond)
+				return replica.Reply{ID: p.ID, Value: "v" + p.ID}, true
+			}}
+			go toy.Serve(replicas[i])
+		}
+		discovery := &http.Server{Handler: list}
+		go discovery.Serve(network.Listen(start.Discovery))
+		stop, leave := context.WithCancel(t.Context())
+		core, logs := observer.New(zap.InfoLevel)
+		ended := make(chan error, 1)
+		listener := network.Listen(start.Listen)
+		go func() { ended <- run(stop, start, listener, network.Dial, zap.New(core)) }()
+		time.Sleep(10 * time.Millisecond)
+
+		ask := func(id string) string {
+			c, err := network.Dial(t.Context(), "", start.Listen)
+			if err != nil {
+				return err.Error()
+			}
+			defer c.Close()
+			body := `{"segments":[{"segment":1,"boost":0.5},{"segment":2,"boost":0.5}],"text":"t"}`
+			fmt.Fprintf(c, "POST /lookup HTTP/1.1\r\nHost: h\r\nX-Qos: lookup\r\nX-Trace-Id: %s\r\nX-Expires-In-Ms: 900\r\n"+
+				"Content-Length: %d\r\n\r\n%s", id, len(body), body)
+			r, err := http.ReadResponse(bufio.NewReader(c), nil)
+			if err != nil {
+				return err.Error()
+			}
+			text, _ := io.ReadAll(r.Body)
+			return fmt.Sprint(r.StatusCode, string(text))
+		}
+		want := func(id string) string {
+			return fmt.Sprintf(`200{"all_in":true,"matches":[{"segment":1,"payload":"v%[1]s.1"},`+
+				`{"segment":2,"payload":"v%[1]s.2"}]}`+"\n", id)
+		}
+		if got := ask("a"); got != want("a") {
+			t.Errorf("answered %s", got)
+		}
+		underWay := make(chan string, 1)
+		go func() { underWay <- ask("b") }()
+		time.Sleep(20 * time.Millisecond)
+		leave()
+		time.Sleep(400 * time.Millisecond)
+		if got := <-underWay; got != want("b") {
+			t.Errorf("what was under way got %s", got)
+		}
+		if got := ask("c"); got != want("c") {
+			t.Errorf("what came after the word to stop got %s", got)
+		}
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+		if got := ask("d"); got != pipes.ErrRefused.Error() {
+			t.Errorf("after the end got %s", got)
+		}
+		last := logs.FilterMessage("ended").All()[0].ContextMap()["counters"].(*counters.Counters)
+		if opened, closed := last.ConnectionsOpened.Load(), last.ConnectionsClosed.Load(); opened == 0 || opened != closed {
+			t.Errorf("%d connections opened, %d closed", opened, closed)
+		}
+		discovery.Close()
+		for _, l := range replicas {
+			l.Close()
+		}
+	})
+}
--- a/deployment/start.go
+++ b/deployment/start.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"willowsill/fields"
+	"willowsill/roster"
 )
 
 // Terms are what the deployment states of an aggregator's sockets and of what it may hold. Times in ns.
@@ -28,9 +29,9 @@
 	Listen    string // where clients connect
 	Discovery string
 	Cores     float64
-	Memory    int64           // bytes
-	Sockets   int             // descriptors
-	Known     json.RawMessage // the list as this aggregator last held it, in discovery's form
+	Memory    int64       // bytes
+	Sockets   int         // descriptors
+	Known     roster.News // the list as this aggregator last held it
 }
 
 // variables are those of the environment that must be there.
@@ -46,7 +47,7 @@
 	defaultCores   = 1.0
 	defaultMemory  = 192 // MB
 	defaultSockets = 1024
-	leastSockets   = 64
+	leastSockets   = 48
 	megabyte       = 1 << 20
 )
 
@@ -86,9 +87,6 @@
 	statement, seed := top.Object("settings"), top.String("seed")
 	limits := &fields.Object{}
 	top.May("limits", &limits.Raw)
-	if top.Has("known") {
-		s.Known = top.Text("known")
-	}
 	if top.Err != nil {
 		return top.Err
 	}
@@ -111,6 +109,11 @@
 	if s.Deployment, err = Read(statement); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
+	if top.Has("known") {
+		if s.Known, err = roster.Decode(top.Text("known"), s.Cells); err != nil {
+			return fmt.Errorf("field %q: %w", "known", err)
+		}
+	}
 	if s.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil {
 		return fmt.Errorf("field %q is no number of 16 hex digits", "seed")
 	}
--- a/deployment/start_test.go
+++ b/deployment/start_test.go
@@ -47,6 +47,7 @@
 // Each message names the key or the variable at fault.
 func TestStartFaults(t *testing.T) {
 	for name, c := range map[string]struct{ old, new, want string }{
+		"odd list":      {`"known":{"seq":41,`, `"known":{`, `"known": the list: key "seq" is missing`},
 		"not JSON":      {good, "{", "not a JSON object"},
 		"no seed":       {`"seed":"8c1f30d27a5be964",`, "", `"seed" is missing`},
 		"odd seed":      {`"8c1f30d27a5be964"`, `"seven"`, `"seed" is no number`},
--- a/front/front.go
+++ b/front/front.go
@@ -11,6 +11,7 @@
 	"io"
 	"math"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -195,6 +196,9 @@
 	switch {
 	case errors.As(err, &long):
 		return q, refusal{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		return q, refusal{http.StatusServiceUnavailable, "the time was up before the body was there"}
 	case err != nil:
 		w.Header().Set("Connection", "close")
 		return q, bad("the body ended early")
--- a/front/server.go
+++ b/front/server.go
@@ -49,6 +49,15 @@
 	return n, err
 }
 
+// CloseWrite lets the stock server end an answer to a request that it did not read to its end, so that the
+// client gets the answer and no reset.
+func (c *conn) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return nil
+}
+
 // began tells when the first byte of the present request came.
 func (c *conn) began() int64 {
 	c.server.mu.Lock()
--- a/internal/pipes/pipes.go
+++ b/internal/pipes/pipes.go
@@ -11,6 +11,9 @@
 // ErrRefused is what dialling an address where nobody listens gives.
 var ErrRefused = errors.New("refused")
 
+// Backlog is how many connections may wait at a listener; dialling waits beyond that.
+const Backlog = 16
+
 // Network connects listeners with those who dial them. A nil listener's address is silent: a connection to
 // it never comes up.
 type Network struct {
@@ -28,7 +31,7 @@
 
 // Listen listens at an address.
 func (n *Network) Listen(address string) *Listener {
-	l := &Listener{address: address, backlog: make(chan net.Conn, 16), closed: make(chan struct{})}
+	l := &Listener{address: address, backlog: make(chan net.Conn, Backlog), closed: make(chan struct{})}
 	n.set(address, l)
 	return l
 }
--- a/replica/connection.go
+++ b/replica/connection.go
@@ -28,11 +28,13 @@
 	Err   error // why it is down, nil where this side closed it
 }
 
-// frame is one message on its way out.
+// frame is one message on its way out: a call, or word that a part is given up.
 type frame struct {
-	bytes   []byte
+	parts   []Part // under the queue's lock until the writer has it
+	gives   string
 	left    int  // tickets without an end; of the pool's goroutine
 	number  int  // in order of the pushes
+	end     int  // where it ends in its write
 	written bool // its last byte has been; settled once the connection is down
 }
 
@@ -111,16 +113,22 @@
 		case <-c.queue.more:
 		}
 		frames := c.queue.take()
+		if len(frames) == 0 { // all given up meanwhile
+			continue
+		}
 		buf = buf[:0]
 		for _, f := range frames {
-			buf = append(buf, f.bytes...)
+			if f.gives != "" {
+				buf = AppendFrame(buf, LetterGiveUp, f.gives)
+			} else {
+				buf = appendCall(buf, f.parts)
+			}
+			f.end, f.parts = len(buf), nil
 		}
 		conn.SetWriteDeadline(time.Now().Add(writeWait))
 		n, err := conn.Write(buf)
 		for _, f := range frames {
-			n -= len(f.bytes)
-			f.written = n >= 0
-			f.bytes = nil
+			f.written = n >= f.end
 		}
 		if err != nil {
 			return err
@@ -178,13 +186,17 @@
 	return slices.Contains(q.frames, f)
 }
 
-// drop takes a frame out that still waits.
-func (q *queue) drop(f *frame) bool {
+// drop takes a part out of a frame that still waits, and the frame with its last part.
+func (q *queue) drop(f *frame, id string) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	i := slices.Index(q.frames, f)
-	if i >= 0 {
+	if i < 0 {
+		return false
+	}
+	f.parts = slices.DeleteFunc(f.parts, func(p Part) bool { return p.ID == id })
+	if len(f.parts) == 0 {
 		q.frames = slices.Delete(q.frames, i, i+1)
 	}
-	return i >= 0
+	return true
 }
--- a/replica/pool.go
+++ b/replica/pool.go
@@ -84,15 +84,12 @@
 	if c == nil {
 		return false
 	}
-	f := &frame{}
-	parts := make([]Part, len(tickets))
-	for i, t := range tickets {
-		parts[i] = t.Part
+	f := &frame{left: len(tickets)}
+	for _, t := range tickets {
+		f.parts = append(f.parts, t.Part)
 		t.conn, t.frame, t.since = c, f, now
 		c.out[t.ID] = t
 	}
-	f.left = len(tickets)
-	f.bytes = appendCall(nil, parts)
 	c.calls++
 	c.queue.push(f)
 	return true
@@ -115,10 +112,10 @@
 		}
 	}
 	if !p.budget.Take(sockets.Replicas) {
-		p.makeRoom(now)
-		if !p.budget.Take(sockets.Replicas) {
-			return nil
+		for replica := range p.replicas { // for the calls to come: a connection ends in its own time
+			p.Release(replica)
 		}
+		return nil
 	}
 	c := newConnection(p, l, now)
 	l.conns = append(l.conns, c)
@@ -127,16 +124,6 @@
 	return c
 }
 
-// makeRoom closes connections that carry nothing.
-func (p *Pool) makeRoom(now int64) {
-	for _, l := range p.replicas {
-		for _, c := range l.conns {
-			c.retired = c.retired || c.calls == 0
-		}
-		p.tidy(l)
-	}
-}
-
 // retire takes connections out of use before the replica closes them as idle.
 func (p *Pool) retire(l *line, now int64) {
 	for _, c := range l.conns {
@@ -173,15 +160,15 @@
 }
 
 // GiveUp ends the wait for a ticket, which the pool will not report from then on. With tell the replica
-// hears of it. It returns true if the call never left.
+// hears of it. It returns true if the part never left; what shares its call still goes.
 func (p *Pool) GiveUp(t *Ticket, tell bool) (unsent bool) {
 	c := t.conn
-	if t.frame.left == 1 && c.queue.drop(t.frame) {
+	if c.queue.drop(t.frame, t.ID) {
 		p.done(t)
 		return true
 	}
 	if tell {
-		c.queue.push(&frame{bytes: AppendFrame(nil, LetterGiveUp, t.ID)})
+		c.queue.push(&frame{gives: t.ID})
 	}
 	if c.heard < t.since && p.Now()-t.since >= p.ConnectWithin {
 		c.retired = true
@@ -215,7 +202,7 @@
 	if n.down {
 		p.budget.Give(sockets.Replicas)
 		p.count.ConnectionsClosed.Add(1)
-		if !n.wasUp {
+		if !n.wasUp && n.Err != nil {
 			p.count.ConnectionsFailed.Add(1)
 		}
 		c.retired = true
--- a/replica/pool_test.go
+++ b/replica/pool_test.go
@@ -194,6 +194,27 @@
 			time.Sleep(time.Second)
 			b.expect("a.2 " + connectFailed + " ")
 		},
+		// Danger: in a shared call a part whose query is over would be sent after the answer.
+		"given up out of a shared call": func(b *bench) {
+			l := b.network.Listen(address)
+			for range pipes.Backlog {
+				b.network.Dial(b.Context(), "", address)
+			}
+			tickets := b.call("a.1", "b.1")
+			synctest.Wait()
+			if !b.GiveUp(tickets[0], true) {
+				b.Error("what waits for its connection counts as sent")
+			}
+			for range pipes.Backlog {
+				accept(l).Close()
+			}
+			c := accept(l)
+			if got := b.next(c); got != "Rb.1 1 d=100 1\nt" {
+				b.Errorf("called with %q", got)
+			}
+			b.reply(c, "b.1", Ran)
+			b.expect("b.1 " + fulfilled + " v")
+		},
 		// Danger: a vanished machine's connection swallows whatever is written to it.
 		"silence": func(b *bench) {
 			l := b.network.Listen(address)
--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -1,7 +1,7 @@
 // Package sockets owns the count of descriptors that the process may hold, and shares it out.
 package sockets
 
-import "sync/atomic"
+import "sync"
 
 // Use is what a descriptor is for.
 type Use int
@@ -13,36 +13,46 @@
 )
 
 const (
-	reserve      = 48 // descriptors for standard streams, the poller, the listener, discovery and the runtime
-	replicaShare = 4  // replicas get this part of the rest, clients what is left
+	reserve = 32 // descriptors for standard streams, the poller, the listener, discovery and the runtime
+	least   = 8  // for clients and replicas together, however low the limit is
 )
 
-// Budget counts the descriptors in use against what is allowed for each use.
+// Budget counts the descriptors in use against what is allowed for each use and for all.
 type Budget struct {
-	most  [uses]int64
-	taken [uses]atomic.Int64
+	mu    sync.Mutex
+	all   int
+	most  [uses]int
+	taken [uses]int
 }
 
-// NewBudget shares out a limit.
+// NewBudget shares out a limit: neither use can take all that is there.
 func NewBudget(limit int) *Budget {
-	rest := int64(max(limit-reserve, 2*replicaShare))
-	b := &Budget{}
-	b.most[Replicas] = rest / replicaShare
-	b.most[Clients] = rest - b.most[Replicas]
+	b := &Budget{all: max(limit-reserve, least)}
+	b.most = [uses]int{Clients: b.all * 3 / 4, Replicas: b.all / 2}
 	return b
 }
 
 // Take takes one descriptor, if there is one left.
 func (b *Budget) Take(u Use) bool {
-	if b.taken[u].Add(1) > b.most[u] {
-		b.taken[u].Add(-1)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.taken[u] >= b.most[u] || b.taken[Clients]+b.taken[Replicas] >= b.all {
 		return false
 	}
+	b.taken[u]++
 	return true
 }
 
 // Give gives one back.
-func (b *Budget) Give(u Use) { b.taken[u].Add(-1) }
+func (b *Budget) Give(u Use) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.taken[u]--
+}
 
 // Taken is how many are in use.
-func (b *Budget) Taken(u Use) int { return int(b.taken[u].Load()) }
+func (b *Budget) Taken(u Use) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.taken[u]
+}
