--- a/node/admit.go
+++ b/node/admit.go
@@ -98,8 +98,8 @@
 func (n *Node) end(q *query) {
 	q.over = true
 	n.held -= 1 + len(q.Parts)
-	for _, tries := range q.executions {
-		for _, e := range tries {
+	for _, executions := range q.executions {
+		for _, e := range executions {
 			if !e.over && n.pool.Unsent(e.ticket) {
 				n.giveUp(e, balance.Moot, false)
 			}
--- a/node/send.go
+++ b/node/send.go
@@ -8,7 +8,7 @@
 	"willowsill/replica"
 )
 
-// execution is one try of a part.
+// execution is one run of a part at a replica, numbered from 0.
 type execution struct {
 	query        *query
 	part, number int
--- a/replica/frame.go
+++ b/replica/frame.go
@@ -55,7 +55,10 @@
 
 var endWords = [...]string{Ran: "OK", Failed: "ERROR", TurnedAway: "REJECTED"}
 
-var errNoUse = errors.New("the replica could not use a frame")
+var (
+	errNoUse = errors.New("the replica could not use a frame")
+	errCall  = errors.New("a call that cannot be read")
+)
 
 // AppendFrame adds a frame to buf.
 func AppendFrame(buf []byte, letter byte, rest string) []byte {
@@ -131,3 +134,40 @@
 	}
 	return reply, nil
 }
+
+// ParseCall, for stand-ins, decodes the rest of a call's frame.
+func ParseCall(rest []byte) (parts []Part, err error) {
+	for text := string(rest); text != ""; {
+		line, after, ok := strings.Cut(text, "\n")
+		words := strings.Split(line, " ")
+		if !ok || len(words) != 4 || words[0] == "" {
+			return nil, fmt.Errorf("%w: %.80q", errCall, line)
+		}
+		p := Part{ID: words[0]}
+		if p.Shard, err = strconv.Atoi(words[1]); err != nil {
+			return nil, fmt.Errorf("%w: shard: %w", errCall, err)
+		}
+		for _, item := range strings.Split(words[2], ",") {
+			if name, v, _ := strings.Cut(item, "="); name == "d" {
+				if p.Wait, err = strconv.ParseInt(v, 10, 64); err != nil {
+					return nil, fmt.Errorf("%w: wait: %w", errCall, err)
+				}
+			}
+		}
+		n, err := strconv.Atoi(words[3])
+		if err != nil || n < 0 || n > len(after) {
+			return nil, fmt.Errorf("%w: length %.20q", errCall, words[3])
+		}
+		p.Text, text = []byte(after[:n]), after[n:]
+		parts = append(parts, p)
+	}
+	if len(parts) == 0 {
+		return nil, fmt.Errorf("%w: no part", errCall)
+	}
+	return parts, nil
+}
+
+// AppendReply, for stand-ins, adds the frame of a reply to buf.
+func AppendReply(buf []byte, r Reply, report string) []byte {
+	return AppendFrame(buf, LetterReply, r.ID+" "+endWords[r.End]+" 0 "+report+"\n"+r.Value)
+}
