Front: a limit on bodies of requests that are refused unread

Read in the stock server: after an answer it reads the rest of the body, with no limit of its own, so a POST to a path that is not there held its connection for as long as its client liked (front.ServeHTTP). Checked by the test, which waits for ever without the limit. ReadTimeout is no substitute: it would also end queries under way.

--- a/cmd/willowsill/main.go
+++ b/cmd/willowsill/main.go
@@ -71,7 +71,7 @@
 	clock := node.NewClock()
 
 	var core *node.Node
-	watch := roster.NewWatch(start.Discovery, start.Cells, start.Known.Sequence, roster.Dial(dial),
+	watch := roster.NewWatch(start.Discovery, start.Cells, start.Known.Sequence, dial,
 		func(ctx context.Context, n roster.News) { core.News(ctx, n) })
 	core = node.New(node.Plan{Clock: clock, Deployment: start.Deployment, Terms: start.Terms, Known: start.Known,
 		Budget: budget, Count: count, Log: log, Ask: watch.Ask, Dial: dial})
--- a/front/front.go
+++ b/front/front.go
@@ -94,6 +94,9 @@
 		}
 	}()
 	f.farewell(w)
+	// Danger: a body that never ends would hold its connection for ever, here or in the stock server, which
+	// reads on after the answer. So there is a limit until a body is there, and it stays where none came.
+	f.limit(w, f.Longest)
 	switch r.URL.Path {
 	case "/healthz":
 		f.health(w, r)
@@ -104,6 +107,11 @@
 	}
 }
 
+// limit has reads of the request end so many ns from now.
+func (f *Front) limit(w http.ResponseWriter, ns int64) {
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(time.Duration(ns)))
+}
+
 // farewell has an answer close its connection once the word to stop has come.
 func (f *Front) farewell(w http.ResponseWriter) bool {
 	select {
@@ -183,14 +191,10 @@
 	}
 	q.Until = began + wait*unit
 
-	// Danger: a body that never ends would hold its connection for ever, here or in the stock server, which
-	// reads on after the answer. So the limit stays where the body did not come.
-	control := http.NewResponseController(w)
-	limit := min(q.Until, began+f.Longest)
-	control.SetReadDeadline(time.Now().Add(time.Duration(limit - f.Clock.Now())))
+	f.limit(w, min(q.Until, began+f.Longest)-f.Clock.Now())
 	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
 	if err == nil {
-		control.SetReadDeadline(time.Time{})
+		http.NewResponseController(w).SetReadDeadline(time.Time{})
 	}
 	var long *http.MaxBytesError
 	switch {
@@ -203,7 +207,8 @@
 		w.Header().Set("Connection", "close")
 		return q, bad("the body ended early")
 	}
-	return q, f.readBody(text, &q)
+	err = f.readBody(text, &q)
+	return q, err
 }
 
 func (f *Front) readBody(text []byte, q *node.Query) error {
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -231,6 +231,15 @@
 		if code, closing := c.status(); code != 503 || !closing || s.front.Clock.Now() != began+480e6 {
 			t.Errorf("a body that never ends got %d after %d ns", code, s.front.Clock.Now()-began)
 		}
+		c = dial()
+		fmt.Fprint(c, "POST /other HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n")
+		began = s.front.Clock.Now()
+		if code, _ := c.status(); code != 404 {
+			t.Errorf("another path got %d", code)
+		}
+		if code, _ := c.status(); code != 0 || s.front.Clock.Now()-began > 3e9 {
+			t.Errorf("its body was waited for %d ns", s.front.Clock.Now()-began)
+		}
 	})
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -118,12 +118,11 @@
 	asked     chan struct{}
 }
 
-// Dial opens a connection.
-type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+type dialer = func(ctx context.Context, network, address string) (net.Conn, error)
 
 // NewWatch makes a watch that goes on from a list with that sequence number; tell hears each answer, in
 // order, and each failure.
-func NewWatch(address string, cells int, sequence int64, dial Dial, tell func(context.Context, News)) *Watch {
+func NewWatch(address string, cells int, sequence int64, dial dialer, tell func(context.Context, News)) *Watch {
 	return &Watch{address: address, cells: cells, sequence: sequence, tell: tell, asked: make(chan struct{}, 1),
 		transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2, DisableCompression: true,
 			DialContext: dial}}
