--- a/cmd/willowsill/main.go
+++ b/cmd/willowsill/main.go
@@ -51,7 +51,9 @@
 	stop, ignore := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer ignore()
 	listener, err := net.Listen("tcp", start.Listen)
-	if err == nil {
+	if err != nil {
+		err = fmt.Errorf("variable NODE_LISTEN: %w", err)
+	} else {
 		// TCP's own keep-alive would not notice a machine that vanished, and parts have limits of their own.
 		err = run(stop, start, listener, (&net.Dialer{KeepAlive: -1}).DialContext, log)
 	}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -106,6 +106,31 @@
 
 var makeClock = node.NewClock()
 
+// FuzzBody: whatever a body holds, what is taken in can be served.
+func FuzzBody(f *testing.F) {
+	f.Add([]byte(goodBody))
+	f.Add([]byte(`{"segments":[{"segment":1e9,"boost":-1}],"text":null}`))
+	f.Add([]byte(`{"segments":[{"segment":1,"boost":1e308},{"segment":2,"boost":1e308}],"text":"\ud800"}`))
+	front := makeFront(nil)
+	f.Fuzz(func(t *testing.T, text []byte) {
+		var q node.Query
+		if front.readBody(text, &q) != nil {
+			return
+		}
+		sum, seen := 0.0, map[int]bool{}
+		for _, p := range q.Parts {
+			if p.Shard < 0 || p.Shard >= front.Shards || seen[p.Shard] || p.Weight < 0 {
+				t.Errorf("took in the part %v", p)
+			}
+			seen[p.Shard] = true
+			sum += p.Weight
+		}
+		if sum < 1-1e-9 || sum > 1+1e-9 {
+			t.Errorf("the weights make %g", sum)
+		}
+	})
+}
+
 func TestAnswers(t *testing.T) {
 	for name, c := range map[string]struct {
 		answer node.Answer
