--- a/front/front.go
+++ b/front/front.go
@@ -172,13 +172,15 @@
 	}
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
 	row, known := f.Workload[name]
-	if !known {
+	qos := r.Header.Get("X-Qos")
+	switch {
+	case !known && (name == "" || qos != name):
 		return q, refusal{http.StatusNotFound, "no such path"}
-	}
-	if r.Method != http.MethodPost {
+	case r.Method != http.MethodPost:
 		return q, refusal{http.StatusMethodNotAllowed, "POST only"}
-	}
-	if qos := r.Header.Get("X-Qos"); qos != name {
+	case !known:
+		return q, bad("X-Qos names no workload")
+	case qos != name:
 		return q, bad("X-Qos is missing or differs from the path")
 	}
 	q.Workload, q.ID = row, r.Header.Get("X-Trace-Id")
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -61,6 +61,7 @@
 		"path":           {request("POST", "/other", goodBody), 404},
 		"no path":        {request("POST", "/", goodBody), 404},
 		"other workload": {request("POST", "/lookup", goodBody, "X-Qos: report"), 400},
+		"unknown":        {request("POST", "/other", goodBody, "X-Qos: other"), 400},
 		"no id":          {request("POST", "/lookup", goodBody, "X-Trace-Id: "), 400},
 		"id with spaces": {request("POST", "/lookup", goodBody, "X-Trace-Id: a b"), 400},
 		"no time":        {request("POST", "/lookup", goodBody, "X-Expires-In-Ms: "), 400},
