--- a/front/front.go
+++ b/front/front.go
@@ -50,15 +50,15 @@
 	writeWait = 2 * time.Second // a client that reads nothing for so long gets no answer
 )
 
-// refusal is a request that is not served, with what the client hears.
-type refusal struct {
+// complaint is a request that is not served, with what the client hears.
+type complaint struct {
 	status int
 	text   string
 }
 
-func (r refusal) Error() string { return r.text }
+func (c complaint) Error() string { return c.text }
 
-func bad(text string) error { return refusal{http.StatusBadRequest, text} }
+func bad(text string) error { return complaint{http.StatusBadRequest, text} }
 
 // body is the form of a request's body.
 type body struct {
@@ -125,7 +125,7 @@
 
 func (f *Front) health(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodGet && r.Method != http.MethodHead {
-		f.refuse(w, refusal{http.StatusMethodNotAllowed, "GET only"})
+		f.complain(w, complaint{http.StatusMethodNotAllowed, "GET only"})
 		return
 	}
 	if f.farewell(w) {
@@ -142,7 +142,7 @@
 
 func (f *Front) counters(w http.ResponseWriter, r *http.Request) {
 	if r.Method != http.MethodGet {
-		f.refuse(w, refusal{http.StatusMethodNotAllowed, "GET only"})
+		f.complain(w, complaint{http.StatusMethodNotAllowed, "GET only"})
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
@@ -152,7 +152,7 @@
 func (f *Front) query(w http.ResponseWriter, r *http.Request) {
 	q, err := f.read(w, r)
 	if err != nil {
-		f.refuse(w, err)
+		f.complain(w, err)
 		return
 	}
 	a, ok := f.Core.Serve(r.Context(), q)
@@ -175,9 +175,9 @@
 	qos := r.Header.Get("X-Qos")
 	switch {
 	case !known && (name == "" || qos != name):
-		return q, refusal{http.StatusNotFound, "no such path"}
+		return q, complaint{http.StatusNotFound, "no such path"}
 	case r.Method != http.MethodPost:
-		return q, refusal{http.StatusMethodNotAllowed, "POST only"}
+		return q, complaint{http.StatusMethodNotAllowed, "POST only"}
 	case !known:
 		return q, bad("X-Qos names no workload")
 	case qos != name:
@@ -201,10 +201,10 @@
 	var long *http.MaxBytesError
 	switch {
 	case errors.As(err, &long):
-		return q, refusal{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
+		return q, complaint{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		w.Header().Set("Connection", "close")
-		return q, refusal{http.StatusServiceUnavailable, "the time was up before the body was there"}
+		return q, complaint{http.StatusServiceUnavailable, "the time was up before the body was there"}
 	case err != nil:
 		w.Header().Set("Connection", "close")
 		return q, bad("the body ended early")
@@ -254,13 +254,13 @@
 		strings.IndexFunc(id, func(c rune) bool { return c <= ' ' || c >= 0x7f }) < 0
 }
 
-// refuse answers a request that is not served.
-func (f *Front) refuse(w http.ResponseWriter, err error) {
+// complain answers a request that is not served.
+func (f *Front) complain(w http.ResponseWriter, err error) {
 	f.Count.BadRequests.Add(1)
 	status := http.StatusBadRequest
-	var r refusal
-	if errors.As(err, &r) {
-		status = r.status
+	var c complaint
+	if errors.As(err, &c) {
+		status = c.status
 	}
 	http.Error(w, err.Error(), status)
 }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -234,6 +234,21 @@
 	})
 }
 
+// Danger: a machine that has vanished takes no bytes and says nothing; its part must run at the peer in time, and
+// the next query's must not wait there again.
+func TestReplicaVanishes(t *testing.T) {
+	on(t, asIs, value, func(w *world) {
+		w.listeners = append(w.listeners, w.network.Listen("r:0")) // nobody accepts there any more
+		for i, most := range []time.Duration{time.Second, 100 * time.Millisecond} {
+			id, began := fmt.Sprint("q", i), time.Now()
+			got := w.serve(w.Context(), id, 3*time.Second)
+			if !strings.HasPrefix(got, fmt.Sprintf("0 [{0 %[1]s.0text} {1 %[1]s.1text}]", id)) || time.Since(began) > most {
+				w.Errorf("the query %s got %q", id, got)
+			}
+		}
+	})
+}
+
 // What was known from an earlier life serves until discovery speaks; where it must be asked it is.
 func TestAskedList(t *testing.T) {
 	on(t, func(p *Plan) {
