--- a/cmd/willowsill/main.go
+++ b/cmd/willowsill/main.go
@@ -29,10 +29,10 @@
 )
 
 const (
-	memoryShare = 0.7 // of the limit for the heap: the rest is for stacks, sockets and the runtime
-	logEach     = time.Second
-	logFirst    = 5                      // lines of one text in each logEach, then
-	logThen     = 100                    // every so many
+	memoryShare = 0.7                    // of the limit for the heap: the rest is for stacks, sockets and the runtime
+	logEach     = time.Second            // the log is thinned out by text in spans of this,
+	logFirst    = 5                      // so many lines of one text are kept, then
+	logThen     = 100                    // one in so many
 	leastWait   = 3 * int64(time.Second) // for what is under way when it is told to stop
 )
 
--- a/deployment/start.go
+++ b/deployment/start.go
@@ -44,10 +44,10 @@
 
 // Defaults for limits that are not stated.
 const (
-	defaultCores   = 1.0
-	defaultMemory  = 192 // MB
-	defaultSockets = 1024
-	leastSockets   = 48
+	defaultCores   = 1.0  // an aggregator has a core, shared or its own
+	defaultMemory  = 192  // MB: thirty times what one at the first size was seen to use
+	defaultSockets = 1024 // descriptors: the usual limit of a process
+	leastSockets   = 48   // descriptors: what the process needs for itself, and some to serve with
 	megabyte       = 1 << 20
 )
 
@@ -138,15 +138,13 @@
 	if mode := statement.String("membership_mode"); mode != "push" && mode != "ask" {
 		return fmt.Errorf("settings: field %q is unknown", "membership_mode")
 	}
-	for _, raw := range statement.List("classes") {
+	for i, raw := range statement.List("classes") {
 		c := &fields.Object{Raw: raw}
 		s.LongestCutOff = max(s.LongestCutOff, c.Time("give_up"))
 		if c.Err != nil {
 			return fmt.Errorf("settings: classes: %w", c.Err)
 		}
-	}
-	for _, w := range s.Workloads {
-		if w.FollowUp > 0 { // the protocol with clients and replicas has no form for it
+		if s.Workloads[i].FollowUp > 0 { // the protocol with clients and replicas has no form for it
 			return errors.New(`settings: field "follow_up": a second step is not served on sockets`)
 		}
 	}
--- a/node/admit.go
+++ b/node/admit.go
@@ -43,13 +43,13 @@
 //
 // Danger: more queries than the loop can take would fill the queue and keep outcomes out.
 func (n *Node) Serve(ctx context.Context, asked Query) (Answer, bool) {
-	q := &query{Query: asked, answer: make(chan Answer, 1),
-		executions: make([][]*execution, len(asked.Parts)),
-		values:     make([]string, len(asked.Parts)), in: make([]bool, len(asked.Parts))}
 	if len(n.facts) >= queueLength/frontShare {
 		n.count.Crowded.Add(1)
 		return Answer{Final: balance.Declined}, true
 	}
+	q := &query{Query: asked, answer: make(chan Answer, 1),
+		executions: make([][]*execution, len(asked.Parts)),
+		values:     make([]string, len(asked.Parts)), in: make([]bool, len(asked.Parts))}
 	n.facts <- fact{n.Now(), arrival{q}}
 	select {
 	case a := <-q.answer:
@@ -63,7 +63,7 @@
 // admit hands a query to the module, or declines it where the node holds as much as it may, or where its
 // client's time is up.
 func (n *Node) admit(now int64, q *query) {
-	count := n.count.Workloads[n.names[q.Workload]]
+	count := n.rows[q.Workload]
 	count.Taken.Add(1)
 	patience := q.Until - now - n.lateness
 	if n.held >= n.terms.MostHeld || patience <= 0 {
@@ -87,7 +87,7 @@
 	if q.over {
 		return
 	}
-	n.count.Workloads[n.names[q.Workload]].Left.Add(1)
+	n.rows[q.Workload].Left.Add(1)
 	q.handle.Leave(now)
 	n.end(q)
 }
@@ -100,8 +100,8 @@
 	n.held -= 1 + len(q.Parts)
 	for _, executions := range q.executions {
 		for _, e := range executions {
-			if !e.over && n.pool.Unsent(e.ticket) {
-				n.giveUp(e, balance.Moot, false)
+			if !e.over && n.pool.Withdraw(e.ticket) {
+				n.later(e, balance.Moot)
 			}
 		}
 	}
--- a/node/book.go
+++ b/node/book.go
@@ -23,8 +23,9 @@
 
 // bookPending books what has come up meanwhile.
 func (n *Node) bookPending() {
-	for i := 0; i < len(n.pending); i++ {
-		n.bookOutcome(n.Now(), n.pending[i].execution, n.pending[i].result, n.Now())
+	now := n.Now()
+	for _, o := range n.pending {
+		n.bookOutcome(now, o.execution, o.result, now)
 	}
 	n.pending = n.pending[:0]
 }
@@ -48,9 +49,7 @@
 	for n.cuts.next() <= now {
 		n.giveUp(n.cuts[0], balance.TimedOut, false)
 	}
-	if len(n.pending) > 0 {
-		n.bookPending()
-	}
+	n.bookPending()
 }
 
 // bookOutcome tells the module how an execution ended, once.
@@ -96,8 +95,8 @@
 		if !known {
 			i = len(n.index)
 			n.index[e.Host] = i
-			n.pool.Address(i, e.Dial)
-		} else if e.Dial != "" {
+		}
+		if !known || e.Dial != "" { // one that has left may come without its address
 			n.pool.Address(i, e.Dial)
 		}
 		listings = append(listings, balance.Listing{Replica: i, Cell: e.Cell, Standing: e.Standing,
--- a/node/node.go
+++ b/node/node.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"go.uber.org/zap"
@@ -56,7 +57,7 @@
 	Clock
 	deployment.Deployment
 	terms   deployment.Terms
-	names   []string // of the workloads, by row
+	rows    []*counters.Workload // as the deployment numbers them
 	log     *zap.Logger
 	count   *counters.Counters
 	ask     func() // starts a watch of the list
@@ -101,10 +102,10 @@
 		Clock: p.Clock, Deployment: p.Deployment, terms: p.Terms, log: p.Log, count: p.Count, ask: p.Ask,
 		facts: make(chan fact, queueLength), ended: make(chan struct{}), ready: make(chan struct{}),
 		index: map[string]int{}, queries: map[*balance.Query]*query{}, out: map[*replica.Ticket]*execution{},
-		names: make([]string, len(p.Deployment.Workloads)),
+		rows: make([]*counters.Workload, len(p.Deployment.Workloads)),
 	}
 	for name, row := range p.Deployment.Workload {
-		n.names[row] = name
+		n.rows[row] = p.Count.Workloads[name]
 	}
 	n.agg = balance.New(n.Now(), p.Deployment.Deployment)
 	n.pool = replica.NewPool(replica.Terms{Streams: p.Terms.Streams, ConnectWithin: p.Terms.ConnectWithin,
@@ -177,7 +178,7 @@
 
 // due is when the next round has to come: rounds stand a tick apart at least.
 func (n *Node) due() int64 {
-	next := int64(1<<63 - 1)
+	next := int64(math.MaxInt64)
 	if n.moved {
 		next = n.last + n.Tick
 	}
--- a/node/relay.go
+++ b/node/relay.go
@@ -18,7 +18,7 @@
 // relay hands the module's ending of a query to its front.
 func (n *Node) relay(e balance.Ending) {
 	q := n.queries[e.Query]
-	count := n.count.Workloads[n.names[q.Workload]]
+	count := n.rows[q.Workload]
 	a := Answer{Final: e.Final, ComeBack: e.ComeBack}
 	switch e.Final {
 	case balance.Whole, balance.Partial:
--- a/node/send.go
+++ b/node/send.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"strconv"
 
 	"willowsill/balance"
@@ -101,7 +102,7 @@
 		heap.Pop(c)
 	}
 	if len(*c) == 0 {
-		return 1<<63 - 1
+		return math.MaxInt64
 	}
 	return (*c)[0].cutAt
 }
--- a/replica/connection.go
+++ b/replica/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -49,11 +50,10 @@
 	heard     int64
 	idleSince int64
 
-	queue   queue
-	pool    *Pool
-	ctx     context.Context
-	shut    context.CancelFunc
-	readErr error
+	queue queue
+	pool  *Pool
+	ctx   context.Context
+	shut  context.CancelFunc
 }
 
 func newConnection(p *Pool, l *line, now int64) *connection {
@@ -75,19 +75,17 @@
 	up := err == nil
 	if up {
 		var reading sync.WaitGroup
+		var readErr error
 		reading.Go(func() {
-			c.readErr = c.read(conn)
+			readErr = c.read(conn)
 			c.shut()
 		})
 		stop := context.AfterFunc(c.ctx, func() { conn.Close() })
 		err = c.write(conn)
-		c.shut()
 		stop()
 		conn.Close()
 		reading.Wait()
-		if err == nil {
-			err = c.readErr
-		}
+		err = cmp.Or(err, readErr)
 	}
 	c.shut()
 	if errors.Is(err, net.ErrClosed) || errors.Is(err, context.Canceled) {
@@ -179,13 +177,6 @@
 	return frames
 }
 
-// holds tells whether a frame still waits.
-func (q *queue) holds(f *frame) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return slices.Contains(q.frames, f)
-}
-
 // drop takes a part out of a frame that still waits, and the frame with its last part.
 func (q *queue) drop(f *frame, id string) bool {
 	q.mu.Lock()
--- a/replica/pool.go
+++ b/replica/pool.go
@@ -18,7 +18,6 @@
 	conn  *connection
 	frame *frame
 	since int64
-	over  bool
 }
 
 // Report tells how a ticket ended.
@@ -69,11 +68,8 @@
 	}
 	l := p.replicas[replica]
 	if l.dial != dial {
-		for _, c := range l.conns { // what is out there may still come
-			c.retired = true
-		}
 		l.dial = dial
-		p.tidy(l)
+		l.retire(func(*connection) bool { return true }) // what is out there may still come
 	}
 }
 
@@ -102,7 +98,7 @@
 // for almost as long as the replica keeps it would reset the next part. And an id that was given up on a
 // connection must not meet its own late reply there.
 func (p *Pool) choose(l *line, tickets []*Ticket, now int64) *connection {
-	p.retire(l, now)
+	p.retireIdle(l, now)
 	for _, c := range l.conns {
 		if c.retired || c.calls >= p.Streams {
 			continue
@@ -124,49 +120,61 @@
 	return c
 }
 
-// retire takes connections out of use before the replica closes them as idle.
-func (p *Pool) retire(l *line, now int64) {
-	for _, c := range l.conns {
-		if c.calls == 0 && now-c.idleSince >= p.IdleAfter-p.IdleAfter/idleMargin {
-			c.retired = true
-		}
-	}
-	p.tidy(l)
+// retireIdle takes connections out of use before the replica closes them as idle.
+func (p *Pool) retireIdle(l *line, now int64) {
+	l.retire(func(c *connection) bool {
+		return c.calls == 0 && now-c.idleSince >= p.IdleAfter-p.IdleAfter/idleMargin
+	})
 }
 
 // Sweep retires idle connections everywhere.
 func (p *Pool) Sweep() {
 	for _, l := range p.replicas {
-		p.retire(l, p.Now())
+		p.retireIdle(l, p.Now())
 	}
 }
 
 // Release gives back the connections to a replica that carry nothing now.
 func (p *Pool) Release(replica int) {
-	for _, c := range p.replicas[replica].conns {
-		c.retired = c.retired || c.calls == 0
+	p.replicas[replica].retire(func(c *connection) bool { return c.calls == 0 })
+}
+
+// retire takes some connections out of use; they end with their last call.
+func (l *line) retire(which func(*connection) bool) {
+	for _, c := range l.conns {
+		c.retired = c.retired || which(c)
 	}
-	p.tidy(p.replicas[replica])
+	l.tidy()
 }
 
 // tidy closes what is retired and carries nothing; the connection's end comes as a notice.
-func (p *Pool) tidy(l *line) {
-	for _, c := range l.conns {
-		if c.retired && c.calls == 0 {
+func (l *line) tidy() {
+	l.conns = slices.DeleteFunc(l.conns, func(c *connection) bool {
+		ends := c.retired && c.calls == 0
+		if ends {
 			c.shut()
 		}
+		return ends
+	})
+}
+
+// Withdraw takes a ticket back whose part has not left yet; the pool will not report it from then on. What
+// shares its call still goes.
+func (p *Pool) Withdraw(t *Ticket) bool {
+	unsent := t.conn.queue.drop(t.frame, t.ID)
+	if unsent {
+		p.done(t)
 	}
-	l.conns = slices.DeleteFunc(l.conns, func(c *connection) bool { return c.retired && c.calls == 0 })
+	return unsent
 }
 
 // GiveUp ends the wait for a ticket, which the pool will not report from then on. With tell the replica
-// hears of it. It returns true if the part never left; what shares its call still goes.
+// hears of it. It returns true if the part never left and was withdrawn.
 func (p *Pool) GiveUp(t *Ticket, tell bool) (unsent bool) {
-	c := t.conn
-	if c.queue.drop(t.frame, t.ID) {
-		p.done(t)
+	if p.Withdraw(t) {
 		return true
 	}
+	c := t.conn
 	if tell {
 		c.queue.push(&frame{gives: t.ID})
 	}
@@ -181,19 +189,15 @@
 	return false
 }
 
-// Unsent tells whether no byte of the ticket's call has left.
-func (p *Pool) Unsent(t *Ticket) bool { return !t.over && t.conn.queue.holds(t.frame) }
-
 // done takes a ticket off its connection.
 func (p *Pool) done(t *Ticket) {
 	c := t.conn
-	t.over = true
 	delete(c.out, t.ID)
 	if t.frame.left--; t.frame.left == 0 {
 		c.calls--
 		c.idleSince = p.Now()
 	}
-	p.tidy(c.line)
+	c.line.tidy()
 }
 
 // Note takes in what a connection had to tell and returns the tickets that it ended.
@@ -206,7 +210,7 @@
 			p.count.ConnectionsFailed.Add(1)
 		}
 		c.retired = true
-		p.tidy(c.line)
+		c.line.tidy()
 		for _, t := range c.out {
 			// What broke before its frame's last byte was written never ran.
 			result := balance.ConnectFailed
--- a/replica/pool_test.go
+++ b/replica/pool_test.go
@@ -95,6 +95,17 @@
 	return string(head[4]) + string(rest)
 }
 
+// fulfilled has a replica answer a part on a new connection.
+func (b *bench) fulfilled(l *pipes.Listener, id string) net.Conn {
+	b.Helper()
+	b.call(id)
+	c := accept(l)
+	b.next(c)
+	b.reply(c, id, Ran)
+	b.expect(id + " " + fulfilled + " v")
+	return c
+}
+
 func (b *bench) reply(c net.Conn, id string, end End) {
 	c.Write(AppendReply(nil, Reply{id, end, "v"}, "-"))
 }
@@ -185,14 +196,13 @@
 		},
 		"given up before it left": func(b *bench) {
 			b.network.Silence(address)
-			tickets := b.call("a.1")
-			b.call("a.2")
+			tickets := append(b.call("a.1"), b.call("a.2", "a.3")...)
 			time.Sleep(time.Millisecond)
-			if !b.Unsent(tickets[0]) || !b.GiveUp(tickets[0], true) {
+			if !b.Withdraw(tickets[1]) || !b.GiveUp(tickets[0], true) {
 				b.Error("what waits for its connection counts as sent")
 			}
 			time.Sleep(time.Second)
-			b.expect("a.2 " + connectFailed + " ")
+			b.expect("a.3 " + connectFailed + " ")
 		},
 		// Danger: in a shared call a part whose query is over would be sent after the answer.
 		"given up out of a shared call": func(b *bench) {
@@ -255,11 +265,7 @@
 		},
 		"idle": func(b *bench) {
 			l := b.network.Listen(address)
-			b.call("a.1")
-			c := accept(l)
-			b.next(c)
-			b.reply(c, "a.1", Ran)
-			b.expect("a.1 " + fulfilled + " v")
+			c := b.fulfilled(l, "a.1")
 			time.Sleep(13 * time.Second)
 			b.Sweep()
 			b.call("a.2")
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -15,10 +15,10 @@
 )
 
 const (
-	wait     = 5 * time.Second // that discovery may hold a call back: short, so that a dead way is seen soon
-	spare    = time.Second     // a call is over so long after its wait: before its news counts as told
-	again    = 100 * time.Millisecond
-	answer   = 8 << 20 // most bytes of an answer: a list of tens of thousands
+	wait     = 5 * time.Second        // that discovery may hold a call back: short, so that a dead way is seen soon
+	spare    = time.Second            // a call is over so long after its wait: before its news counts as told
+	again    = 100 * time.Millisecond // between a failed call and the next: discovery answers at no cost
+	answer   = 8 << 20                // most bytes of an answer: a list of tens of thousands
 	listPath = "/v1/servers"
 )
 
--- a/standin/discovery.go
+++ b/standin/discovery.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -31,9 +32,9 @@
 
 // NewDiscovery makes a discovery with a list.
 func NewDiscovery(hosts ...Host) *Discovery {
-	d := &Discovery{seq: 1, news: make(chan struct{})}
+	d := &Discovery{news: make(chan struct{})}
 	for _, h := range hosts {
-		d.hosts, d.changed = append(d.hosts, h), append(d.changed, d.seq)
+		d.Change(h)
 	}
 	return d
 }
@@ -43,13 +44,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.seq++
-	at := len(d.hosts)
-	for i := range d.hosts {
-		if d.hosts[i].Host == h.Host {
-			at = i
-		}
-	}
-	if at == len(d.hosts) {
+	at := slices.IndexFunc(d.hosts, func(was Host) bool { return was.Host == h.Host })
+	if at < 0 {
+		at = len(d.hosts)
 		d.hosts, d.changed = append(d.hosts, h), append(d.changed, d.seq)
 	}
 	d.hosts[at], d.changed[at] = h, d.seq
