SIGHUP reads the configuration again and turns the watch to the discovery it names

Ruled out: memory (4 MB), a panic (none logged).

Now SIGHUP is heard from the first line of main to its last. The file is read and checked whole; if it is missing, half-written or wrong the running one stays in force, which is logged with the key and counted. Watch.Follow ends the call under way at the old address, closes its idle connections and asks the new one for the whole list, since versions of two addresses need not agree. Keys that cannot change while it runs are named in the log.

--- a/cmd/willowsill/main.go
+++ b/cmd/willowsill/main.go
@@ -1,5 +1,6 @@
 // Command willowsill is one aggregator on sockets. It reads what it is told from the environment and the
-// configuration, serves until SIGTERM, answers what it has taken and ends with 0.
+// configuration, follows it when it is replaced and SIGHUP says so, serves until SIGTERM, answers what it has
+// taken and ends with 0.
 package main
 
 import (
@@ -37,6 +38,9 @@
 )
 
 func main() {
+	// Danger: a SIGHUP that nobody hears ends the process, so one is heard from the first to the last.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
 	start, err := deployment.FromEnvironment(os.Getenv)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "willowsill:", err)
@@ -55,7 +59,7 @@
 		err = fmt.Errorf("variable NODE_LISTEN: %w", err)
 	} else {
 		// TCP's own keep-alive would not notice a machine that vanished, and parts have limits of their own.
-		err = run(stop, start, listener, (&net.Dialer{KeepAlive: -1}).DialContext, log)
+		err = run(stop, reload, start, listener, (&net.Dialer{KeepAlive: -1}).DialContext, log)
 	}
 	if err != nil {
 		log.Error("failed", zap.Error(err))
@@ -66,8 +70,10 @@
 	}
 }
 
-// run serves until stop is over, and ends when all it has taken is answered and all it holds is given back.
-func run(stop context.Context, start deployment.Start, l net.Listener, dial replica.Dial, log *zap.Logger) error {
+// run serves until stop is over, and ends when all it has taken is answered and all it holds is given back. At
+// each word on reload it reads its configuration again.
+func run(stop context.Context, reload <-chan os.Signal, start deployment.Start, l net.Listener,
+	dial replica.Dial, log *zap.Logger) error {
 	count := counters.New(start.Workload)
 	budget := sockets.NewBudget(start.Sockets)
 	clock := node.NewClock()
@@ -91,10 +97,15 @@
 	go func() { served <- server.Serve() }()
 	log.Info("serving", zap.String("listen", start.Listen), zap.Int("known", len(start.Known.Entries)))
 
-	select {
-	case err := <-served:
-		return err
-	case <-stop.Done():
+	for leaving := false; !leaving; {
+		select {
+		case err := <-served:
+			return err
+		case <-reload:
+			follow(&start, watch, count, log)
+		case <-stop.Done():
+			leaving = true
+		}
 	}
 	log.Info("leaving")
 	err := server.Stop(time.Duration(max(start.LongestCutOff, leastWait)))
@@ -107,3 +118,21 @@
 	log.Info("ended", zap.Any("counters", count))
 	return err
 }
+
+// follow reads the configuration again and turns the watch to the discovery that it names now.
+//
+// Danger: a file that is missing, half-written or wrong must not end what runs well, nor change a part of it.
+func follow(start *deployment.Start, watch *roster.Watch, count *counters.Counters, log *zap.Logger) {
+	count.Reloads.Add(1)
+	next, odd, err := start.Again()
+	if err != nil {
+		count.ReloadsWrong.Add(1)
+		log.Error("the configuration cannot be used, what was read before stays in force", zap.Error(err))
+		return
+	}
+	if len(odd) > 0 {
+		log.Warn("what these keys say now holds from the next start on", zap.Strings("keys", odd))
+	}
+	log.Info("the configuration was read again", zap.String("discovery", next.Discovery))
+	watch.Follow(next.Discovery)
+}
--- a/cmd/willowsill/main_test.go
+++ b/cmd/willowsill/main_test.go
@@ -6,6 +6,10 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -20,11 +24,23 @@
 	"willowsill/standin"
 )
 
-// The whole program with toy peers: a query before the word to stop, one under way at it, and one after it.
+// The whole program with toy peers: a new configuration, a query before the word to stop, one under way at it,
+// and one after it.
 // In the end nothing may be left running, and every connection must have been closed.
 func TestProgram(t *testing.T) {
+	text, err := os.ReadFile("../../examples/config.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "config.json")
+	told := func(text string) {
+		if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+			t.Error(err)
+		}
+	}
+	told(string(text))
 	env := map[string]string{"NODE_NAME": "n0", "NODE_LISTEN": "127.0.0.1:8081", "NODE_DISCOVERY": "127.0.0.1:8500",
-		"NODE_CONFIG": "../../examples/config.json"}
+		"NODE_CONFIG": file}
 	start, err := deployment.FromEnvironment(func(name string) string { return env[name] })
 	if err != nil {
 		t.Fatal(err)
@@ -43,12 +59,19 @@
 			go toy.Serve(replicas[i])
 		}
 		discovery := &http.Server{Handler: list}
-		go discovery.Serve(network.Listen(start.Discovery))
+		old, moved := network.Listen(start.Discovery), network.Listen("127.0.0.1:8501")
+		go discovery.Serve(old)
+		reload := make(chan os.Signal, 1)
+		hangUp := func(text string) {
+			told(text)
+			reload <- syscall.SIGHUP
+			time.Sleep(10 * time.Millisecond)
+		}
 		stop, leave := context.WithCancel(t.Context())
 		core, logs := observer.New(zap.InfoLevel)
 		ended := make(chan error, 1)
 		listener := network.Listen(start.Listen)
-		go func() { ended <- run(stop, start, listener, network.Dial, zap.New(core)) }()
+		go func() { ended <- run(stop, reload, start, listener, network.Dial, zap.New(core)) }()
 		time.Sleep(10 * time.Millisecond)
 
 		ask := func(id string) string {
@@ -74,6 +97,26 @@
 		if got := ask("a"); got != want("a") {
 			t.Errorf("answered %s", got)
 		}
+		old.Close()
+		hangUp(string(text[:len(text)/2]))
+		hangUp(strings.Replace(string(text), `"seed": "`, `"discovery": "nowhere", "seed": "`, 1))
+		go discovery.Serve(moved)
+		hangUp(strings.Replace(string(text), `"seed": "0`, `"discovery": "127.0.0.1:8501", "seed": "b`, 1))
+		if wrong := logs.FilterLevelExact(zap.ErrorLevel).All(); len(wrong) != 2 ||
+			!strings.Contains(fmt.Sprint(wrong[1].ContextMap()), `"discovery"`) {
+			t.Errorf("of wrong configurations said %v", wrong)
+		}
+		if odd := logs.FilterField(zap.Strings("keys", []string{"seed"})); odd.Len() != 1 {
+			t.Errorf("%d lines name the key that cannot change now", odd.Len())
+		}
+		for _, l := range replicas[:start.Cells] { // half of all go, and only the new discovery says so
+			l.Close()
+			list.Change(standin.Host{Host: "s-" + strings.TrimPrefix(l.String(), "r:"), Health: "left"})
+		}
+		time.Sleep(10 * time.Millisecond)
+		if got := ask("m"); got != want("m") {
+			t.Errorf("from the new list answered %s", got)
+		}
 		underWay := make(chan string, 1)
 		go func() { underWay <- ask("b") }()
 		time.Sleep(20 * time.Millisecond)
@@ -92,6 +135,9 @@
 			t.Errorf("after the end got %s", got)
 		}
 		last := logs.FilterMessage("ended").All()[0].ContextMap()["counters"].(*counters.Counters)
+		if failed := last.ConnectionsFailed.Load(); last.Reloads.Load() != 3 || last.ReloadsWrong.Load() != 2 || failed != 0 {
+			t.Errorf("%d reloads, %d wrong; %d connections to what has left", last.Reloads.Load(), last.ReloadsWrong.Load(), failed)
+		}
 		if opened, closed := last.ConnectionsOpened.Load(), last.ConnectionsClosed.Load(); opened == 0 || opened != closed {
 			t.Errorf("%d connections opened, %d closed", opened, closed)
 		}
--- a/counters/counters.go
+++ b/counters/counters.go
@@ -65,6 +65,9 @@
 	ListFailures Count `json:"list_failures"`
 	ListOddities Count `json:"list_oddities"` // entries left out
 
+	Reloads      Count `json:"reloads"` // of the configuration, at SIGHUP
+	ReloadsWrong Count `json:"reloads_wrong"`
+
 	Rounds       Count   `json:"rounds"`
 	DelayTotal   Count   `json:"delay_total_ns"` // from a fact's birth to the loop, over all facts
 	Facts        Count   `json:"facts"`
--- a/deployment/start.go
+++ b/deployment/start.go
@@ -4,8 +4,11 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 
 	"willowsill/fields"
@@ -32,6 +35,8 @@
 	Memory    int64       // bytes
 	Sockets   int         // descriptors
 	Known     roster.News // the list as this aggregator last held it
+	file      string
+	told      map[string]json.RawMessage // the file's keys, as they stand
 }
 
 // variables are those of the environment that must be there.
@@ -68,14 +73,38 @@
 			return s, fmt.Errorf("variable %s: %w", name, err)
 		}
 	}
-	text, err := os.ReadFile(get(variableConfig))
+	s.file = get(variableConfig)
+	return s, s.readFile()
+}
+
+// Again reads the file once more for a process that runs. What it says of discovery can be followed; odd
+// names the other keys that now differ, which cannot change before the next start. With an error the file is
+// missing or wrong, and what was read before stays in force.
+func (s *Start) Again() (next Start, odd []string, err error) {
+	next = Start{Name: s.Name, Listen: s.Listen, Discovery: s.Discovery, file: s.file}
+	if err := next.readFile(); err != nil {
+		return next, nil, err
+	}
+	for _, key := range slices.Sorted(maps.Keys(next.told)) {
+		var was, is any
+		json.Unmarshal(s.told[key], &was)
+		json.Unmarshal(next.told[key], &is)
+		if key != "discovery" && key != "known" && !reflect.DeepEqual(was, is) {
+			odd = append(odd, key)
+		}
+	}
+	return next, odd, nil
+}
+
+func (s *Start) readFile() error {
+	text, err := os.ReadFile(s.file)
 	if err != nil {
-		return s, fmt.Errorf("variable %s: %w", variableConfig, err)
+		return fmt.Errorf("variable %s: %w", variableConfig, err)
 	}
 	if err := s.read(text); err != nil {
-		return s, fmt.Errorf("%s: %w", get(variableConfig), err)
+		return fmt.Errorf("%s: %w", s.file, err)
 	}
-	return s, nil
+	return nil
 }
 
 // read reads the configuration's text.
@@ -105,7 +134,15 @@
 	if limits.Err != nil {
 		return fmt.Errorf("limits: %w", limits.Err)
 	}
-	var err error
+	s.told = top.Raw
+	// The file can be replaced while the process runs and the environment can't, so the file has the last word.
+	if top.May("discovery", &s.Discovery); top.Err != nil {
+		return top.Err
+	}
+	_, _, err := net.SplitHostPort(s.Discovery)
+	if err != nil {
+		return fmt.Errorf("field %q: %w", "discovery", err)
+	}
 	if s.Deployment, err = Read(statement); err != nil {
 		return fmt.Errorf("settings: %w", err)
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"time"
 
 	"willowsill/balance"
@@ -110,12 +111,16 @@
 
 // Watch asks discovery for news until it is stopped.
 type Watch struct {
-	address   string
 	cells     int
 	sequence  int64
 	transport *http.Transport
 	tell      func(context.Context, News)
 	asked     chan struct{}
+
+	mu      sync.Mutex
+	address string
+	moved   bool               // since the last call began
+	abandon context.CancelFunc // the call that is under way
 }
 
 type dialer = func(ctx context.Context, network, address string) (net.Conn, error)
@@ -124,6 +129,7 @@
 // order, and each failure.
 func NewWatch(address string, cells int, sequence int64, dial dialer, tell func(context.Context, News)) *Watch {
 	return &Watch{address: address, cells: cells, sequence: sequence, tell: tell, asked: make(chan struct{}, 1),
+		abandon: func() {},
 		transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2, DisableCompression: true,
 			DialContext: dial}}
 }
@@ -136,6 +142,30 @@
 	}
 }
 
+// Follow turns the watch to another address. It ends what is under way at the old one and goes on with the
+// whole list from the new one, however far the versions of the two are apart; until that is there the old list
+// stays in force.
+func (w *Watch) Follow(address string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if address != w.address {
+		w.address, w.moved = address, true
+		w.abandon()
+	}
+}
+
+// turn begins a call: where it goes, whether that is a new address, and its context, which Follow ends.
+func (w *Watch) turn(ctx context.Context) (here context.Context, address string, moved bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.abandon()
+	here, w.abandon = context.WithCancel(ctx)
+	if moved, w.moved = w.moved, false; moved {
+		w.transport.CloseIdleConnections()
+	}
+	return here, w.address, moved
+}
+
 // Run watches until ctx is over. With onAsk it begins when it is asked, and again after each failure;
 // otherwise it begins and goes on by itself.
 //
@@ -143,38 +173,40 @@
 // hand the news on.
 func (w *Watch) Run(ctx context.Context, onAsk bool) {
 	defer w.transport.CloseIdleConnections()
-	for first := true; ctx.Err() == nil; {
-		if first && onAsk {
+	for first, waits := true, onAsk; ctx.Err() == nil; {
+		if waits {
 			select {
 			case <-w.asked:
 			case <-ctx.Done():
 				return
 			}
 		}
-		n, err := w.call(ctx, first)
-		if ctx.Err() != nil {
-			return
-		}
-		if err != nil {
-			first = true
+		here, address, moved := w.turn(ctx)
+		first = first || moved
+		n, err := w.call(here, address, first)
+		switch {
+		case here.Err() != nil: // at an end, or turned to another address
+			waits = false
+		case err != nil:
+			first, waits = true, onAsk
 			w.tell(ctx, News{Err: err})
 			if !onAsk {
 				select {
 				case <-time.After(again):
-				case <-ctx.Done():
+				case <-here.Done():
 				}
 			}
-			continue
+		default:
+			first, waits, w.sequence = false, false, n.Sequence
+			w.tell(ctx, n)
 		}
-		first, w.sequence = false, n.Sequence
-		w.tell(ctx, n)
 	}
 }
 
 // call makes one call; the first of a watch asks for the whole list.
-func (w *Watch) call(ctx context.Context, first bool) (News, error) {
+func (w *Watch) call(ctx context.Context, address string, first bool) (News, error) {
 	limit := spare
-	url := "http://" + w.address + listPath
+	url := "http://" + address + listPath
 	if !first {
 		limit += wait
 		url += "?since=" + strconv.FormatInt(w.sequence, 10) +
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -46,7 +46,7 @@
 }
 
 // watching plays a watch against a discovery; what it tells comes by the channel.
-func watching(t *testing.T, onAsk bool, play func(w *Watch, d *standin.Discovery, told chan News)) {
+func watching(t *testing.T, onAsk bool, play func(w *Watch, d *standin.Discovery, told chan News, on *pipes.Network)) {
 	synctest.Test(t, func(t *testing.T) {
 		network := &pipes.Network{}
 		d := standin.NewDiscovery(standin.Host{Host: "s-1", Dial: "a:1", Health: "active"})
@@ -61,7 +61,7 @@
 			w.Run(ctx, onAsk)
 		}()
 		synctest.Wait()
-		play(w, d, told)
+		play(w, d, told, network)
 		stop()
 		<-ended
 		server.Close()
@@ -69,7 +69,7 @@
 }
 
 func TestWatch(t *testing.T) {
-	watching(t, false, func(_ *Watch, d *standin.Discovery, told chan News) {
+	watching(t, false, func(_ *Watch, d *standin.Discovery, told chan News, _ *pipes.Network) {
 		if n := <-told; !n.Whole || len(n.Entries) != 1 {
 			t.Fatalf("at first told %v", n)
 		}
@@ -109,7 +109,7 @@
 }
 
 func TestWatchOnAsk(t *testing.T) {
-	watching(t, true, func(w *Watch, d *standin.Discovery, told chan News) {
+	watching(t, true, func(w *Watch, d *standin.Discovery, told chan News, _ *pipes.Network) {
 		time.Sleep(time.Minute)
 		if len(told) != 0 {
 			t.Fatalf("unasked it told %v", <-told)
@@ -120,3 +120,30 @@
 		}
 	})
 }
+
+// Danger: a watch that stays with a discovery that has moved goes on with an old list for ever.
+func TestWatchFollows(t *testing.T) {
+	for _, onAsk := range []bool{false, true} {
+		watching(t, onAsk, func(w *Watch, d *standin.Discovery, told chan News, on *pipes.Network) {
+			if w.Ask(); (<-told).Err != nil {
+				t.Fatal("the first call failed")
+			}
+			time.Sleep(10 * time.Millisecond) // a call is under way
+			next := standin.NewDiscovery(standin.Host{Host: "s-2", Dial: "b:1", Health: "active"})
+			server := &http.Server{Handler: next}
+			defer server.Close()
+			go server.Serve(on.Listen("d:2"))
+			began := time.Now()
+			w.Follow("d:2")
+			w.Follow("d:2")
+			if n := <-told; !n.Whole || n.Err != nil || n.Entries[0].Host != "s-2" || time.Since(began) > 0 {
+				t.Errorf("after %v told %v", time.Since(began), n)
+			}
+			d.Change(standin.Host{Host: "s-1", Dial: "a:1", Health: "leaving"})
+			next.Change(standin.Host{Host: "s-2", Dial: "b:1", Health: "leaving"})
+			if n := <-told; n.Err != nil || len(n.Entries) != 1 || n.Entries[0].Host != "s-2" {
+				t.Errorf("of a change told %v", n)
+			}
+		})
+	}
+}
