Spoilt answers are told as failed at once; noise behind a good one costs nothing

Ruled out: values that are cut short and still readable (none seen), reports with blanks (none seen, taken now).

At fault: frame.go, where a report with a blank spoilt a good answer and a value that was no text ended as its replica's error; pool.go, where a reply under an id never sent there passed for a late one, so that the part it was made for waited until its time was up, and where what could not be read was told as a reset, which the module lays to the query; connection.go, where a frame that announces more than comes kept its connection for ever and the next part could go out on a connection with noise right behind the last answer.

Now an answer that can't be read ends its connection and fails all that is out there as errors; ids known to a connection are those out, given up or answered last; a frame that has begun must be whole in half a second; a reply with no frame behind it is its connection's last. Harm: a replica that stalls for longer inside a frame loses what is out on that connection.

--- a/counters/counters.go
+++ b/counters/counters.go
@@ -49,7 +49,8 @@
 	Workloads  map[string]*Workload `json:"workloads"`
 	Executions Executions           `json:"executions"`
 
-	LateReplies       Count `json:"late_replies"` // to executions that were given up
+	LateReplies       Count `json:"late_replies"`   // to executions that were given up
+	SpoiltReplies     Count `json:"spoilt_replies"` // each ends its connection
 	ConnectionsOpened Count `json:"connections_opened"`
 	ConnectionsFailed Count `json:"connections_failed"` // never came up
 	ConnectionsClosed Count `json:"connections_closed"` // failed ones too
--- a/replica/connection.go
+++ b/replica/connection.go
@@ -5,24 +5,29 @@
 	"cmp"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	readBuffer = 4 << 10         // bytes: replies are short
-	writeWait  = 2 * time.Second // a peer that takes in nothing for so long is gone
-	givenMost  = 1024            // ids given up on a connection without a late reply, kept apart
-	idleMargin = 8               // retired before this part of the idle time is left
+	readBuffer = 4 << 10                // bytes: replies are short
+	writeWait  = 2 * time.Second        // a peer that takes in nothing for so long is gone
+	givenMost  = 1024                   // ids given up on a connection without a late reply, kept apart
+	endedMost  = 64                     // ids that ended on it last: a second copy comes soon, if it comes
+	restWait   = 500 * time.Millisecond // for the rest of a frame that has begun to come: all comes at once
+	idleMargin = 8                      // retired before this part of the idle time is left
 )
 
 // Notice is what a connection has to tell its pool: a reply, or that it is down.
 type Notice struct {
 	conn  *connection
 	reply Reply
+	last  bool  // no frame can come behind the reply
 	at    int64 // ns
 	down  bool
 	wasUp bool
@@ -45,6 +50,7 @@
 	line      *line
 	out       map[string]*Ticket  // by id
 	given     map[string]struct{} // ids given up whose reply may still come
+	ended     []string            // ids that had their reply, the last ones
 	calls     int
 	retired   bool // takes no more calls, and ends with its last one
 	heard     int64
@@ -53,20 +59,33 @@
 	queue queue
 	pool  *Pool
 	ctx   context.Context
-	shut  context.CancelFunc
+	shut  context.CancelCauseFunc
 }
 
 func newConnection(p *Pool, l *line, now int64) *connection {
 	c := &connection{line: l, pool: p, out: map[string]*Ticket{}, given: map[string]struct{}{}, idleSince: now}
 	c.queue.more = make(chan struct{}, 1)
-	c.ctx, c.shut = context.WithCancel(context.Background())
+	c.ctx, c.shut = context.WithCancelCause(context.Background())
 	return c
 }
 
-// knows tells whether an id is in use on the connection, or was until it was given up.
+// knows tells whether an id is in use on the connection, or was: its reply may still come, or come again.
 func (c *connection) knows(id string) bool {
 	_, given := c.given[id]
-	return given || c.out[id] != nil
+	return given || c.out[id] != nil || slices.Contains(c.ended, id)
+}
+
+// replied notes that an id has had its reply.
+func (c *connection) replied(id string) {
+	if c.ended = append(c.ended, id); len(c.ended) > endedMost {
+		c.ended = slices.Delete(c.ended, 0, 1)
+	}
+}
+
+// spoil ends the connection for what came on it; its last notice says so.
+func (c *connection) spoil(err error) {
+	c.retired = true
+	c.shut(err)
 }
 
 // run opens the connection, writes what is queued and reads replies until it breaks or is shut.
@@ -78,7 +97,7 @@
 		var readErr error
 		reading.Go(func() {
 			readErr = c.read(conn)
-			c.shut()
+			c.shut(readErr)
 		})
 		stop := context.AfterFunc(c.ctx, func() { conn.Close() })
 		err = c.write(conn)
@@ -87,7 +106,10 @@
 		reading.Wait()
 		err = cmp.Or(err, readErr)
 	}
-	c.shut()
+	c.shut(nil)
+	if cause := context.Cause(c.ctx); errors.Is(cause, errSpoilt) {
+		err = cause
+	}
 	if errors.Is(err, net.ErrClosed) || errors.Is(err, context.Canceled) {
 		err = nil
 	}
@@ -135,17 +157,24 @@
 }
 
 // read passes on replies.
+//
+// Danger: a frame that announces more than ever comes would keep all that waits on the connection.
 func (c *connection) read(conn net.Conn) error {
 	r := bufio.NewReaderSize(conn, readBuffer)
 	for {
-		reply, err := readReply(r)
+		reply, err := readReply(r, func() { conn.SetReadDeadline(time.Now().Add(restWait)) })
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = fmt.Errorf("%w: its rest did not come", errSpoilt)
+		}
 		if err != nil {
 			if errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
 			}
 			return err
 		}
-		c.pool.tell(Notice{conn: c, reply: reply, at: c.pool.Now()})
+		conn.SetReadDeadline(time.Time{})
+		next, _ := r.Peek(min(r.Buffered(), lengthBytes+1))
+		c.pool.tell(Notice{conn: c, reply: reply, last: !framed(next), at: c.pool.Now()})
 	}
 }
 
--- a/replica/frame.go
+++ b/replica/frame.go
@@ -56,10 +56,14 @@
 var endWords = [...]string{Ran: "OK", Failed: "ERROR", TurnedAway: "REJECTED"}
 
 var (
-	errNoUse = errors.New("the replica could not use a frame")
-	errCall  = errors.New("a call that cannot be read")
+	errNoUse  = errors.New("the replica could not use a frame")
+	errCall   = errors.New("a call that cannot be read")
+	errSpoilt = errors.New("an answer that cannot be read")
 )
 
+// letters are those that a replica's frames may open with.
+const letters = string(rune(LetterReply)) + string(rune(LetterNoUse)) + string(rune(LetterProbe)) + string(rune(LetterLoad))
+
 // AppendFrame adds a frame to buf.
 func AppendFrame(buf []byte, letter byte, rest string) []byte {
 	buf = binary.BigEndian.AppendUint32(buf, uint32(1+len(rest)))
@@ -82,14 +86,23 @@
 }
 
 // ReadFrame returns the letter and the rest of the next frame.
-func ReadFrame(r *bufio.Reader) (byte, []byte, error) {
+func ReadFrame(r *bufio.Reader) (byte, []byte, error) { return readFrame(r, func() {}) }
+
+// readFrame calls begun once the first byte of the frame is there.
+//
+// Danger: a frame that announces gigabytes must not be given room for them.
+func readFrame(r *bufio.Reader, begun func()) (byte, []byte, error) {
 	var head [lengthBytes + 1]byte
+	if _, err := r.Peek(1); err != nil {
+		return 0, nil, err
+	}
+	begun()
 	if _, err := io.ReadFull(r, head[:]); err != nil {
 		return 0, nil, err
 	}
 	n := binary.BigEndian.Uint32(head[:])
 	if n < frameLeast || n > frameMost {
-		return 0, nil, fmt.Errorf("a frame of %d bytes", n)
+		return 0, nil, fmt.Errorf("%w: %d bytes", errSpoilt, n)
 	}
 	rest := make([]byte, n-1)
 	if _, err := io.ReadFull(r, rest); err != nil {
@@ -99,9 +112,9 @@
 }
 
 // readReply returns the next reply of a connection, passing over frames that tell nothing here.
-func readReply(r *bufio.Reader) (Reply, error) {
+func readReply(r *bufio.Reader, begun func()) (Reply, error) {
 	for {
-		letter, rest, err := ReadFrame(r)
+		letter, rest, err := readFrame(r, begun)
 		switch {
 		case err != nil:
 			return Reply{}, err
@@ -110,29 +123,41 @@
 		case letter == LetterNoUse:
 			return Reply{}, fmt.Errorf("%w: %.80q", errNoUse, rest)
 		case letter != LetterProbe && letter != LetterLoad:
-			return Reply{}, fmt.Errorf("a frame with the letter %q", letter)
+			return Reply{}, fmt.Errorf("%w: the letter %q", errSpoilt, letter)
 		}
 	}
 }
 
-// parseReply decodes the rest of a reply's frame.
+// parseReply decodes the rest of a reply's frame. Its report is not read: one that can't be spoils nothing.
+//
+// Danger: a value that is no text would reach the client changed, and one that has swallowed the next frame, whose
+// length opens with a zero, is longer than the replica gave it.
 func parseReply(rest []byte) (Reply, error) {
 	line, value, ok := strings.Cut(string(rest), "\n")
-	words := strings.Split(line, " ")
-	if !ok || len(words) != 4 || words[0] == "" {
-		return Reply{}, fmt.Errorf("a reply that opens with %.80q", line)
+	words := strings.SplitN(line, " ", 4)
+	if !ok || len(words) < 4 || words[0] == "" {
+		return Reply{}, fmt.Errorf("%w: a line that opens with %.80q", errSpoilt, line)
 	}
-	reply := Reply{ID: words[0], Value: value}
 	end := slices.Index(endWords[:], words[1])
 	if end < 0 {
-		return Reply{}, fmt.Errorf("a reply that ends in %.20q", words[1])
+		return Reply{}, fmt.Errorf("%w: the end %.20q", errSpoilt, words[1])
 	}
-	reply.End = End(end)
-	// Danger: a value that is no text would reach the client changed, as an answer that no replica gave.
-	if reply.End == Ran && !utf8.ValidString(value) {
-		reply.End, reply.Value = Failed, ""
+	if _, err := strconv.ParseInt(words[2], 10, 64); err != nil && End(end) == Ran {
+		return Reply{}, fmt.Errorf("%w: the score %.20q", errSpoilt, words[2])
 	}
-	return reply, nil
+	if End(end) == Ran && (!utf8.ValidString(value) || strings.Contains(value, "\x00")) {
+		return Reply{}, fmt.Errorf("%w: a value that is no text", errSpoilt)
+	}
+	return Reply{ID: words[0], End: End(end), Value: value}, nil
+}
+
+// framed tells whether bytes that follow a reply can be the next one's first.
+func framed(next []byte) bool {
+	var head [lengthBytes]byte
+	copy(head[:], next)
+	n := binary.BigEndian.Uint32(head[:])
+	return n <= frameMost && (len(next) < lengthBytes || n >= frameLeast) &&
+		(len(next) <= lengthBytes || strings.IndexByte(letters, next[lengthBytes]) >= 0)
 }
 
 // ParseCall, for stand-ins, decodes the rest of a call's frame.
--- a/replica/frame_test.go
+++ b/replica/frame_test.go
@@ -30,19 +30,22 @@
 		"error":         {frame('Y', "a.3 ERROR 0 -\n"), Reply{"a.3", Failed, ""}, ""},
 		"rejected":      {frame('Y', "a.3 REJECTED 0 -\n"), Reply{"a.3", TurnedAway, ""}, ""},
 		"after a probe": {frame('G', "OK") + frame('T', "-") + frame('Y', "a.3 OK 0 -\nv"), Reply{"a.3", Ran, "v"}, ""},
-		"no text":       {frame('Y', "a.3 OK 0 -\n\xff"), Reply{"a.3", Failed, ""}, ""},
+		"odd report":    {frame('Y', "a.3 OK 0 qps=\xff \x00 9\nv"), Reply{"a.3", Ran, "v"}, ""},
+		"no text":       {frame('Y', "a.3 OK 0 -\n\xff"), Reply{}, "no text"},
+		"two in one":    {frame('Y', "a.3 OK 0 -\nv"+frame('Y', "a.4 OK 0 -\nw")), Reply{}, "no text"},
+		"odd score":     {frame('Y', "a.3 OK high -\nv"), Reply{}, `the score "high"`},
 		"no use":        {frame('N', "what is that"), Reply{}, "could not use a frame"},
 		"other letter":  {frame('Q', ""), Reply{}, `the letter 'Q'`},
-		"other end":     {frame('Y', "a.3 MAYBE 0 -\n"), Reply{}, `ends in "MAYBE"`},
+		"other end":     {frame('Y', "a.3 MAYBE 0 -\n"), Reply{}, `the end "MAYBE"`},
 		"no line":       {frame('Y', "a.3 OK 0 -"), Reply{}, "opens with"},
 		"three words":   {frame('Y', "a.3 OK -\n"), Reply{}, "opens with"},
 		"empty frame":   {"\x00\x00\x00\x00", Reply{}, "EOF"},
-		"no letter":     {"\x00\x00\x00\x00Y", Reply{}, "a frame of 0 bytes"},
-		"huge":          {"\x7f\xff\xff\xffY", Reply{}, "a frame of 2147483647 bytes"},
+		"no letter":     {"\x00\x00\x00\x00Y", Reply{}, "0 bytes"},
+		"huge":          {"\x7f\xff\xff\xffY", Reply{}, "2147483647 bytes"},
 		"cut short":     {frame('Y', "a.3 OK 0 -\n")[:9], Reply{}, "unexpected EOF"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			got, err := readReply(bufio.NewReader(strings.NewReader(c.in)))
+			got, err := readReply(bufio.NewReader(strings.NewReader(c.in)), func() {})
 			if got != c.want || (err == nil) != (c.err == "") || err != nil && !strings.Contains(err.Error(), c.err) {
 				t.Errorf("got %v, %v", got, err)
 			}
@@ -58,8 +61,8 @@
 	f.Add([]byte("\x00\x00\x00\x05R\n\n\n\n"))
 	f.Add([]byte("\xff\xff\xff\xffY"))
 	f.Fuzz(func(t *testing.T, in []byte) {
-		if reply, err := readReply(bufio.NewReader(bytes.NewReader(in))); err == nil {
-			again, err := readReply(bufio.NewReader(bytes.NewReader(AppendReply(nil, reply, "-"))))
+		if reply, err := readReply(bufio.NewReader(bytes.NewReader(in)), func() {}); err == nil {
+			again, err := readReply(bufio.NewReader(bytes.NewReader(AppendReply(nil, reply, "-"))), func() {})
 			if err != nil || again != reply {
 				t.Errorf("%v became %v, %v", reply, again, err)
 			}
--- a/replica/pool.go
+++ b/replica/pool.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"context"
+	"errors"
+	"fmt"
 	"net"
 	"slices"
 
@@ -152,7 +154,7 @@
 	l.conns = slices.DeleteFunc(l.conns, func(c *connection) bool {
 		ends := c.retired && c.calls == 0
 		if ends {
-			c.shut()
+			c.shut(nil)
 		}
 		return ends
 	})
@@ -211,13 +213,11 @@
 		}
 		c.retired = true
 		c.line.tidy()
+		if errors.Is(n.Err, errSpoilt) {
+			p.count.SpoiltReplies.Add(1)
+		}
 		for _, t := range c.out {
-			// What broke before its frame's last byte was written never ran.
-			result := balance.ConnectFailed
-			if t.frame.written {
-				result = balance.Reset
-			}
-			reports = append(reports, Report{Ticket: t, Result: result, At: n.at})
+			reports = append(reports, Report{Ticket: t, Result: t.broken(n.Err), At: n.at})
 		}
 		// The order of a map is chance; the module is to see that of the sends.
 		slices.SortFunc(reports, func(x, y Report) int {
@@ -225,12 +225,23 @@
 		})
 	} else {
 		c.heard = n.at
+		if n.last { // the good reply counts, and its connection takes no more
+			c.retired = true
+		}
 		t := c.out[n.reply.ID]
-		if t == nil {
+		switch {
+		case t == nil && c.knows(n.reply.ID):
 			delete(c.given, n.reply.ID)
+			c.replied(n.reply.ID)
 			p.count.LateReplies.Add(1)
 			return nil
+		case t == nil:
+			// Danger: a reply under an id that was never sent here was made for a part that waits, and passing it
+			// over would let that part wait until its time is up.
+			c.spoil(fmt.Errorf("%w: the id %.40q", errSpoilt, n.reply.ID))
+			return nil
 		}
+		c.replied(t.ID)
 		result := [...]balance.Result{Ran: balance.Fulfilled, Failed: balance.Errored, TurnedAway: balance.Full}
 		reports = append(reports, Report{Ticket: t, Result: result[n.reply.End], Value: n.reply.Value, At: n.at})
 	}
@@ -240,12 +251,25 @@
 	return reports
 }
 
+// broken is how a ticket ends whose connection went down. What broke before its frame's last byte was written never
+// ran. An answer that can't be read comes from a process that is well: it may have run all that was out there, and
+// nothing of that was reset.
+func (t *Ticket) broken(err error) balance.Result {
+	switch {
+	case !t.frame.written:
+		return balance.ConnectFailed
+	case errors.Is(err, errSpoilt):
+		return balance.Errored
+	}
+	return balance.Reset
+}
+
 // Close ends all connections.
 func (p *Pool) Close() {
 	for _, l := range p.replicas {
 		for _, c := range l.conns {
 			c.retired = true
-			c.shut()
+			c.shut(nil)
 		}
 	}
 }
--- a/replica/pool_test.go
+++ b/replica/pool_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -58,8 +59,8 @@
 
 // reports lets things settle and writes down what the pool then reports.
 func (b *bench) reports() (all []string) {
-	synctest.Wait()
 	for {
+		synctest.Wait()
 		select {
 		case n := <-b.ticks:
 			for _, r := range b.Note(n) {
@@ -114,6 +115,7 @@
 	fulfilled     = fmt.Sprint(balance.Fulfilled)
 	connectFailed = fmt.Sprint(balance.ConnectFailed)
 	reset         = fmt.Sprint(balance.Reset)
+	errored       = fmt.Sprint(balance.Errored)
 )
 
 func TestOutcomes(t *testing.T) {
@@ -189,7 +191,7 @@
 			}
 			b.reply(c, "a.1", Ran)
 			b.expect()
-			b.reply(c, "a.1", Ran) // and twice, or of what nobody knows
+			b.reply(c, "a.1", Ran) // and twice
 			b.expect()
 			b.reply(c, "a.2", Ran)
 			b.expect("a.2 " + fulfilled + " v")
@@ -310,6 +312,73 @@
 	}
 }
 
+// Danger: what can't be read was made for a part that waits, and would let it wait until its time is up; so would what
+// else is out on its connection. All of it may have run, and the process is well.
+func TestSpoiltReplies(t *testing.T) {
+	reply := string(AppendReply(nil, Reply{"a.1", Ran, "v"}, "-"))
+	for name, c := range map[string]struct {
+		bytes string
+		after time.Duration
+	}{
+		"noise":        {"HTTP/1.1 200 OK\r\n\r\n", 0},
+		"letter":       {"\x00\x00\x00\x01\x01", 0},
+		"end":          {string(AppendFrame(nil, LetterReply, "a.1 DONE 0 -\nv")), 0},
+		"id":           {string(AppendReply(nil, Reply{"b.1", Ran, "v"}, "-")), 0},
+		"no length":    {"\x00\x00\x00\x00" + reply[4:], 0},
+		"short length": {"\x00\x00\x00\x03" + reply[4:], 0},
+		"long length":  {"\x00\x00\x01\x00" + reply[4:], restWait},
+		"3 GB":         {"\xb2\xd0\x5e\x00" + reply[4:] + strings.Repeat("x", 9000), 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			on(t, func(b *bench) {
+				l := b.network.Listen(address)
+				b.call("a.1")
+				b.call("a.2")
+				conn := accept(l)
+				b.next(conn)
+				b.next(conn)
+				go io.WriteString(conn, c.bytes)
+				time.Sleep(c.after)
+				b.expect("a.1 "+errored+" ", "a.2 "+errored+" ")
+				b.call("a.1") // again, and its connection is of no more use
+				next := accept(l)
+				b.next(next)
+				b.reply(next, "a.1", Ran)
+				b.expect("a.1 " + fulfilled + " v")
+				if n := b.count.SpoiltReplies.Load(); n != 1 {
+					b.Errorf("%d spoilt replies", n)
+				}
+			})
+		})
+	}
+}
+
+// Danger: what comes behind a good answer must cost neither that answer nor the next part. A second copy is harmless.
+func TestBehindAGoodReply(t *testing.T) {
+	reply := string(AppendReply(nil, Reply{"a.1", Ran, "v"}, "-"))
+	for name, behind := range map[string]string{"noise": "\xfd\xbe\x99\an\r\n", "a second copy": reply} {
+		t.Run(name, func(t *testing.T) {
+			on(t, func(b *bench) {
+				l := b.network.Listen(address)
+				b.call("a.1")
+				conn := accept(l)
+				b.next(conn)
+				go io.WriteString(conn, reply+behind)
+				if got := b.Note(<-b.ticks); len(got) != 1 || got[0].Result != balance.Fulfilled {
+					b.Fatalf("reported %v", got)
+				}
+				b.call("a.2") // before anything behind the answer was booked
+				if name == "noise" {
+					conn = accept(l)
+				}
+				b.next(conn)
+				b.reply(conn, "a.2", Ran)
+				b.expect("a.2 " + fulfilled + " v")
+			})
+		})
+	}
+}
+
 // Danger: connections beyond the limit on descriptors would end the process, or its service.
 func TestNoRoom(t *testing.T) {
 	on(t, func(b *bench) {
