Bad clients: one time limit a request, strict bodies, no id twice, nothing hidden served

Now: 2 s from connecting, or from a later request's first byte, to its last; a complaint at once, closing its connection; 413 by the announced length; 408 for a body that stops; strict JSON (go-json-experiment, which refuses all of the above); head.go watches the bytes for what the stock server keeps to itself; connections are closed at the limit by phase. Harm: a slow honest client has 2 s for a request; one that pipelines or sends chunks loses its connection after the answer.

--- a/cmd/willowsill/main.go
+++ b/cmd/willowsill/main.go
@@ -92,7 +92,7 @@
 	}()
 
 	server := front.NewServer(&front.Front{Core: core, Clock: clock, Workload: start.Workload,
-		Shards: start.Shards, Longest: start.LongestCutOff, Count: count, Log: log}, l, budget)
+		Shards: start.Shards, Count: count, Log: log}, l, budget)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve() }()
 	log.Info("serving", zap.String("listen", start.Listen), zap.Int("known", len(start.Known.Entries)))
--- a/cmd/willowsill/main_test.go
+++ b/cmd/willowsill/main_test.go
@@ -92,7 +92,7 @@
 		}
 		want := func(id string) string {
 			return fmt.Sprintf(`200{"all_in":true,"matches":[{"segment":1,"payload":"v%[1]s.1"},`+
-				`{"segment":2,"payload":"v%[1]s.2"}]}`+"\n", id)
+				`{"segment":2,"payload":"v%[1]s.2"}]}`, id)
 		}
 		if got := ask("a"); got != want("a") {
 			t.Errorf("answered %s", got)
--- a/front/front.go
+++ b/front/front.go
@@ -3,10 +3,8 @@
 package front
 
 import (
-	"bytes"
 	"cmp"
 	"context"
-	"encoding/json"
 	"errors"
 	"io"
 	"math"
@@ -14,8 +12,10 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
+	"github.com/go-json-experiment/json"
 	"go.uber.org/zap"
 
 	"willowsill/balance"
@@ -35,10 +35,10 @@
 	Clock    node.Clock
 	Workload map[string]int // rows, by name
 	Shards   int
-	Longest  int64 // cut-off of all workloads, ns: no body may take longer
 	Count    *counters.Counters
 	Log      *zap.Logger
 	closing  chan struct{}
+	open     sync.Map // ids of the queries that have no answer yet
 }
 
 const (
@@ -46,8 +46,10 @@
 	idMost   = 128       // bytes of a query's id
 	waitMost = 3_600_000 // ms: no client waits an hour
 	unit     = 1e6       // ns in a ms, as headers count
+	rounding = 0.01      // weights are shares of one, written with few digits
 
-	writeWait = 2 * time.Second // a client that reads nothing for so long gets no answer
+	writeWait = 2 * time.Second        // a client that reads nothing for so long gets no answer
+	restWait  = 200 * time.Millisecond // for the rest of a request that has had its complaint
 )
 
 // complaint is a request that is not served, with what the client hears.
@@ -96,7 +98,9 @@
 	f.farewell(w)
 	// Danger: a body that never ends would hold its connection for ever, here or in the stock server, which
 	// reads on after the answer. So there is a limit until a body is there, and it stays where none came.
-	f.limit(w, f.Longest)
+	if c := connection(r); c != nil {
+		f.limit(w, time.Duration(c.due()-f.Clock.Now()))
+	}
 	switch r.URL.Path {
 	case "/healthz":
 		f.health(w, r)
@@ -107,9 +111,9 @@
 	}
 }
 
-// limit has reads of the request end so many ns from now.
-func (f *Front) limit(w http.ResponseWriter, ns int64) {
-	http.NewResponseController(w).SetReadDeadline(time.Now().Add(time.Duration(ns)))
+// limit has reads of the request end so long from now.
+func (f *Front) limit(w http.ResponseWriter, d time.Duration) {
+	http.NewResponseController(w).SetReadDeadline(time.Now().Add(d))
 }
 
 // farewell has an answer close its connection once the word to stop has come.
@@ -146,7 +150,7 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(f.Count)
+	json.MarshalWrite(w, f.Count, json.Deterministic(true))
 }
 
 func (f *Front) query(w http.ResponseWriter, r *http.Request) {
@@ -155,7 +159,15 @@
 		f.complain(w, err)
 		return
 	}
-	a, ok := f.Core.Serve(r.Context(), q)
+	// Danger: ids name parts on connections that queries share, and replies go by them alone.
+	if _, taken := f.open.LoadOrStore(q.ID, nil); taken {
+		f.complain(w, complaint{http.StatusConflict, "X-Trace-Id is that of an open query"})
+		return
+	}
+	a, ok := func() (node.Answer, bool) {
+		defer f.open.Delete(q.ID) // before the answer is out
+		return f.Core.Serve(r.Context(), q)
+	}()
 	if !ok { // an empty answer would be one that no replica gave
 		panic(http.ErrAbortHandler)
 	}
@@ -166,8 +178,8 @@
 // read decodes a request into a query. The client counts its patience from when it sent the request, which
 // is not told; the earliest that is known of it is when its first byte came.
 func (f *Front) read(w http.ResponseWriter, r *http.Request) (q node.Query, err error) {
-	began := f.Clock.Now()
-	if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+	began, c := f.Clock.Now(), connection(r)
+	if c != nil {
 		began = min(began, c.began())
 	}
 	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
@@ -183,36 +195,50 @@
 	case qos != name:
 		return q, bad("X-Qos is missing or differs from the path")
 	}
+	for _, name := range []string{"X-Qos", "X-Trace-Id", "X-Expires-In-Ms"} {
+		if len(r.Header[name]) > 1 {
+			return q, bad(name + " stands twice")
+		}
+	}
+	// Danger: a body that is told in two ways may hide a second request from one reader and show it to another.
+	if c != nil && c.twofold() {
+		return q, bad("the body has a length and an encoding")
+	}
 	q.Workload, q.ID = row, r.Header.Get("X-Trace-Id")
 	if !plain(q.ID) {
 		return q, bad("X-Trace-Id is missing or malformed")
 	}
-	wait, err := strconv.ParseInt(r.Header.Get("X-Expires-In-Ms"), 10, 64)
-	if err != nil || wait < 0 || wait > waitMost {
+	wait, err := strconv.ParseUint(r.Header.Get("X-Expires-In-Ms"), 10, 63)
+	if err != nil || wait > waitMost {
 		return q, bad("X-Expires-In-Ms is missing or malformed")
 	}
-	q.Until = began + wait*unit
+	q.Until = began + int64(wait)*unit
 
-	f.limit(w, min(q.Until, began+f.Longest)-f.Clock.Now())
-	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
-	if err == nil {
-		http.NewResponseController(w).SetReadDeadline(time.Time{})
+	tooLong := complaint{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
+	if r.ContentLength > bodyMost { // before a byte of it is read
+		return q, tooLong
 	}
+	text, err := io.ReadAll(http.MaxBytesReader(w, r.Body, bodyMost))
 	var long *http.MaxBytesError
 	switch {
 	case errors.As(err, &long):
-		return q, complaint{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
+		return q, tooLong
 	case errors.Is(err, os.ErrDeadlineExceeded):
-		w.Header().Set("Connection", "close")
-		return q, complaint{http.StatusServiceUnavailable, "the time was up before the body was there"}
+		return q, complaint{http.StatusRequestTimeout, "the body did not come in time"}
 	case err != nil:
-		w.Header().Set("Connection", "close")
 		return q, bad("the body ended early")
 	}
-	err = f.readBody(text, &q)
-	return q, err
+	http.NewResponseController(w).SetReadDeadline(time.Time{})
+	// Danger: what follows a request before its answer may be hidden in it. It is never read: chunks hide where
+	// they end, and past a length nothing may have come.
+	if c != nil && c.taken(r.ContentLength) {
+		w.Header().Set("Connection", "close")
+	}
+	return q, f.readBody(text, &q)
 }
 
+// readBody decodes a body. Its text must reach replicas as it came: the decoder takes no key that stands twice or
+// is written otherwise, and no text that is not Unicode, which others would mend in silence.
 func (f *Front) readBody(text []byte, q *node.Query) error {
 	var b body
 	if err := json.Unmarshal(text, &b); err != nil {
@@ -232,15 +258,15 @@
 			return bad("a segment is out of range")
 		case seen[*s.Segment]:
 			return bad("a segment stands twice")
-		case s.Boost == nil || !(*s.Boost >= 0) || math.IsInf(*s.Boost, 0):
-			return bad("a boost is missing or malformed")
+		case s.Boost == nil || !(*s.Boost >= 0 && *s.Boost <= 1):
+			return bad("a boost is missing or out of range")
 		}
 		seen[*s.Segment] = true
 		sum += *s.Boost
 		q.Parts = append(q.Parts, node.Part{Shard: *s.Segment, Weight: *s.Boost})
 	}
-	if !(sum > 0) || math.IsInf(sum, 0) {
-		return bad("the boosts make no sum")
+	if math.Abs(sum-1) > rounding {
+		return bad("the boosts do not add up to 1")
 	}
 	for i := range q.Parts { // they are shares of one, but for rounding
 		q.Parts[i].Weight /= sum
@@ -262,6 +288,10 @@
 	if errors.As(err, &c) {
 		status = c.status
 	}
+	// Danger: the stock server reads on to the end of a request, before its answer or after it. So the connection
+	// ends with the complaint, and what still comes has little time.
+	w.Header().Set("Connection", "close")
+	f.limit(w, restWait)
 	http.Error(w, err.Error(), status)
 }
 
@@ -273,20 +303,18 @@
 		for i, v := range a.Values {
 			m.Matches[i] = match{v.Shard, v.Value}
 		}
-		var text bytes.Buffer
-		encoder := json.NewEncoder(&text)
-		encoder.SetEscapeHTML(false)
-		if err := encoder.Encode(m); err != nil {
+		text, err := json.Marshal(m)
+		if err != nil {
 			f.Log.Error("an answer could not be encoded", zap.Error(err))
 			http.Error(w, "no answer", http.StatusInternalServerError)
 			return
 		}
 		w.Header().Set("Content-Type", "application/json")
-		w.Header().Set("Content-Length", strconv.Itoa(text.Len()))
+		w.Header().Set("Content-Length", strconv.Itoa(len(text)))
 		// Danger: a client that reads nothing would hold its connection for ever.
 		control := http.NewResponseController(w)
 		control.SetWriteDeadline(time.Now().Add(writeWait))
-		_, err := w.Write(text.Bytes())
+		_, err = w.Write(text)
 		if err = cmp.Or(err, control.Flush()); err != nil {
 			f.Count.Undelivered.Add(1)
 			panic(http.ErrAbortHandler)
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -35,7 +36,7 @@
 func makeFront(serve func(context.Context, node.Query) (node.Answer, bool)) *Front {
 	c := &core{serve, make(chan struct{})}
 	close(c.ready)
-	return &Front{Core: c, Clock: node.NewClock(), Workload: map[string]int{"report": 0, "lookup": 1}, Shards: 12, Longest: 3e9,
+	return &Front{Core: c, Clock: node.NewClock(), Workload: map[string]int{"report": 0, "lookup": 1}, Shards: 12,
 		Count: counters.New(nil), Log: zap.NewNop()}
 }
 
@@ -50,6 +51,17 @@
 	return r
 }
 
+// twice repeats a header, and lengthy announces 60 MB.
+func twice(r *http.Request, name string) *http.Request {
+	r.Header.Add(name, r.Header.Get(name))
+	return r
+}
+
+func lengthy(r *http.Request) *http.Request {
+	r.ContentLength = 60 << 20
+	return r
+}
+
 func TestIntake(t *testing.T) {
 	for name, c := range map[string]struct {
 		request *http.Request
@@ -67,6 +79,21 @@
 		"no time":        {request("POST", "/lookup", goodBody, "X-Expires-In-Ms: "), 400},
 		"odd time":       {request("POST", "/lookup", goodBody, "X-Expires-In-Ms: -1"), 400},
 		"endless time":   {request("POST", "/lookup", goodBody, "X-Expires-In-Ms: 99999999999999"), 400},
+		"time of words":  {request("POST", "/lookup", goodBody, "X-Expires-In-Ms: soon"), 400},
+		"time with sign": {request("POST", "/lookup", goodBody, "X-Expires-In-Ms: +480"), 400},
+		"two ids":        {twice(request("POST", "/lookup", goodBody), "X-Trace-Id"), 400},
+		"two workloads":  {twice(request("POST", "/lookup", goodBody), "X-Qos"), 400},
+		"two times":      {twice(request("POST", "/lookup", goodBody), "X-Expires-In-Ms"), 400},
+		"huge length":    {lengthy(request("POST", "/lookup", "")), 413},
+		"half a pair":    {request("POST", "/lookup", strings.Replace(goodBody, "c4", `\ud800`, 1)), 400},
+		"no Unicode":     {request("POST", "/lookup", strings.Replace(goodBody, "c4", "\xff", 1)), 400},
+		"key twice":      {request("POST", "/lookup", strings.Replace(goodBody, `"text"`, `"text":"","text"`, 1)), 400},
+		"key misspelt":   {request("POST", "/lookup", strings.Replace(goodBody, `"text"`, `"Text"`, 1)), 400},
+		"more after it":  {request("POST", "/lookup", goodBody+"{}"), 400},
+		"shares short":   {request("POST", "/lookup", strings.Replace(goodBody, "0.75", "0.7", 1)), 400},
+		"shares over":    {request("POST", "/lookup", strings.Replace(goodBody, "0.75", "0.8", 1)), 400},
+		"share over one": {request("POST", "/lookup", `{"segments":[{"segment":1,"boost":1.5},{"segment":2,"boost":-0.5}],"text":"a"}`), 400},
+		"rounded shares": {request("POST", "/lookup", strings.Replace(goodBody, "0.25", "0.2501", 1)), 200},
 		"no body":        {request("POST", "/lookup", ""), 400},
 		"no JSON":        {request("POST", "/lookup", "{"), 400},
 		"no parts":       {request("POST", "/lookup", `{"segments":[],"text":"a"}`), 400},
@@ -87,6 +114,9 @@
 			served := 0
 			f := makeFront(func(_ context.Context, q node.Query) (node.Answer, bool) {
 				served++
+				for i := range q.Parts {
+					q.Parts[i].Weight = math.Round(q.Parts[i].Weight*1000) / 1000
+				}
 				if got := fmt.Sprint(q.ID, q.Workload, string(q.Text), q.Parts); got != "9b1f1c41e77d0[{3 0.25} {9 0.75}]" {
 					t.Errorf("the core got %s", got)
 				}
@@ -174,7 +204,7 @@
 		select {
 		case <-s.front.closing:
 		default:
-			if err := s.Stop(time.Second); err != nil {
+			if err := s.Stop(3 * time.Second); err != nil {
 				t.Error(err)
 			}
 		}
@@ -241,7 +271,7 @@
 	}, func(s *Server, dial func() *client) {
 		c := dial()
 		for range 2 { // on a new connection, and on one that has stood idle
-			time.Sleep(3 * time.Second)
+			time.Sleep(time.Second)
 			began = s.front.Clock.Now()
 			fmt.Fprint(c, sent[:60])
 			time.Sleep(100 * time.Millisecond)
@@ -254,18 +284,93 @@
 		}
 		fmt.Fprintf(c, "%s%d\r\n\r\n%s", sent, len(goodBody), goodBody[:9])
 		began = s.front.Clock.Now()
-		if code, closing := c.status(); code != 503 || !closing || s.front.Clock.Now() != began+480e6 {
+		if code, closing := c.status(); code != 408 || !closing || s.front.Clock.Now() != began+int64(requestWait) {
 			t.Errorf("a body that never ends got %d after %d ns", code, s.front.Clock.Now()-began)
 		}
-		c = dial()
-		fmt.Fprint(c, "POST /other HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\n")
-		began = s.front.Clock.Now()
-		if code, _ := c.status(); code != 404 {
-			t.Errorf("another path got %d", code)
+	})
+}
+
+// Danger: clients that mean no good hold connections, processor and memory for as long as they are let. Each gets
+// an error or a close soon after connecting, whatever it sends, and nothing of it runs.
+func TestRudeClients(t *testing.T) {
+	for name, c := range map[string]struct {
+		bytes string
+		code  int
+		wait  time.Duration
+	}{
+		"silent":          {"", 0, requestWait},
+		"half a line":     {"POST /loo", 400, requestWait},
+		"half a head":     {sent, 0, requestWait},
+		"half a body":     {sent + "99\r\n\r\n{", 408, requestWait},
+		"no HTTP":         {"\x16\x03\x01\x02\r\n\r\n", 400, 0},
+		"endless head":    {"GET / HTTP/1.1\r\nX: " + strings.Repeat("x", 64<<10), 431, 0},
+		"below zero":      {sent + "-5\r\n\r\n", 400, 0},
+		"huge":            {sent + "99999999999999999999\r\n\r\n", 400, 0},
+		"60 MB":           {sent + "60000000\r\n\r\n{", 413, 0},
+		"two lengths":     {sent + "5\r\nContent-Length: 6\r\n\r\n{}", 400, 0},
+		"other encoding":  {sent[:len(sent)-16] + "Transfer-Encoding: gzip\r\n\r\n", 501, 0},
+		"endless chunks":  {sent[:len(sent)-16] + "Transfer-Encoding: chunked\r\n\r\n" + strings.Repeat("4000\r\n"+strings.Repeat(" ", 0x4000)+"\r\n", 9), 413, 0},
+		"odd chunks":      {sent[:len(sent)-16] + "Transfer-Encoding: chunked\r\n\r\nzz\r\n", 400, 0},
+		"early complaint": {strings.Replace(sent, "lookup", "other", 1) + "9\r\n\r\n", 404, 0},
+		"hidden request":  {sent + "3\r\ntransfer-encoding: chunked\r\n\r\n0\r\n\r\n" + sent + "2\r\n\r\n{}", 400, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			on(t, func(context.Context, node.Query) (node.Answer, bool) {
+				t.Error("the core was asked")
+				return node.Answer{}, false
+			}, func(s *Server, dial func() *client) {
+				rude, began := dial(), time.Now()
+				go io.WriteString(rude, c.bytes)
+				if code, _ := rude.status(); code != c.code || time.Since(began) > c.wait+time.Second {
+					t.Errorf("got %d after %v", code, time.Since(began))
+				}
+				if code, _ := rude.status(); code != 0 || time.Since(began) > c.wait+time.Second {
+					t.Errorf("then %d after %v", code, time.Since(began))
+				}
+				rude.Close()
+			})
+		})
+	}
+}
+
+// Danger: a request that is hidden behind another, or in its chunks, must not be served; its connection ends.
+func TestHiddenRequest(t *testing.T) {
+	chunked := sent[:len(sent)-16] + "Transfer-Encoding: chunked\r\n\r\n"
+	on(t, whole, func(s *Server, dial func() *client) {
+		for _, text := range []string{
+			fmt.Sprintf("%s%d\r\n\r\n%s%s", sent, len(goodBody), goodBody, sent),
+			fmt.Sprintf("%s%x\r\n%s\r\n0\r\n\r\n%s", chunked, len(goodBody), goodBody, sent),
+		} {
+			c := dial()
+			go io.WriteString(c, text)
+			if code, closing := c.status(); code != 200 || !closing {
+				t.Errorf("got %d, closing %t", code, closing)
+			}
+			c.Close()
 		}
-		if code, _ := c.status(); code != 0 || s.front.Clock.Now()-began > 3e9 {
-			t.Errorf("its body was waited for %d ns", s.front.Clock.Now()-began)
+	})
+}
+
+// Danger: two open queries of one id would get each other's answers.
+func TestIDTwice(t *testing.T) {
+	on(t, func(context.Context, node.Query) (node.Answer, bool) {
+		time.Sleep(100 * time.Millisecond)
+		return node.Answer{Final: balance.Whole}, true
+	}, func(s *Server, dial func() *client) {
+		first, second := dial(), dial()
+		first.send()
+		synctest.Wait()
+		second.send()
+		if code, _ := second.status(); code != 409 {
+			t.Errorf("the second got %d", code)
+		}
+		for range 2 { // once answered, the id is free
+			if code, _ := first.status(); code != 200 {
+				t.Errorf("the first got %d", code)
+			}
+			first.send()
 		}
+		first.status()
 	})
 }
 
@@ -304,7 +409,9 @@
 		idle.status()
 		for i := range 200 {
 			c := dial()
-			synctest.Wait()
+			if synctest.Wait(); i%2 > 0 { // half of a request
+				io.WriteString(c, sent)
+			}
 			if i == 150 {
 				c.send()
 				if code, _ := c.status(); code != 200 {
--- a/front/server.go
+++ b/front/server.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -13,8 +14,11 @@
 )
 
 const (
-	headerWait = 10 * time.Second       // that a connection may take to bring a request's header
-	headerMost = 32 << 10               // bytes
+	headerMost  = 32 << 10               // bytes
+	requestWait = 2 * time.Second        // from connecting, or from the first byte of a later request, to its last
+	idleWait    = 5 * time.Second        // that a connection may stand between two requests
+	surely      = 250 * time.Millisecond // a client that means well has sent its request so long after connecting
+
 	stillComes = 600 * time.Millisecond // after the word to stop, new connections are accepted for so long,
 	quiet      = 100 * time.Millisecond // and until none has come for so long,
 	quietMost  = time.Second            // at most
@@ -24,16 +28,34 @@
 // connKey is the key of a connection in its requests' contexts.
 type connKey struct{}
 
-// conn is one client's connection. It waits while no byte of a next request has come.
+// phase is where a client's connection stands.
+type phase uint8
+
+const (
+	silent  phase = iota // no byte has come yet
+	idle                 // between two requests
+	asking               // a request has begun to come
+	served               // it is whole, and its answer is not out
+	refused              // it has had its complaint: only what the client still sends is waited for
+)
+
+// conn is one client's connection.
 type conn struct {
 	net.Conn
 	server *Server
 	once   sync.Once
 
 	// Under the server's lock.
-	waits bool
-	fresh bool  // no request has come yet
-	since int64 // waits since, or the first byte of the present request came, ns
+	phase phase
+	since int64 // silent or idle since, or the first byte of the present request came, ns
+	whole int64 // when the present request has to be whole
+	head  head  // of the present request
+}
+
+// connection is the one that a request came on, nil in tests without one.
+func connection(r *http.Request) *conn {
+	c, _ := r.Context().Value(connKey{}).(*conn)
+	return c
 }
 
 // Read notes when the first byte of a request comes: the stock server tells only when a header is whole.
@@ -41,17 +63,48 @@
 	n, err := c.Conn.Read(b)
 	if n > 0 {
 		c.server.mu.Lock()
-		if c.waits {
-			c.waits, c.fresh, c.since = false, false, c.server.front.Clock.Now()
+		if c.phase <= idle {
+			now := c.server.front.Clock.Now()
+			c.whole, c.head = now+int64(requestWait), head{line: c.head.line[:0]}
+			if c.phase == silent { // since its client connected
+				c.whole = c.since + int64(requestWait)
+			}
+			c.phase, c.since = asking, now
 		}
+		c.head.take(b[:n])
 		c.server.mu.Unlock()
 	}
 	return n, err
 }
 
+// due is when the present request has to be whole.
+func (c *conn) due() int64 {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return c.whole
+}
+
+// twofold tells whether the present request has both a length and an encoding.
+func (c *conn) twofold() bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	return c.head.length && c.head.coded
+}
+
+// taken notes that the present request is whole, and tells whether more may have come than belongs to it.
+func (c *conn) taken(length int64) (more bool) {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.phase = served
+	return length < 0 || c.head.body > length
+}
+
 // CloseWrite lets the stock server end an answer to a request that it did not read to its end, so that the
 // client gets the answer and no reset.
 func (c *conn) CloseWrite() error {
+	c.server.mu.Lock()
+	c.phase = refused
+	c.server.mu.Unlock()
 	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
 		return half.CloseWrite()
 	}
@@ -93,7 +146,7 @@
 func NewServer(f *Front, l net.Listener, b *sockets.Budget) *Server {
 	f.closing = make(chan struct{})
 	s := &Server{front: f, budget: b, listener: l, conns: map[*conn]struct{}{}}
-	s.http = http.Server{Handler: f, ReadHeaderTimeout: headerWait, MaxHeaderBytes: headerMost,
+	s.http = http.Server{Handler: f, ReadHeaderTimeout: requestWait, IdleTimeout: idleWait, MaxHeaderBytes: headerMost,
 		ErrorLog: zap.NewStdLog(f.Log), ConnState: s.note,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
@@ -120,12 +173,12 @@
 		return nil, err
 	}
 	for !l.budget.Take(sockets.Clients) {
-		if !l.closeWaiting() {
+		if !l.makeRoom() {
 			time.Sleep(crowdWait)
 		}
 	}
 	l.front.Count.ClientsAccepted.Add(1)
-	c := &conn{Conn: accepted, server: l.Server, waits: true, fresh: true, since: l.front.Clock.Now()}
+	c := &conn{Conn: accepted, server: l.Server, since: l.front.Clock.Now()}
 	l.mu.Lock()
 	l.arrived = time.Now()
 	l.conns[c] = struct{}{}
@@ -138,27 +191,50 @@
 	if state == http.StateIdle {
 		c := n.(*conn)
 		s.mu.Lock()
-		c.waits, c.since = true, s.front.Clock.Now()
+		c.phase, c.since = idle, s.front.Clock.Now()
 		s.mu.Unlock()
 	}
 }
 
-// closeWaiting closes the connection that has waited for longest; those that never brought a request come
-// last, for theirs is likely to be on its way.
-func (s *Server) closeWaiting() bool {
+// makeRoom closes the connection that is least likely to be missed: one that has had its complaint; one that has
+// not brought a whole request though a client that means well would have; one between two requests, whose client
+// asks again on another. One that has just come is the last, for its request should be on its way.
+//
+// Danger: silent connections and halves of requests, by hundreds, would push out the idle ones of usual clients and
+// then starve their new ones.
+func (s *Server) makeRoom() bool {
+	sure := s.front.Clock.Now() - int64(surely)
+	rank := func(c *conn) int {
+		switch {
+		case c.phase == refused:
+			return 1
+		case c.phase != served && c.phase != idle && c.since < sure:
+			return 2
+		case c.phase == idle:
+			return 3
+		case c.phase == silent:
+			return 4
+		}
+		return 0
+	}
+	return s.closeOne(rank)
+}
+
+// closeOne closes the connection with the lowest rank above 0, the oldest of these.
+func (s *Server) closeOne(rank func(*conn) int) bool {
 	s.mu.Lock()
-	var oldest *conn
+	var chosen *conn
 	for c := range s.conns {
-		if c.waits && (oldest == nil || !c.fresh && oldest.fresh || c.fresh == oldest.fresh && c.since < oldest.since) {
-			oldest = c
+		if r := rank(c); r > 0 && (chosen == nil || cmp.Or(cmp.Compare(r, rank(chosen)), cmp.Compare(c.since, chosen.since)) < 0) {
+			chosen = c
 		}
 	}
 	s.mu.Unlock()
-	if oldest == nil {
+	if chosen == nil {
 		return false
 	}
 	s.front.Count.ClientsClosed.Add(1)
-	oldest.Close()
+	chosen.Close()
 	return true
 }
 
@@ -178,7 +254,12 @@
 		s.mu.Unlock()
 	}
 	s.http.RegisterOnShutdown(func() { // once the listener is closed
-		for s.closeWaiting() {
+		for s.closeOne(func(c *conn) int {
+			if c.phase <= idle {
+				return 1
+			}
+			return 0
+		}) {
 		}
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), lastWait)
