What fails at once is one failure, rests follow the shortest goal, doubt locks nobody out

Rests were a second and trickles counted by seconds, where goals are a quarter of a second.

At fault: judge, where each of several parts lost at once was one more failure; holdFirst and trickles in whole seconds; expect, where replicas with a connection in doubt counted as none.

Now a failure counts where the part was sent after the last one was told; the first rest is the shortest goal, if that is under a second; a shard with all in doubt is still offered. Guards against: broken connections, pauses, lost answers, spoilt answers. Harm: a dead replica costs one more part before it is set aside, and a sick one is tried more often.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -38,10 +38,10 @@
 	patienceMost  = 14         // and at most: what is hung is found before clients leave
 	admitShare    = 0.5        // a query is taken on when it should need no more of its latency goal than this
 	fairness      = 1.0        // how much the admission of a workload taken on less than others is widened
-	failRun       = 2          // failures in a row that set a replica aside: one alone is chance
+	failRun       = 2          // failures one after the other that set a replica aside: one alone is chance
 	atOnce        = 4          // a reset before this part of a typical time is laid to the query
-	holdFirst     = 1000 * ms  // a replica set aside rests so long first, then doubled; a quota is for so long
-	holdLast      = 8000 * ms  // and so long at most
+	holdFirst     = 1000 * ms  // a replica set aside rests so long first, or for the shortest latency goal,
+	holdDoubled   = 8          // and doubled up to so many times that; a quota is for one such rest
 	trickleFull   = 16         // quota at which a replica is back in
 	coldSafety    = 0.9        // share of the cold budget used: the list is late and work is a guess
 	leaveShare    = 0.1        // when more clients than this leave early the goal follows them: a few always do
@@ -133,7 +133,8 @@
 	calls   int // own calls in flight: the count that the design goes by
 	shared  *call
 	sent    ring  // executions there over the span of the cold rule
-	fails   int   // failures since the last fulfilled execution
+	fails   int   // failures since the last fulfilled execution, each sent after the one before was told
+	failed  int64 // the last of these was told
 	slot    mean  // time for each own call, ns
 	heard   int64 // last fulfilled execution
 	jammed  int64 // until then it is left alone for that
@@ -142,7 +143,7 @@
 	hold    int64 // how long the last rest was
 	since   int64 // the trickle's present quota counts from here
 	quota   int   // parts a holdFirst, doubled while it goes well
-	used    int   // of the quota
+	used    int   // of the quota, where there is one
 	good    int   // fulfilled since the quota was set
 }
 
@@ -211,6 +212,7 @@
 	pointers   []int   // by shard: the next tied pick
 	slot       mean    // time for each own call at all replicas, ns
 	shortest   int64   // the shortest latency goal of all workloads
+	rest       int64   // the first of a replica set aside
 	left       mean    // share of their time after which clients left
 	most       int     // the most holders that a shard ever had
 	up         int     // replicas listed as up
@@ -241,6 +243,7 @@
 		a.workloads[i].look(now)
 		a.shortest = min(a.shortest, w.LatencyGoal)
 	}
+	a.rest = min(holdFirst, a.shortest) // Danger: a second locks out a service that lives by a quarter of one
 	return a
 }
 
@@ -286,8 +289,7 @@
 
 // ListFailed tells that a list call failed or the subscription dropped.
 func (a *Aggregator) ListFailed(now int64) {
-	// Danger: aggregators that restart together and ask in step keep the list service down; chance spreads
-	// them, and each failure doubles the wait.
+	// Danger: aggregators that ask in step after a common restart keep the list service down.
 	a.subscribed, a.askAt = false, now+int64(float64(a.askWait)*(0.5+a.chance.next()))
 	a.askWait = min(2*a.askWait, 8*askAgain, max(a.AskWithin/2, askAgain)) // the rules want to be asked in time
 }
@@ -319,14 +321,12 @@
 
 // Outcome books how an execution ended; false means that it was over before.
 func (q *Query) Outcome(now int64, number, execution int, result Result, took int64) bool {
-	if number >= len(q.parts) || execution >= len(q.parts[number].executions) {
+	if number >= len(q.parts) || execution >= len(q.parts[number].executions) ||
+		q.parts[number].executions[execution].over {
 		return false
 	}
 	p := &q.parts[number]
 	e := &p.executions[execution]
-	if e.over {
-		return false
-	}
 	e.over = true
 	r := &q.agg.replicas[e.replica]
 	if e.call.parts--; e.call.parts == 0 {
@@ -366,7 +366,7 @@
 		}
 		q.agg.patience = min(max(q.agg.patience*step, patienceLeast), patienceMost)
 	}
-	q.agg.judge(now, r, result)
+	q.agg.judge(now, r, e.sentAt, result)
 	switch {
 	case result == Fulfilled && q.open && p.stage != given:
 		p.stage = in
@@ -395,12 +395,17 @@
 }
 
 // judge books an outcome in its replica's record and sets the replica aside or lets it back.
-func (a *Aggregator) judge(now int64, r *replica, result Result) {
-	if result == Moot || result == Cancelled || result == Full { // a jam says nothing of health
+//
+// Danger: all that is out on a connection fails as it breaks, and all that waits as a replica pauses: that is
+// one failure. Peers that then had to bear a sound replica's share would decline what it could have served.
+func (a *Aggregator) judge(now int64, r *replica, sentAt int64, result Result) {
+	// A jam says nothing of health, and what was out at the last failure nothing more.
+	if result == Moot || result == Cancelled || result == Full || result != Fulfilled && sentAt < r.failed {
 		return
 	}
-	if r.fails++; result == Fulfilled {
-		r.fails = 0
+	r.fails++
+	if r.failed = now; result == Fulfilled {
+		r.fails, r.failed = 0, 0
 	}
 	// Danger: a hung or dead replica draws parts as fast as it drops them, and every query that meets it is
 	// late. A slow one is not set aside but passed over, for its peers may have no room for its share.
@@ -415,13 +420,13 @@
 
 // setAside rests a replica, longer each time; a trickle follows. Danger: a probe proves nothing about parts.
 func (a *Aggregator) setAside(now int64, r *replica) {
-	r.hold = min(max(2*r.hold, holdFirst), holdLast)
+	r.hold = min(max(2*r.hold, a.rest), holdDoubled*a.rest)
 	r.aside, r.quota, r.used, r.good, r.since = true, 1, 0, 0, now+r.hold
 }
 
 // letIn forgets what was held against a replica.
 func (r *replica) letIn() {
-	r.aside, r.fails, r.hold, r.jammed = false, 0, 0, 0
+	r.aside, r.fails, r.failed, r.hold, r.jammed = false, 0, 0, 0, 0
 }
 
 func (r *replica) leftAlone(now int64) bool { return now < r.jammed || r.stale }
@@ -473,7 +478,7 @@
 			i := holders[(from+k)%len(holders)]
 			r := &a.replicas[i]
 			// A slow replica, one that has just failed this part and one set aside are there when no other is.
-			if level < 3 && r.aside && !r.trickles(now) || !a.coldRoom(now, r, p) ||
+			if level < 3 && r.aside && !r.trickles(now, a.rest) || !a.coldRoom(now, r, p) ||
 				level < 1 && float64(r.takes(now, prior, doubt)) > limit ||
 				level < 2 && slices.ContainsFunc(p.executions, func(e execution) bool { return e.replica == i }) ||
 				(r.calls >= channels || r.leftAlone(now)) && !overCap {
@@ -497,8 +502,8 @@
 }
 
 // trickles tells whether a replica that was set aside may have one more part now.
-func (r *replica) trickles(now int64) bool {
-	if now >= r.since+holdFirst {
+func (r *replica) trickles(now, rest int64) bool {
+	if now >= r.since+rest {
 		r.used, r.since = 0, now
 	}
 	return now >= r.since && r.used < r.quota
@@ -557,9 +562,7 @@
 	}
 	r.shared.parts++
 	r.sent.add(now, 1)
-	if r.aside {
-		r.used++
-	}
+	r.used++
 	if len(p.executions) > 0 {
 		a.further.add(now, 1)
 	}
@@ -622,20 +625,16 @@
 
 // expect is how long a part sent now should take at the best replica of its shard.
 func (a *Aggregator) expect(now int64, p *part, prior, doubt float64) int64 {
-	best, aside := int64(math.MaxInt64), int64(math.MaxInt64)
+	// Danger: with none sound, declining all would never find one mended, or its connection given back.
+	best, worst := int64(math.MaxInt64), 3
 	for _, h := range a.holders[p.shard] {
 		r := &a.replicas[h]
-		if r.leftAlone(now) || !a.coldRoom(now, r, p) {
-			continue
-		}
-		t := r.takes(now, prior, doubt)
-		if aside = min(aside, t); !r.aside {
-			best = min(best, t)
+		doubts := slices.Index([]bool{!r.aside && !r.stale, !r.stale, true}, true)
+		if t := r.takes(now, prior, doubt); now >= r.jammed && a.coldRoom(now, r, p) &&
+			(doubts < worst || doubts == worst && t < best) {
+			best, worst = t, doubts
 		}
 	}
-	if best == math.MaxInt64 { // Danger: with none sound, declining all would never find one mended.
-		return aside
-	}
 	return best
 }
 
