Indices and connections of replicas that left are given back, the crowded hear when to return

Now a host that is off the list gives its index back once nothing is out there and its last connection has ended (bookGone, each second); the next new host gets it, and the module starts it afresh (Listing.New). The module tells the advice for those it never sees.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -235,8 +235,8 @@
 	a := &Aggregator{Deployment: d, chance: chance{x: uint32(d.Seed) | 1, c: uint32(d.Seed>>32)%4294957664 + 1},
 		holders: make([][]int, d.Shards), pointers: slices.Repeat([]int{d.Number}, d.Shards), askWait: askAgain,
 		patience: patience, shortest: math.MaxInt64, slot: newMean(timeSpan), taken: newMean(timeSpan),
-		left: newMean(timeSpan), sent: newRing(d.FallSpan)}
-	a.handed, a.further = newRing(d.FurtherSpan), newRing(d.FurtherSpan)
+		left: newMean(timeSpan), sent: newRing(d.FallSpan), handed: newRing(d.FurtherSpan),
+		further: newRing(d.FurtherSpan)}
 	a.workloads = make([]workload, len(d.Workloads))
 	for i, w := range d.Workloads {
 		a.workloads[i] = workload{Workload: w, logs: newMean(timeSpan), taken: newMean(timeSpan)}
@@ -262,18 +262,18 @@
 	a.subscribed, a.askWait = true, askAgain
 	for _, l := range list {
 		for len(a.replicas) <= l.Replica {
-			a.replicas = append(a.replicas, replica{slot: newMean(paceSpan), sent: newRing(a.FallSpan)})
+			a.replicas = append(a.replicas, replica{})
 		}
 		r := &a.replicas[l.Replica]
+		if l.New || r.sent.width == 0 { // what another did under this index says nothing
+			*r = replica{slot: newMean(paceSpan), sent: newRing(a.FallSpan)}
+		}
 		if l.Started != r.started { // a new process: what the old one did says nothing
 			r.letIn()
 		}
 		r.listed, r.cell, r.started = l.Standing == Up, l.Cell, l.Started
 	}
-	for s := range a.holders {
-		a.holders[s] = a.holders[s][:0]
-	}
-	a.up = 0
+	a.holders, a.up = make([][]int, a.Shards), 0
 	for i, r := range a.replicas {
 		for j := 0; r.listed && j < a.Reach; j++ {
 			for s := ((r.cell-j)%a.Cells + a.Cells) % a.Cells; s < a.Shards; s += a.Cells {
@@ -433,11 +433,10 @@
 
 // coldRoom tells whether a cold replica may be sent a part.
 //
-// Danger: right after its start a replica falls over under its usual load, and stays down. It bears a
-// multiple of what it can do now. If each aggregator sends it no more than that share of its own usual
-// traffic, all stay within it together, however many they are and however little each sends, and a shard with
-// none but cold ones is not starved. So each part has a lot, drawn once; and one just back, whose cost is
-// lowest, gets no burst. What peers that are away should bear comes on top: the share is that much smaller.
+// Danger: right after its start a replica falls over under its usual load, and stays down. It bears a multiple
+// of what it can do now. If each aggregator sends it no more than that share of its own usual traffic, all stay
+// within it together, and a shard of cold ones is not starved. So each part has a lot, drawn once; and one just
+// back gets no burst. What peers that are away should bear comes on top: the share is that much smaller.
 func (a *Aggregator) coldRoom(now int64, r *replica, p *part) bool {
 	if r.started == 0 || now-r.started >= a.ColdRamp {
 		return true
@@ -678,12 +677,15 @@
 	}
 }
 
+// Advice is how long a declined client ought to wait, also one whom the caller has no room for; 0 for none.
+func (a *Aggregator) Advice() int64 { return min(comeBack, a.MaxComeBack) }
+
 // finish ends the query, or its first step.
 func (q *Query) finish(final Final) {
 	a := q.agg
 	e := Ending{Query: q, Final: final}
-	if final == Declined && a.ComeBack {
-		e.ComeBack = min(comeBack, a.MaxComeBack)
+	if final == Declined {
+		e.ComeBack = a.Advice()
 	}
 	a.round.Endings = append(a.round.Endings, e)
 	if final <= Partial && q.step == 0 && q.workload.FollowUp > 0 {
--- a/balance/types.go
+++ b/balance/types.go
@@ -34,8 +34,7 @@
 
 	MaxExecutions int   // of one part
 	Cancels       bool  // executions may be cancelled
-	ComeBack      bool  // a declined client hears when to come back
-	MaxComeBack   int64 // longest wait that a client honours, ns
+	MaxComeBack   int64 // longest wait that a declined client honours, ns; 0 where it can't be told any
 
 	ColdShare    float64 // of its capacity that a fresh replica starts with, at least
 	ColdRamp     int64   // a fresh replica is warm after this at the latest, ns
@@ -60,9 +59,11 @@
 	Gone
 )
 
-// Listing is one replica as the list names it. Replica is the caller's small index for it.
+// Listing is one replica as the list names it. Replica is the caller's small index for it; the index of one that
+// is gone may be used again once no execution is out there, and is New then.
 type Listing struct {
 	Replica  int
+	New      bool
 	Cell     int
 	Standing Standing
 	Started  int64 // when it last started, ns; 0 for long ago
--- a/deployment/deployment.go
+++ b/deployment/deployment.go
@@ -25,13 +25,16 @@
 		PartsPerCall:  domain.Int("parts_a_call"),
 		MaxExecutions: caps.Int("max_attempts"),
 		Cancels:       caps.Bool("cancel"),
-		ComeBack:      caps.Bool("retry_after"), MaxComeBack: caps.MayTime("max_retry_after"),
-		ColdShare: rules.Number("cold_from"),
-		ColdRamp:  rules.Time("ramp_time"), FallMultiple: rules.Number("fall_multiple"),
+		MaxComeBack:   caps.MayTime("max_retry_after"),
+		ColdShare:     rules.Number("cold_from"),
+		ColdRamp:      rules.Time("ramp_time"), FallMultiple: rules.Number("fall_multiple"),
 		FallSpan:    rules.Time("fall"),
 		AsksForList: boot.String("membership_mode") == "ask", AskWithin: rules.MayTime("must_ask_in"),
 		Budgeted: rules.Has("ratio_span"), FurtherSpan: rules.MayTime("ratio_span"),
 	}
+	if !caps.Bool("retry_after") {
+		d.MaxComeBack = 0
+	}
 	rules.May("budget_free", &d.FurtherFree)
 	rules.May("extra_per_request", &d.FurtherShare)
 
--- a/node/admit.go
+++ b/node/admit.go
@@ -45,7 +45,7 @@
 func (n *Node) Serve(ctx context.Context, asked Query) (Answer, bool) {
 	if len(n.facts) >= queueLength/frontShare {
 		n.count.Crowded.Add(1)
-		return Answer{Final: balance.Declined}, true
+		return Answer{Final: balance.Declined, ComeBack: n.advice}, true
 	}
 	q := &query{Query: asked, answer: make(chan Answer, 1),
 		executions: make([][]*execution, len(asked.Parts)),
@@ -70,7 +70,7 @@
 		n.count.Crowded.Add(1)
 		count.Declined.Add(1)
 		q.over = true
-		q.answer <- Answer{Final: balance.Declined}
+		q.answer <- Answer{Final: balance.Declined, ComeBack: n.advice}
 		return
 	}
 	q.handle = n.agg.Take(now, balance.Arrival{Workload: q.Workload, Patience: patience, Parts: len(q.Parts)})
--- a/node/book.go
+++ b/node/book.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"slices"
+
 	"go.uber.org/zap"
 
 	"willowsill/balance"
@@ -73,6 +75,29 @@
 	}[result].Add(1)
 }
 
+// place gives a new host an index.
+func (n *Node) place(name string) int {
+	i := slices.IndexFunc(n.hosts, func(h host) bool { return h.name == "" })
+	if i < 0 {
+		i = len(n.hosts)
+		n.hosts = append(n.hosts, host{})
+	}
+	n.hosts[i], n.index[name] = host{name: name}, i
+	return i
+}
+
+// bookGone gives back the indices of replicas that are off the list, once nothing is out there.
+//
+// Danger: where replicas are replaced all day, all that is kept of each would grow for as long as the process runs.
+func (n *Node) bookGone() {
+	for i, h := range n.hosts {
+		if h.gone && h.name != "" && n.pool.Left(i) {
+			delete(n.index, h.name)
+			n.hosts[i] = host{}
+		}
+	}
+}
+
 // bookNews books what discovery said; live is false for the list remembered from an earlier life. A replica
 // is known by its host: the address it is dialled at may differ and change.
 func (n *Node) bookNews(now int64, news roster.News, live bool) {
@@ -89,23 +114,36 @@
 		return
 	}
 	n.count.ListNews.Add(1)
+	if news.Whole || !live {
+		for i := range n.hosts {
+			n.hosts[i].gone = true // unless it is named
+		}
+	}
 	listings := make([]balance.Listing, 0, len(news.Entries))
 	for _, e := range news.Entries {
 		i, known := n.index[e.Host]
+		if !known && e.Standing == balance.Gone { // nothing was ever known of it
+			continue
+		}
 		if !known {
-			i = len(n.index)
-			n.index[e.Host] = i
+			i = n.place(e.Host)
 		}
+		n.hosts[i].gone = e.Standing == balance.Gone
 		if !known || e.Dial != "" { // one that has left may come without its address
 			n.pool.Address(i, e.Dial)
 		}
-		listings = append(listings, balance.Listing{Replica: i, Cell: e.Cell, Standing: e.Standing,
+		listings = append(listings, balance.Listing{Replica: i, New: !known, Cell: e.Cell, Standing: e.Standing,
 			Started: n.Wall(e.Born)})
 		if e.Standing == balance.Up && !n.isReady {
 			n.isReady = true
 			close(n.ready)
 		}
 	}
+	for i, h := range n.hosts {
+		if h.gone {
+			n.pool.Leave(i)
+		}
+	}
 	if news.Whole || !live {
 		n.agg.ListWhole(now, listings, live)
 	} else {
--- a/node/node.go
+++ b/node/node.go
@@ -65,11 +65,13 @@
 	ended   chan struct{}
 	ready   chan struct{} // closed once a list with a replica is there
 	isReady bool
+	advice  int64 // the module's to a client whom there is no room for, ns
 
 	// Of the loop alone from here.
 	agg      *balance.Aggregator
 	pool     *replica.Pool
 	index    map[string]int // of each replica, by host
+	hosts    []host         // by index
 	queries  map[*balance.Query]*query
 	held     int // queries and parts without an answer
 	out      map[*replica.Ticket]*execution
@@ -83,6 +85,12 @@
 	stopped  bool
 }
 
+// host is the replica that has an index.
+type host struct {
+	name string // empty where the index can be used again
+	gone bool   // off the list
+}
+
 // Plan is what a node is made from.
 type Plan struct {
 	Clock      Clock
@@ -108,6 +116,7 @@
 		n.rows[row] = p.Count.Workloads[name]
 	}
 	n.agg = balance.New(n.Now(), p.Deployment.Deployment)
+	n.advice = n.agg.Advice()
 	n.pool = replica.NewPool(replica.Terms{Streams: p.Terms.Streams, ConnectWithin: p.Terms.ConnectWithin,
 		IdleAfter: p.Terms.IdleAfter, Now: n.Now, Dial: p.Dial},
 		func(v replica.Notice) { n.facts <- fact{n.Now(), v} }, p.Budget, p.Count)
@@ -157,6 +166,7 @@
 		if now >= n.sweep {
 			n.sweep = now + int64(sweepEvery)
 			n.pool.Sweep()
+			n.bookGone()
 		}
 		next = min(n.due(), n.cuts.next(), n.sweep)
 		timer.Reset(time.Duration(max(next-n.Now(), 0)))
--- a/replica/pool.go
+++ b/replica/pool.go
@@ -68,13 +68,20 @@
 	for len(p.replicas) <= replica {
 		p.replicas = append(p.replicas, &line{})
 	}
-	l := p.replicas[replica]
-	if l.dial != dial {
+	if l := p.replicas[replica]; l.dial != dial {
 		l.dial = dial
-		l.retire(func(*connection) bool { return true }) // what is out there may still come
+		p.Leave(replica)
 	}
 }
 
+// Leave takes all connections to a replica out of use; what is out there may still come.
+func (p *Pool) Leave(replica int) {
+	p.replicas[replica].retire(func(*connection) bool { return true })
+}
+
+// Left tells whether nothing is out at a replica, and no connection to it is left.
+func (p *Pool) Left(replica int) bool { return len(p.replicas[replica].conns) == 0 }
+
 // Call sends tickets to a replica as one call. It returns false if there is no room for a connection.
 func (p *Pool) Call(replica int, tickets []*Ticket) bool {
 	l, now := p.replicas[replica], p.Now()
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -229,7 +229,7 @@
 		default:
 			e.Fail("lifecycle", "is unknown")
 		}
-		l.Replica = in.replica(e)
+		l.Replica, l.New = in.replica(e)
 		if e.Err != nil {
 			return e.Err
 		}
@@ -251,19 +251,19 @@
 	return nil
 }
 
-// replica maps an address to its small index, new ones included.
-func (in *instance) replica(f *fields.Object) int {
+// replica maps an address to its small index, and tells whether it is a new one.
+func (in *instance) replica(f *fields.Object) (i int, fresh bool) {
 	name := f.String("replica")
 	if f.Err != nil {
-		return 0
+		return 0, false
 	}
-	i, ok := in.replicas[name]
-	if !ok {
+	i, known := in.replicas[name]
+	if !known {
 		i = len(in.addresses)
 		in.replicas[name] = i
 		in.addresses = append(in.addresses, f.Text("replica"))
 	}
-	return i
+	return i, !known
 }
 
 // knock takes in a query or one of its parts.
