A replica set aside for quick failures is tried when idle and the sound have no room

At fault: expect, which knew no holder but the sound, and pick, which leaves the others to their trickle. Now, where sound ones need over two fifths of the shortest goal, one set aside is offered the part if its last failure cost no time and it has nothing out: one at a time. Harm: look-ups that fail there run twice.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,10 +1,9 @@
 // Package balance decides for one aggregator: which replica serves each part of a query, when a part runs
 // again, when a query is answered and whom to decline.
 //
-// How to call it: New makes an aggregator. Facts go in as calls: ListWhole, ListChanged, ListFailed, Take,
-// and on the handle that Take returns AddPart, Outcome and Leave. Decide(now), once a tick, returns
-// what to do. Calls come in order of time, from one goroutine; instances share nothing, and nothing here
-// reads a clock or does I/O. The plain types of this interface are in types.go.
+// How to call it: New makes an aggregator. Facts go in by ListWhole, ListChanged, ListFailed, Take, and by
+// AddPart, Outcome and Leave on what Take returns; Decide(now), once a tick, returns what to do. Calls come
+// from one goroutine, in order of time; nothing is shared, no clock read, no I/O. The types are in types.go.
 package balance
 
 import (
@@ -37,6 +36,7 @@
 	patienceLeast = 4          // at least: ordinary parts take up to three
 	patienceMost  = 14         // and at most: what is hung is found before clients leave
 	admitShare    = 0.5        // a query is taken on when it should need no more of its latency goal than this
+	crowdShare    = 0.4        // of the shortest goal: sound replicas that need more have no room left
 	fairness      = 1.0        // how much the admission of a workload taken on less than others is widened
 	failRun       = 2          // failures one after the other that set a replica aside: one alone is chance
 	atOnce        = 4          // a reset before this part of a typical time is laid to the query
@@ -135,6 +135,7 @@
 	sent    ring  // executions there over the span of the cold rule
 	fails   int   // failures since the last fulfilled execution, each sent after the one before was told
 	failed  int64 // the last of these was told
+	quick   bool  // and cost no time
 	slot    mean  // time for each own call, ns
 	heard   int64 // last fulfilled execution
 	jammed  int64 // until then it is left alone for that
@@ -395,7 +396,6 @@
 }
 
 // judge books an outcome in its replica's record and sets the replica aside or lets it back.
-//
 // Danger: all that is out on a connection fails as it breaks, and all that waits as a replica pauses: that is
 // one failure. Peers that then had to bear a sound replica's share would decline what it could have served.
 func (a *Aggregator) judge(now int64, r *replica, sentAt int64, result Result) {
@@ -403,8 +403,7 @@
 	if result == Moot || result == Cancelled || result == Full || result != Fulfilled && sentAt < r.failed {
 		return
 	}
-	r.fails++
-	if r.failed = now; result == Fulfilled {
+	if r.fails, r.failed, r.quick = r.fails+1, now, result != TimedOut; result == Fulfilled {
 		r.fails, r.failed = 0, 0
 	}
 	// Danger: a hung or dead replica draws parts as fast as it drops them, and every query that meets it is
@@ -429,14 +428,12 @@
 	r.aside, r.fails, r.failed, r.hold, r.jammed = false, 0, 0, 0, 0
 }
 
-func (r *replica) leftAlone(now int64) bool { return now < r.jammed || r.stale }
-
 // coldRoom tells whether a cold replica may be sent a part.
 //
-// Danger: right after its start a replica falls over under its usual load, and stays down. It bears a multiple
-// of what it can do now. If each aggregator sends it no more than that share of its own usual traffic, all stay
-// within it together, and a shard of cold ones is not starved. So each part has a lot, drawn once; and one just
-// back gets no burst. What peers that are away should bear comes on top: the share is that much smaller.
+// Danger: right after its start a replica falls over under its usual load, and stays down. It bears a
+// multiple of what it can do now. If each aggregator sends it no more than that share of its own usual
+// traffic, all stay within it together, and a shard of cold ones is not starved. So each part has a lot,
+// drawn once; one just back gets no burst; what peers that are away should bear makes the share smaller.
 func (a *Aggregator) coldRoom(now int64, r *replica, p *part) bool {
 	if r.started == 0 || now-r.started >= a.ColdRamp {
 		return true
@@ -444,7 +441,7 @@
 	present := a.ColdShare + (1-a.ColdShare)*float64(max(now-r.started, 0))/float64(a.ColdRamp)
 	open := 0.0
 	for _, h := range a.holders[p.shard] {
-		if peer := &a.replicas[h]; !peer.aside && !peer.leftAlone(now) {
+		if peer := &a.replicas[h]; !peer.aside && !peer.stale && now >= peer.jammed {
 			open++
 		}
 	}
@@ -470,17 +467,18 @@
 	holders := a.holders[p.shard]
 	from := a.pointers[p.shard] % max(len(holders), 1)
 	prior, doubt := a.guess(now, w)
-	limit := slowMul * float64(a.expect(now, p, prior, doubt))
+	expected, crowded := a.expect(now, p, prior, doubt)
 	for level := range 4 {
 		best, choice, tied := costLimit-priority+1, -1, false
 		for k := range holders {
 			i := holders[(from+k)%len(holders)]
 			r := &a.replicas[i]
 			// A slow replica, one that has just failed this part and one set aside are there when no other is.
-			if level < 3 && r.aside && !r.trickles(now, a.rest) || !a.coldRoom(now, r, p) ||
-				level < 1 && float64(r.takes(now, prior, doubt)) > limit ||
+			if level < 3 && r.aside && !(crowded && r.idles()) && !r.trickles(now, a.rest) ||
+				!a.coldRoom(now, r, p) ||
+				level < 1 && float64(r.takes(now, prior, doubt)) > slowMul*float64(expected) ||
 				level < 2 && slices.ContainsFunc(p.executions, func(e execution) bool { return e.replica == i }) ||
-				(r.calls >= channels || r.leftAlone(now)) && !overCap {
+				(r.calls >= channels || r.stale || now < r.jammed) && !overCap {
 				continue
 			}
 			switch cost := priority * r.calls; {
@@ -562,9 +560,7 @@
 	r.shared.parts++
 	r.sent.add(now, 1)
 	r.used++
-	if len(p.executions) > 0 {
-		a.further.add(now, 1)
-	}
+	a.further.add(now, float64(min(len(p.executions), 1)))
 	a.sent.add(now, 1)
 	p.executions = append(p.executions, execution{call: r.shared, sentAt: now, replica: to, slots: r.calls})
 	p.stage = out
@@ -607,7 +603,7 @@
 	prior, doubt := q.agg.guess(now, q.workload)
 	for i := range q.parts {
 		if p := &q.parts[i]; p.step == q.step && p.stage == unasked {
-			p.offer = q.agg.expect(now, p, prior, doubt)
+			p.offer, _ = q.agg.expect(now, p, prior, doubt)
 			offers = append(offers, p)
 		}
 	}
@@ -622,26 +618,30 @@
 	return need
 }
 
-// expect is how long a part sent now should take at the best replica of its shard.
-func (a *Aggregator) expect(now int64, p *part, prior, doubt float64) int64 {
-	// Danger: with none sound, declining all would never find one mended, or its connection given back.
-	best, worst := int64(math.MaxInt64), 3
+// expect is how long a part sent now should take at the best replica of its shard; crowded tells that sound
+// ones would be late, and one stands idle that was set aside for failures that cost no time. Danger: with
+// none sound, declining all would never find one mended; and what the sound have no room for would be
+// declined while others rest, though a try there costs next to nothing.
+func (a *Aggregator) expect(now int64, p *part, prior, doubt float64) (best int64, crowded bool) {
+	times := [...]int64{math.MaxInt64, math.MaxInt64, math.MaxInt64}
 	for _, h := range a.holders[p.shard] {
-		r := &a.replicas[h]
-		doubts := slices.Index([]bool{!r.aside && !r.stale, !r.stale, true}, true)
-		if t := r.takes(now, prior, doubt); now >= r.jammed && a.coldRoom(now, r, p) &&
-			(doubts < worst || doubts == worst && t < best) {
-			best, worst = t, doubts
+		if r := &a.replicas[h]; now >= r.jammed && !r.stale && a.coldRoom(now, r, p) {
+			n := slices.Index([]bool{!r.aside, r.idles(), true}, true)
+			times[n] = min(times[n], r.takes(now, prior, doubt))
 		}
 	}
-	return best
+	if float64(times[0]) > crowdShare*float64(a.shortest) && times[1] < times[0] {
+		return times[1], true
+	}
+	return times[max(slices.IndexFunc(times[:], func(t int64) bool { return t < math.MaxInt64 }), 0)], false
 }
 
+// idles tells whether a replica set aside has nothing to do, and a try there costs next to nothing.
+func (r *replica) idles() bool { return r.aside && r.quick && r.calls == 0 }
+
 // begin asks for the parts of the present step, or declines the query.
-//
-// Danger: work beyond what the replicas can do fills their queues with parts that come too late. A query that
-// should be late is declined before it has cost anything, and a part that should be late is not asked for
-// where an answer can be given without it: in a long goal such parts take the room of the short ones.
+// Danger: work beyond what the replicas can do fills their queues with parts that come too late. So a query
+// that should be late is declined before it costs anything, and a part is left out where an answer allows.
 func (q *Query) begin(now int64) {
 	a, w := q.agg, q.workload
 	q.begun++
