Idle connections of clients end after two seconds, and only a quarter may be idle

Seen by a probe that counted connections by phase; ruled out: replicas, decisions, bad requests, the accept loop, the restart. At fault: server.go, which closed idle connections at its own limit only, and idleWait of five seconds.

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -428,6 +428,32 @@
 	})
 }
 
+// Danger: clients that ask once and stay would use up what clients may hold together; the latest may stay a while.
+func TestIdleClients(t *testing.T) {
+	on(t, whole, func(s *Server, dial func() *client) {
+		most := s.budget.Most(sockets.Clients) / idleShare
+		var stay []*client
+		for range most + 3 {
+			c := dial()
+			c.send()
+			c.status()
+			stay = append(stay, c)
+			time.Sleep(time.Millisecond)
+		}
+		if synctest.Wait(); s.budget.Taken(sockets.Clients) != most {
+			t.Errorf("%d stay, of %d", s.budget.Taken(sockets.Clients), most)
+		}
+		last := stay[len(stay)-1]
+		last.send()
+		if code, _ := last.status(); code != 200 {
+			t.Errorf("the last client got %d", code)
+		}
+		if time.Sleep(idleWait + time.Second); s.budget.Taken(sockets.Clients) != 0 {
+			t.Errorf("%d still stay after %v", s.budget.Taken(sockets.Clients), idleWait)
+		}
+	})
+}
+
 // Danger: the stock shutdown loses what waits to be accepted, and clients that come a little later.
 func TestStop(t *testing.T) {
 	on(t, func(_ context.Context, q node.Query) (node.Answer, bool) {
--- a/front/server.go
+++ b/front/server.go
@@ -16,7 +16,8 @@
 const (
 	headerMost  = 32 << 10               // bytes
 	requestWait = 2 * time.Second        // from connecting, or from the first byte of a later request, to its last
-	idleWait    = 5 * time.Second        // that a connection may stand between two requests
+	idleWait    = 2 * time.Second        // that a connection may stand between two requests
+	idleShare   = 4                      // and no more than this part of the clients' descriptors stand so
 	surely      = 250 * time.Millisecond // a client that means well has sent its request so long after connecting
 
 	stillComes = 600 * time.Millisecond // after the word to stop, new connections are accepted for so long,
@@ -188,14 +189,37 @@
 
 // note follows the stock server: a connection waits again once its answer is out.
 func (s *Server) note(n net.Conn, state http.ConnState) {
-	if state == http.StateIdle {
-		c := n.(*conn)
-		s.mu.Lock()
-		c.phase, c.since = idle, s.front.Clock.Now()
-		s.mu.Unlock()
+	if state != http.StateIdle {
+		return
+	}
+	c := n.(*conn)
+	s.mu.Lock()
+	c.phase, c.since = idle, s.front.Clock.Now()
+	stand := 0
+	for other := range s.conns {
+		if other.phase == idle {
+			stand++
+		}
+	}
+	s.mu.Unlock()
+	if stand > s.budget.Most(sockets.Clients)/idleShare {
+		s.closeIdle()
 	}
 }
 
+// closeIdle closes the connection that has been idle for longest.
+//
+// Danger: clients may hold only so many connections together. Those who ask once and stay would leave none to others,
+// long before descriptors run short here.
+func (s *Server) closeIdle() bool {
+	return s.closeOne(func(c *conn) int {
+		if c.phase == idle {
+			return 1
+		}
+		return 0
+	})
+}
+
 // makeRoom closes the connection that is least likely to be missed: one that has had its complaint; one that has
 // not brought a whole request though a client that means well would have; one between two requests, whose client
 // asks again on another. One that has just come is the last, for its request should be on its way.
--- a/sockets/sockets.go
+++ b/sockets/sockets.go
@@ -50,6 +50,9 @@
 	b.taken[u]--
 }
 
+// Most is how many a use may take.
+func (b *Budget) Most(u Use) int { return b.most[u] }
+
 // Taken is how many are in use.
 func (b *Budget) Taken(u Use) int {
 	b.mu.Lock()
