Shards all in doubt are offered at twice the time, an answer cut short is told sooner

Seen by a probe of declines; ruled out: set-asides, load, the release. At fault: expect, which left out holders in doubt, and restWait, half a second where the goal is a quarter.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -623,11 +623,11 @@
 // none sound, declining all would never find one mended; and what the sound have no room for would be
 // declined while others rest, though a try there costs next to nothing.
 func (a *Aggregator) expect(now int64, p *part, prior, doubt float64) (best int64, crowded bool) {
-	times := [...]int64{math.MaxInt64, math.MaxInt64, math.MaxInt64}
+	times := [...]int64{math.MaxInt64, math.MaxInt64, math.MaxInt64, math.MaxInt64}
 	for _, h := range a.holders[p.shard] {
-		if r := &a.replicas[h]; now >= r.jammed && !r.stale && a.coldRoom(now, r, p) {
-			n := slices.Index([]bool{!r.aside, r.idles(), true}, true)
-			times[n] = min(times[n], r.takes(now, prior, doubt))
+		if r := &a.replicas[h]; now >= r.jammed && a.coldRoom(now, r, p) {
+			n := slices.Index([]bool{!r.aside && !r.stale, r.idles(), !r.stale, true}, true)
+			times[n] = min(times[n], r.takes(now, prior, doubt)<<(n/3)) // in doubt: it waits for those before it
 		}
 	}
 	if float64(times[0]) > crowdShare*float64(a.shortest) && times[1] < times[0] {
@@ -637,7 +637,7 @@
 }
 
 // idles tells whether a replica set aside has nothing to do, and a try there costs next to nothing.
-func (r *replica) idles() bool { return r.aside && r.quick && r.calls == 0 }
+func (r *replica) idles() bool { return r.aside && r.quick && r.calls == 0 && !r.stale }
 
 // begin asks for the parts of the present step, or declines the query.
 // Danger: work beyond what the replicas can do fills their queues with parts that come too late. So a query
--- a/replica/connection.go
+++ b/replica/connection.go
@@ -15,12 +15,12 @@
 )
 
 const (
-	readBuffer = 4 << 10                // bytes: replies are short
-	writeWait  = 2 * time.Second        // a peer that takes in nothing for so long is gone
-	givenMost  = 1024                   // ids given up on a connection without a late reply, kept apart
-	endedMost  = 64                     // ids that ended on it last: a second copy comes soon, if it comes
-	restWait   = 500 * time.Millisecond // for the rest of a frame that has begun to come: all comes at once
-	idleMargin = 8                      // retired before this part of the idle time is left
+	readBuffer = 4 << 10         // bytes: replies are short
+	writeWait  = 2 * time.Second // a peer that takes in nothing for so long is gone
+	givenMost  = 1024            // ids given up on a connection without a late reply, kept apart
+	endedMost  = 64              // ids that ended on it last: a second copy comes soon, if it comes
+	restShare  = 2               // the rest of a frame comes within this part of the time for a whole connection
+	idleMargin = 8               // retired before this part of the idle time is left
 )
 
 // Notice is what a connection has to tell its pool: a reply, or that it is down.
@@ -160,9 +160,9 @@
 //
 // Danger: a frame that announces more than ever comes would keep all that waits on the connection.
 func (c *connection) read(conn net.Conn) error {
-	r := bufio.NewReaderSize(conn, readBuffer)
+	r, rest := bufio.NewReaderSize(conn, readBuffer), time.Duration(c.pool.ConnectWithin/restShare)
 	for {
-		reply, err := readReply(r, func() { conn.SetReadDeadline(time.Now().Add(restWait)) })
+		reply, err := readReply(r, func() { conn.SetReadDeadline(time.Now().Add(rest)) })
 		if errors.Is(err, os.ErrDeadlineExceeded) {
 			err = fmt.Errorf("%w: its rest did not come", errSpoilt)
 		}
--- a/replica/pool_test.go
+++ b/replica/pool_test.go
@@ -326,7 +326,7 @@
 		"id":           {string(AppendReply(nil, Reply{"b.1", Ran, "v"}, "-")), 0},
 		"no length":    {"\x00\x00\x00\x00" + reply[4:], 0},
 		"short length": {"\x00\x00\x00\x03" + reply[4:], 0},
-		"long length":  {"\x00\x00\x01\x00" + reply[4:], restWait},
+		"long length":  {"\x00\x00\x01\x00" + reply[4:], 250 * time.Millisecond / restShare},
 		"3 GB":         {"\xb2\xd0\x5e\x00" + reply[4:] + strings.Repeat("x", 9000), 0},
 	} {
 		t.Run(name, func(t *testing.T) {
