Second reading: one ranking by phase, one list of letters, one end, one answer to the crowded

Looked at and left: the switches that turn words into a standing or an effect (deployment, roster, wire) share their shape only, for each vocabulary and its errors are its own; the tests' imports are no logic.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -143,7 +143,7 @@
 	aside   bool
 	hold    int64 // how long the last rest was
 	since   int64 // the trickle's present quota counts from here
-	quota   int   // parts a holdFirst, doubled while it goes well
+	quota   int   // parts a first rest, doubled while it goes well
 	used    int   // of the quota, where there is one
 	good    int   // fulfilled since the quota was set
 }
--- a/front/server.go
+++ b/front/server.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -187,7 +188,11 @@
 	return c, nil
 }
 
-// note follows the stock server: a connection waits again once its answer is out.
+// note follows the stock server: a connection waits again once its answer is out. With too many that do, the one
+// that has been idle for longest is closed.
+//
+// Danger: clients may hold only so many connections together. Those who ask once and stay would leave none to others,
+// long before descriptors run short here.
 func (s *Server) note(n net.Conn, state http.ConnState) {
 	if state != http.StateIdle {
 		return
@@ -203,23 +208,10 @@
 	}
 	s.mu.Unlock()
 	if stand > s.budget.Most(sockets.Clients)/idleShare {
-		s.closeIdle()
+		s.closeOne(only(idle))
 	}
 }
 
-// closeIdle closes the connection that has been idle for longest.
-//
-// Danger: clients may hold only so many connections together. Those who ask once and stay would leave none to others,
-// long before descriptors run short here.
-func (s *Server) closeIdle() bool {
-	return s.closeOne(func(c *conn) int {
-		if c.phase == idle {
-			return 1
-		}
-		return 0
-	})
-}
-
 // makeRoom closes the connection that is least likely to be missed: one that has had its complaint; one that has
 // not brought a whole request though a client that means well would have; one between two requests, whose client
 // asks again on another. One that has just come is the last, for its request should be on its way.
@@ -262,6 +254,16 @@
 	return true
 }
 
+// only ranks the connections in these phases alike, and no others.
+func only(phases ...phase) func(*conn) int {
+	return func(c *conn) int {
+		if slices.Contains(phases, c.phase) {
+			return 1
+		}
+		return 0
+	}
+}
+
 // Stop ends the service without losing a query; what is under way is waited for as long as lastWait.
 //
 // Danger: for a while after the word to stop clients still come, and what the machine has accepted counts as
@@ -278,12 +280,7 @@
 		s.mu.Unlock()
 	}
 	s.http.RegisterOnShutdown(func() { // once the listener is closed
-		for s.closeOne(func(c *conn) int {
-			if c.phase <= idle {
-				return 1
-			}
-			return 0
-		}) {
+		for s.closeOne(only(silent, idle)) {
 		}
 	})
 	ctx, cancel := context.WithTimeout(context.Background(), lastWait)
--- a/node/admit.go
+++ b/node/admit.go
@@ -44,8 +44,7 @@
 // Danger: more queries than the loop can take would fill the queue and keep outcomes out.
 func (n *Node) Serve(ctx context.Context, asked Query) (Answer, bool) {
 	if len(n.facts) >= queueLength/frontShare {
-		n.count.Crowded.Add(1)
-		return Answer{Final: balance.Declined, ComeBack: n.advice}, true
+		return n.crowded(), true
 	}
 	q := &query{Query: asked, answer: make(chan Answer, 1),
 		executions: make([][]*execution, len(asked.Parts)),
@@ -60,6 +59,12 @@
 	}
 }
 
+// crowded is the answer to a query that the module never sees.
+func (n *Node) crowded() Answer {
+	n.count.Crowded.Add(1)
+	return Answer{Final: balance.Declined, ComeBack: n.advice}
+}
+
 // admit hands a query to the module, or declines it where the node holds as much as it may, or where its
 // client's time is up.
 func (n *Node) admit(now int64, q *query) {
@@ -67,10 +72,9 @@
 	count.Taken.Add(1)
 	patience := q.Until - now - n.lateness
 	if n.held >= n.terms.MostHeld || patience <= 0 {
-		n.count.Crowded.Add(1)
 		count.Declined.Add(1)
 		q.over = true
-		q.answer <- Answer{Final: balance.Declined, ComeBack: n.advice}
+		q.answer <- n.crowded()
 		return
 	}
 	q.handle = n.agg.Take(now, balance.Arrival{Workload: q.Workload, Patience: patience, Parts: len(q.Parts)})
--- a/node/book.go
+++ b/node/book.go
@@ -114,7 +114,8 @@
 		return
 	}
 	n.count.ListNews.Add(1)
-	if news.Whole || !live {
+	whole := news.Whole || !live
+	if whole {
 		for i := range n.hosts {
 			n.hosts[i].gone = true // unless it is named
 		}
@@ -144,7 +145,7 @@
 			n.pool.Leave(i)
 		}
 	}
-	if news.Whole || !live {
+	if whole {
 		n.agg.ListWhole(now, listings, live)
 	} else {
 		n.agg.ListChanged(now, listings)
--- a/replica/connection.go
+++ b/replica/connection.go
@@ -82,8 +82,8 @@
 	}
 }
 
-// spoil ends the connection for what came on it; its last notice says so.
-func (c *connection) spoil(err error) {
+// end takes the connection out of use and closes it; its last notice has the error.
+func (c *connection) end(err error) {
 	c.retired = true
 	c.shut(err)
 }
--- a/replica/frame.go
+++ b/replica/frame.go
@@ -122,7 +122,7 @@
 			return parseReply(rest)
 		case letter == LetterNoUse:
 			return Reply{}, fmt.Errorf("%w: %.80q", errNoUse, rest)
-		case letter != LetterProbe && letter != LetterLoad:
+		case strings.IndexByte(letters, letter) < 0:
 			return Reply{}, fmt.Errorf("%w: the letter %q", errSpoilt, letter)
 		}
 	}
--- a/replica/pool.go
+++ b/replica/pool.go
@@ -245,7 +245,7 @@
 		case t == nil:
 			// Danger: a reply under an id that was never sent here was made for a part that waits, and passing it
 			// over would let that part wait until its time is up.
-			c.spoil(fmt.Errorf("%w: the id %.40q", errSpoilt, n.reply.ID))
+			c.end(fmt.Errorf("%w: the id %.40q", errSpoilt, n.reply.ID))
 			return nil
 		}
 		c.replied(t.ID)
@@ -275,8 +275,7 @@
 func (p *Pool) Close() {
 	for _, l := range p.replicas {
 		for _, c := range l.conns {
-			c.retired = true
-			c.shut(nil)
+			c.end(nil)
 		}
 	}
 }
