--- a/balance/balance.go
+++ b/balance/balance.go
@@ -37,6 +37,8 @@
 	patienceMost  = 14         // and at most: what is hung is found before clients leave
 	admitShare    = 0.5        // a query is taken on when it should need no more of its latency goal than this
 	crowdShare    = 0.4        // of the shortest goal: sound replicas that need more have no room left
+	wordMost      = 4          // own calls that the word of others on a replica's pace counts for at most
+	overShare     = 0.5        // of admitShare for a query whose customer is over what was agreed: it is worth less
 	fairness      = 1.0        // how much the admission of a workload taken on less than others is widened
 	failRun       = 2          // failures one after the other that set a replica aside: one alone is chance
 	atOnce        = 4          // a reset before this part of a typical time is laid to the query
@@ -137,6 +139,7 @@
 	failed  int64 // the last of these was told
 	quick   bool  // and cost no time
 	slot    mean  // time for each own call, ns
+	lately  mean  // as slot, over a quarter of its span: what others are told
 	heard   int64 // last fulfilled execution
 	jammed  int64 // until then it is left alone for that
 	stale   bool  // its connection is in doubt: nothing is sent until it has been given back
@@ -146,6 +149,7 @@
 	quota   int   // parts a first rest, doubled while it goes well
 	used    int   // of the quota, where there is one
 	good    int   // fulfilled since the quota was set
+	word    Word  // of others; it fades by itself
 }
 
 // call is what travels together to one replica; the count falls when its last part is done.
@@ -197,6 +201,7 @@
 	step     int   // 0, or 1 for the second
 	begun    int   // steps whose parts were asked for
 	whole    bool  // of the first step
+	over     bool  // its customer asks for more than was agreed
 	open     bool
 }
 
@@ -244,10 +249,20 @@
 		a.workloads[i].look(now)
 		a.shortest = min(a.shortest, w.LatencyGoal)
 	}
-	a.rest = min(holdFirst, a.shortest) // Danger: a second locks out a service that lives by a quarter of one
+	a.rest = d.Rest()
 	return a
 }
 
+// Rest is the first rest of a replica that is set aside, ns.
+// Danger: a second locks out a service that lives by a quarter of one.
+func (d Deployment) Rest() int64 {
+	rest := int64(holdFirst)
+	for _, w := range d.Workloads {
+		rest = min(rest, w.LatencyGoal)
+	}
+	return rest
+}
+
 // ListWhole replaces the list; live is false for one remembered from an earlier life.
 func (a *Aggregator) ListWhole(now int64, list []Listing, live bool) {
 	for i := range a.replicas {
@@ -267,7 +282,7 @@
 		}
 		r := &a.replicas[l.Replica]
 		if l.New || r.sent.width == 0 { // what another did under this index says nothing
-			*r = replica{slot: newMean(paceSpan), sent: newRing(a.FallSpan)}
+			*r = replica{slot: newMean(paceSpan), lately: newMean(timeSpan), sent: newRing(a.FallSpan)}
 		}
 		if l.Started != r.started { // a new process: what the old one did says nothing
 			r.letIn()
@@ -299,6 +314,7 @@
 func (a *Aggregator) Take(now int64, arrival Arrival) *Query {
 	w := &a.workloads[arrival.Workload]
 	q := &Query{agg: a, workload: w, expected: arrival.Parts, taken: now, open: true,
+		over: arrival.Over,
 		end:  now + max(arrival.Patience-spareTicks*a.Tick, 0),
 		goal: now + max(w.LatencyGoal-spareTicks*a.Tick, 0)}
 	if w.LateShare == 0 { // what earns nothing is only load
@@ -358,6 +374,7 @@
 	if slots := float64(e.slots); result == Fulfilled || (result == Cancelled || result == TimedOut) &&
 		float64(took) > r.slot.of(now, 0)*slots {
 		r.slot.add(now, float64(took), slots)
+		r.lately.add(now, float64(took), slots)
 		q.agg.slot.add(now, float64(took), slots)
 	}
 	if execution > 0 && p.executions[execution-1].overdue && result != Cancelled && result != Moot {
@@ -408,7 +425,7 @@
 	}
 	// Danger: a hung or dead replica draws parts as fast as it drops them, and every query that meets it is
 	// late. A slow one is not set aside but passed over, for its peers may have no room for its share.
-	if result != Fulfilled && (r.aside || r.fails >= failRun) {
+	if result != Fulfilled && (r.aside || r.fails >= failRun || now < r.word.Until && r.word.Suspect) {
 		a.setAside(now, r)
 	} else if r.good++; r.aside && r.good >= r.quota {
 		if r.quota, r.used, r.good, r.since = 2*r.quota, 0, 0, now; r.quota >= trickleFull {
@@ -423,6 +440,36 @@
 	r.aside, r.quota, r.used, r.good, r.since = true, 1, 0, 0, now+r.hold
 }
 
+// Hear takes in what others found of a replica.
+// Danger: hearsay alone must not lock out what is sound. By it a replica is passed over, as one is that was met and
+// found slow, and no more: it serves as its peers fill. A try is put off no further than the longest rest.
+func (a *Aggregator) Hear(now int64, w Word) {
+	if w.Replica >= len(a.replicas) || !a.replicas[w.Replica].listed {
+		return
+	}
+	r := &a.replicas[w.Replica]
+	w.Weight = min(w.Weight, wordMost)
+	if r.word = w; r.aside && w.Try > 0 && r.quota == 1 && r.used == 0 {
+		r.since = min(max(w.Try, now), now+holdDoubled*a.rest)
+	}
+}
+
+// Findings appends what this aggregator has found itself of each replica listed as up.
+func (a *Aggregator) Findings(now int64, found []Finding) []Finding {
+	typical := a.slot.of(now, 0)
+	for i := range a.replicas {
+		if r := &a.replicas[i]; r.listed {
+			f := Finding{Replica: i, Cell: r.cell, Aside: r.aside, Trickle: r.since, Failed: r.failed,
+				Heard: r.heard}
+			if typical > 0 {
+				f.Pace = r.lately.of(now, 0) / typical
+			}
+			found = append(found, f)
+		}
+	}
+	return found
+}
+
 // letIn forgets what was held against a replica.
 func (r *replica) letIn() {
 	r.aside, r.fails, r.failed, r.hold, r.jammed = false, 0, 0, 0, 0
@@ -458,7 +505,11 @@
 
 // takes is how long a part sent now should take: the replica's time for each own call, times the calls.
 func (r *replica) takes(now int64, prior, doubt float64) int64 {
-	pace := (r.slot.sum.sum(now) + doubt*prior) / (r.slot.n.sum(now) + doubt)
+	sum, n := r.slot.sum.sum(now)+doubt*prior, r.slot.n.sum(now)+doubt
+	if now < r.word.Until { // others met it
+		sum, n = sum+r.word.Weight*r.word.Pace*prior, n+r.word.Weight
+	}
+	pace := sum / n
 	return int64(pace * float64(r.calls+1))
 }
 
@@ -658,13 +709,18 @@
 	// Danger: a query of many parts meets the worst of many replicas, so a crowd would shut out its workload.
 	fair := 1 + fairness*(a.taken.of(now, 0)-w.taken.of(now, 0))
 	limit := admitShare * fair * float64(q.goal-now)
+	if q.over {
+		limit *= overShare
+	}
 	missing := q.ask(now, min(least, total), int64(limit)) + need - least
 	if need > least {
 		missing = q.ask(now, missing, int64(min(limit, admitShare*float64(a.shortest))))
 	}
 	if need-missing < least-slack {
-		w.taken.add(now, 0, 1)
-		a.taken.add(now, 0, 1)
+		if !q.over { // Danger: one customer's excess would pass for want of room, and loosen what all others meet
+			w.taken.add(now, 0, 1)
+			a.taken.add(now, 0, 1)
+		}
 		q.giveUp()
 		return
 	}
--- a/balance/types.go
+++ b/balance/types.go
@@ -74,6 +74,28 @@
 	Workload int
 	Patience int64 // time until the client gives up this try, ns
 	Parts    int   // how many its first step has
+	Over     bool  // its customer is over what was agreed: it is worth less
+}
+
+// Finding is what this aggregator has found of a replica by its own executions.
+type Finding struct {
+	Replica, Cell int
+	Aside         bool    // it is set aside
+	Trickle       int64   // Aside: its trickle starts then, ns
+	Failed        int64   // its last failure, if it has fulfilled nothing since; 0 for none
+	Heard         int64   // its last fulfilled execution; 0 for none
+	Pace          float64 // its time for each own call over that of all; 0 where not met lately
+}
+
+// Word is what others found of a replica, weighed by the caller. It narrows who is eligible; nothing in it chooses, and
+// none sets a replica aside.
+type Word struct {
+	Replica int
+	Until   int64   // it holds so long, ns
+	Suspect bool    // one own failure sets the replica aside
+	Pace    float64 // times the typical that it is said to need,
+	Weight  float64 // counted like so many own calls; 0 for no word on that
+	Try     int64   // where it is set aside: its trickle starts then, 0 for no word
 }
 
 // Result is how an execution ended.
--- /dev/null
+++ b/cmd/willowsill/demo.go
@@ -0,0 +1,307 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+	"go.uber.org/zap"
+
+	"willowsill/balance"
+	"willowsill/deployment"
+	"willowsill/operator"
+	"willowsill/replica"
+	"willowsill/standin"
+	"willowsill/standin/redis"
+)
+
+// The demonstration's fleet.
+const (
+	demoAggregators = 3
+	demoShards      = 4
+	demoHolders     = 3 // of each shard
+	demoWork        = 20 * time.Millisecond
+	demoPatience    = 1500 * time.Millisecond
+	demoGoal        = 800 * time.Millisecond
+)
+
+// phase is a stretch of the demonstration and what came of it.
+type phase struct {
+	Name     string         `json:"name"`
+	Answers  map[string]int `json:"answers"`
+	MedianMS float64        `json:"median_ms"`
+	WorstMS  float64        `json:"worst_ms"`
+	Sick     int64          `json:"executions_at_sick_replica"`
+	Store    map[string]any `json:"store,omitempty"`
+	times    []time.Duration
+}
+
+func demonstrating() *cobra.Command {
+	var withStore, asJSON bool
+	var each time.Duration
+	c := &cobra.Command{
+		Use:   "demo",
+		Short: "Run a small fleet of stand-ins and some queries, and print what happened",
+		Long: "demo starts replicas, a discovery and three aggregators on loopback, asks queries of them, makes one\n" +
+			"replica fail and mends it. With --store the aggregators share what they find through a stand-in of a\n" +
+			"Redis server, which stalls and vanishes on the way.",
+		Example: "  willowsill demo\n  willowsill demo --store --json",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if each < 200*time.Millisecond || each > time.Minute {
+				return coded{fmt.Errorf("--each is %v, outside 200ms to 1m", each), 2}
+			}
+			phases, err := demonstrate(c.Context(), withStore, each)
+			if err != nil {
+				return coded{err, 1}
+			}
+			if asJSON {
+				return writeJSON(c.OutOrStdout(), phases)
+			}
+			table := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+			fmt.Fprintln(table, "what\tserved\tdeclined\tfailed\tmedian ms\tworst ms\tsent to the sick one\tstore")
+			for _, p := range phases {
+				state := "none"
+				if p.Store != nil {
+					state = fmt.Sprint(p.Store["state"])
+				}
+				fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%.0f\t%.0f\t%d\t%s\n", p.Name, p.Answers["200"], p.Answers["503"],
+					p.Answers["failed"], p.MedianMS, p.WorstMS, p.Sick, state)
+			}
+			return table.Flush()
+		},
+	}
+	c.Flags().BoolVar(&withStore, "store", false, "share what is found through a stand-in store")
+	c.Flags().DurationVar(&each, "each", 2*time.Second, "how long each phase takes")
+	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	return c
+}
+
+// fleet is what the demonstration starts; stop ends all of it.
+type fleet struct {
+	fronts []string
+	sick   atomic.Bool // the first replica fails
+	met    atomic.Int64
+	store  *redis.Server
+	ends   []func()
+	number atomic.Int64
+}
+
+func (f *fleet) stop() {
+	for _, end := range slices.Backward(f.ends) {
+		end()
+	}
+}
+
+// listen opens a loopback port and serves on it until the end.
+func (f *fleet) listen(serve func(net.Listener)) (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		serve(l)
+	}()
+	f.ends = append(f.ends, func() {
+		l.Close()
+		<-ended
+	})
+	return l.Addr().String(), nil
+}
+
+func startFleet(withStore bool) (*fleet, error) {
+	f := &fleet{}
+	list := standin.NewDiscovery()
+	for i := range demoShards * demoHolders {
+		toy := &standin.Replica{Answer: func(ctx context.Context, p replica.Part) (replica.Reply, bool) {
+			if i == 0 {
+				f.met.Add(1)
+				if f.sick.Load() {
+					return replica.Reply{ID: p.ID, End: replica.Failed}, true
+				}
+			}
+			select {
+			case <-time.After(demoWork):
+			case <-ctx.Done():
+				return replica.Reply{}, false
+			}
+			return replica.Reply{ID: p.ID, Value: "v" + strconv.Itoa(p.Shard)}, true
+		}}
+		address, err := f.listen(func(l net.Listener) { toy.Serve(l) })
+		if err != nil {
+			return f, err
+		}
+		list.Change(standin.Host{Host: fmt.Sprint("s-", i), Dial: address, Block: i % demoShards, Health: "active"})
+	}
+	discovery, err := f.listen(func(l net.Listener) { (&http.Server{Handler: list}).Serve(l) })
+	if err != nil {
+		return f, err
+	}
+	orders := &operator.Orders{}
+	if withStore {
+		f.store = &redis.Server{}
+		address, err := f.listen(func(l net.Listener) { f.store.Serve(l) })
+		if err != nil {
+			return f, err
+		}
+		orders.Store = &operator.Store{Address: address, Prefix: "demo", Round: 200e6, Deadline: 100e6, Sample: 24, Health: true}
+	}
+	for i := range demoAggregators {
+		if err := f.aggregator(i, discovery, orders); err != nil {
+			return f, err
+		}
+	}
+	return f, nil
+}
+
+// aggregator starts the whole program once, but for its process.
+func (f *fleet) aggregator(number int, discovery string, orders *operator.Orders) error {
+	row := balance.Workload{LatencyGoal: int64(demoGoal), LateShare: 0.3, Floor: 1, Need: 1, PartialShare: 0.9}
+	start := deployment.Start{Name: fmt.Sprint("n", number), Discovery: discovery, Sockets: 512,
+		Deployment: deployment.Deployment{Workload: map[string]int{"lookup": 0}, Deployment: balance.Deployment{
+			Number: number, Aggregators: demoAggregators, Seed: uint64(7 + number), Tick: 5e6,
+			Workloads: []balance.Workload{row}, Shards: demoShards, Cells: demoShards, Reach: 1, PartsPerCall: 1,
+			MaxExecutions: 3, Cancels: true, MaxComeBack: 2000e6, ColdShare: 0.2, ColdRamp: 9000e6, FallMultiple: 4,
+			FallSpan: 1000e6}},
+		Terms: deployment.Terms{MostHeld: 200, Streams: 32, ConnectWithin: 250e6, IdleAfter: 15e9,
+			LongestCutOff: int64(demoPatience)}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	stop, end := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() {
+		ended <- run(stop, nil, start, orders, l, (&net.Dialer{}).DialContext, zap.NewNop())
+	}()
+	f.fronts = append(f.fronts, "http://"+l.Addr().String())
+	f.ends = append(f.ends, func() {
+		end()
+		<-ended
+	})
+	return f.ready(f.fronts[number])
+}
+
+// ready waits until an aggregator serves.
+func (f *fleet) ready(front string) error {
+	for range 100 {
+		if r, err := http.Get(front + "/healthz"); err == nil {
+			r.Body.Close()
+			if r.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return fmt.Errorf("the aggregator at %s did not come up", front)
+}
+
+// ask asks one query and says how it ended.
+func (f *fleet) ask(ctx context.Context, front string) string {
+	ctx, cancel := context.WithTimeout(ctx, demoPatience)
+	defer cancel()
+	body := `{"segments":[{"segment":0,"boost":0.25},{"segment":1,"boost":0.25},{"segment":2,"boost":0.25},` +
+		`{"segment":3,"boost":0.25}],"text":"demo"}`
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, front+"/lookup", bytes.NewReader([]byte(body)))
+	if err != nil {
+		return "failed"
+	}
+	for key, v := range map[string]string{"X-Qos": "lookup", "X-Trace-Id": fmt.Sprintf("d%d", f.number.Add(1)),
+		"X-Expires-In-Ms": strconv.FormatInt(demoPatience.Milliseconds(), 10)} {
+		r.Header.Set(key, v)
+	}
+	a, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return "failed"
+	}
+	defer a.Body.Close()
+	io.Copy(io.Discard, a.Body)
+	if a.StatusCode != http.StatusOK && a.StatusCode != http.StatusServiceUnavailable {
+		return "failed"
+	}
+	return strconv.Itoa(a.StatusCode)
+}
+
+// shared are the first aggregator's figures of the store.
+func (f *fleet) shared() map[string]any {
+	r, err := http.Get(f.fronts[0] + "/counters")
+	if err != nil {
+		return nil
+	}
+	defer r.Body.Close()
+	var all struct {
+		Store map[string]any `json:"shared_store"`
+	}
+	json.NewDecoder(r.Body).Decode(&all)
+	return all.Store
+}
+
+// play asks queries for a time, from each aggregator's front, and returns what came of it.
+func (f *fleet) play(ctx context.Context, name string, each time.Duration) phase {
+	p := phase{Name: name, Answers: map[string]int{}}
+	met := f.met.Load()
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	every := time.NewTicker(25 * time.Millisecond)
+	defer every.Stop()
+	for until := time.Now().Add(each); time.Now().Before(until) && ctx.Err() == nil; <-every.C {
+		for _, front := range f.fronts {
+			all.Go(func() {
+				began := time.Now()
+				how := f.ask(ctx, front)
+				mu.Lock()
+				defer mu.Unlock()
+				p.Answers[how]++
+				p.times = append(p.times, time.Since(began))
+			})
+		}
+	}
+	all.Wait()
+	slices.Sort(p.times)
+	if n := len(p.times); n > 0 {
+		p.MedianMS, p.WorstMS = p.times[n/2].Seconds()*1e3, p.times[n-1].Seconds()*1e3
+	}
+	p.Sick = f.met.Load() - met
+	p.Store = f.shared()
+	return p
+}
+
+// demonstrate plays all phases.
+func demonstrate(ctx context.Context, withStore bool, each time.Duration) (phases []phase, err error) {
+	if ctx == nil {
+		ctx = context.Background()
+	}
+	f, err := startFleet(withStore)
+	defer f.stop()
+	if err != nil {
+		return nil, err
+	}
+	play := func(name string) { phases = append(phases, f.play(ctx, name, each)) }
+	play("all well")
+	f.sick.Store(true)
+	play("one replica fails")
+	if withStore {
+		f.store.Misbehave(redis.Fault{Delay: 2 * time.Second})
+		play("and the store takes 2 s")
+		f.store.Misbehave(redis.Fault{Silent: true})
+		play("and the store is silent")
+		f.store.Misbehave(redis.Fault{})
+		play("and the store is back")
+	}
+	f.sick.Store(false)
+	play("the replica is mended")
+	return phases, nil
+}
--- a/cmd/willowsill/main.go
+++ b/cmd/willowsill/main.go
@@ -24,6 +24,7 @@
 	"willowsill/deployment"
 	"willowsill/front"
 	"willowsill/node"
+	"willowsill/operator"
 	"willowsill/replica"
 	"willowsill/roster"
 	"willowsill/sockets"
@@ -41,10 +42,22 @@
 	// Danger: a SIGHUP that nobody hears ends the process, so one is heard from the first to the last.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
+	if len(os.Args) == 1 { // as the platform starts it: nothing else is made ready
+		os.Exit(serve(reload, ""))
+	}
+	os.Exit(command(reload, os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// serve serves from the environment, with the operator's script if there is one, and returns the exit code.
+func serve(reload <-chan os.Signal, script string) int {
 	start, err := deployment.FromEnvironment(os.Getenv)
+	orders := &operator.Orders{}
+	if err == nil && script != "" {
+		orders, err = operator.Read(script)
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "willowsill:", err)
-		os.Exit(2)
+		return 2
 	}
 	runtime.GOMAXPROCS(max(int(math.Ceil(start.Cores)), 1))
 	debug.SetMemoryLimit(int64(memoryShare * float64(start.Memory)))
@@ -52,6 +65,7 @@
 	log := zap.New(zapcore.NewSamplerWithOptions(
 		zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), out, zap.InfoLevel),
 		logEach, logFirst, logThen)).With(zap.String("aggregator", start.Name))
+	defer out.Stop()
 	stop, ignore := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer ignore()
 	listener, err := net.Listen("tcp", start.Listen)
@@ -59,21 +73,19 @@
 		err = fmt.Errorf("variable NODE_LISTEN: %w", err)
 	} else {
 		// TCP's own keep-alive would not notice a machine that vanished, and parts have limits of their own.
-		err = run(stop, reload, start, listener, (&net.Dialer{KeepAlive: -1}).DialContext, log)
+		err = run(stop, reload, start, orders, listener, (&net.Dialer{KeepAlive: -1}).DialContext, log)
 	}
 	if err != nil {
 		log.Error("failed", zap.Error(err))
+		return 1
 	}
-	out.Stop()
-	if err != nil {
-		os.Exit(1)
-	}
+	return 0
 }
 
 // run serves until stop is over, and ends when all it has taken is answered and all it holds is given back. At
 // each word on reload it reads its configuration again.
-func run(stop context.Context, reload <-chan os.Signal, start deployment.Start, l net.Listener,
-	dial replica.Dial, log *zap.Logger) error {
+func run(stop context.Context, reload <-chan os.Signal, start deployment.Start, orders *operator.Orders,
+	l net.Listener, dial replica.Dial, log *zap.Logger) error {
 	count := counters.New(start.Workload)
 	budget := sockets.NewBudget(start.Sockets)
 	clock := node.NewClock()
@@ -83,6 +95,11 @@
 		func(ctx context.Context, n roster.News) { core.News(ctx, n) })
 	core = node.New(node.Plan{Clock: clock, Deployment: start.Deployment, Terms: start.Terms, Known: start.Known,
 		Budget: budget, Count: count, Log: log, Ask: watch.Ask, Dial: dial})
+	shares := &sharing{start: start, core: core, dial: dial, count: count, log: log}
+	if err := shares.follow(orders); err != nil {
+		core.Close()
+		return err
+	}
 	watching, unwatch := context.WithCancel(context.Background())
 	defer unwatch()
 	watched := make(chan struct{})
@@ -102,7 +119,7 @@
 		case err := <-served:
 			return err
 		case <-reload:
-			follow(&start, watch, count, log)
+			follow(&start, watch, shares, count, log)
 		case <-stop.Done():
 			leaving = true
 		}
@@ -114,17 +131,27 @@
 	}
 	unwatch()
 	<-watched
+	shares.end()
 	core.Close()
 	log.Info("ended", zap.Any("counters", count))
 	return err
 }
 
-// follow reads the configuration again and turns the watch to the discovery that it names now.
+// follow reads the configuration and the operator's script again, turns the watch to the discovery that is named now,
+// and switches on and off what the script says.
 //
 // Danger: a file that is missing, half-written or wrong must not end what runs well, nor change a part of it.
-func follow(start *deployment.Start, watch *roster.Watch, count *counters.Counters, log *zap.Logger) {
+func follow(start *deployment.Start, watch *roster.Watch, shares *sharing, count *counters.Counters,
+	log *zap.Logger) {
 	count.Reloads.Add(1)
 	next, odd, err := start.Again()
+	orders := shares.orders
+	if err == nil && orders.File != "" {
+		orders, err = operator.Read(orders.File)
+	}
+	if err == nil {
+		err = shares.follow(orders)
+	}
 	if err != nil {
 		count.ReloadsWrong.Add(1)
 		log.Error("the configuration cannot be used, what was read before stays in force", zap.Error(err))
--- a/cmd/willowsill/main_test.go
+++ b/cmd/willowsill/main_test.go
@@ -20,6 +20,7 @@
 	"willowsill/counters"
 	"willowsill/deployment"
 	"willowsill/internal/pipes"
+	"willowsill/operator"
 	"willowsill/replica"
 	"willowsill/standin"
 )
@@ -71,7 +72,7 @@
 		core, logs := observer.New(zap.InfoLevel)
 		ended := make(chan error, 1)
 		listener := network.Listen(start.Listen)
-		go func() { ended <- run(stop, reload, start, listener, network.Dial, zap.New(core)) }()
+		go func() { ended <- run(stop, reload, start, &operator.Orders{}, listener, network.Dial, zap.New(core)) }()
 		time.Sleep(10 * time.Millisecond)
 
 		ask := func(id string) string {
--- /dev/null
+++ b/cmd/willowsill/share.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"reflect"
+	"time"
+
+	"go.uber.org/zap"
+
+	"willowsill/commons"
+	"willowsill/counters"
+	"willowsill/deployment"
+	"willowsill/node"
+	"willowsill/operator"
+	"willowsill/replica"
+	"willowsill/store"
+)
+
+// sharing switches the shared store on and off as the operator's script says.
+type sharing struct {
+	start  deployment.Start
+	core   *node.Node
+	dial   replica.Dial
+	count  *counters.Counters
+	log    *zap.Logger
+	orders *operator.Orders
+	cancel context.CancelFunc // nil while nothing is shared
+	ended  chan struct{}
+}
+
+// follow makes what runs what the orders say. With an error nothing has changed.
+func (s *sharing) follow(o *operator.Orders) error {
+	if s.orders != nil && reflect.DeepEqual(s.orders.Store, o.Store) && reflect.DeepEqual(s.orders.Quotas, o.Quotas) {
+		s.orders = o
+		return nil
+	}
+	var keeper *store.Keeper
+	var quotas []commons.Quota
+	var err error
+	count := &store.Count{}
+	if o.Store != nil {
+		if keeper, quotas, err = s.keeper(o, count); err != nil {
+			return fmt.Errorf("%s: shared_store: %w", o.File, err)
+		}
+	}
+	s.end()
+	s.orders = o
+	if keeper == nil {
+		return nil
+	}
+	s.log.Info("knowledge is shared through a store", zap.String("address", o.Store.Address))
+	s.core.Share(true, quotas)
+	s.count.SharedStore.Put(count)
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel, s.ended = cancel, make(chan struct{})
+	go func() {
+		defer close(s.ended)
+		keeper.Run(ctx)
+	}()
+	return nil
+}
+
+// keeper makes what the orders ask for.
+func (s *sharing) keeper(o *operator.Orders, count *store.Count) (*store.Keeper, []commons.Quota, error) {
+	terms := commons.Terms{Name: s.start.Name, Incarnation: uint64(time.Now().UnixNano()), Seed: s.start.Seed,
+		Round: o.Store.Round, Deadline: o.Store.Deadline, Sample: o.Store.Sample,
+		Aggregators: s.start.Aggregators, Rest: s.start.Rest(), Health: o.Store.Health}
+	for _, q := range o.Quotas {
+		terms.Quotas = append(terms.Quotas, commons.Quota(q))
+	}
+	k, err := store.New(store.Place{Address: o.Store.Address, Database: o.Store.Database, Prefix: o.Store.Prefix,
+		User: o.Store.User, PasswordFile: o.Store.PasswordFile, CAFile: o.Store.CAFile,
+		ServerName: o.Store.ServerName, Dial: s.dial},
+		commons.New(s.core.Now(), terms), s.core, s.core.Now, count, s.log)
+	return k, terms.Quotas, err
+}
+
+// end ends sharing; what others said fades from the module by itself.
+func (s *sharing) end() {
+	if s.cancel == nil {
+		return
+	}
+	s.cancel()
+	<-s.ended
+	s.cancel = nil
+	s.core.Share(false, nil)
+	s.count.SharedStore.Put(nil)
+	s.log.Info("knowledge is no longer shared")
+}
--- /dev/null
+++ b/commons/record_test.go
@@ -0,0 +1,132 @@
+package commons
+
+import (
+	"encoding/binary"
+	"math"
+	"reflect"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/encoding/protowire"
+	"pgregory.net/rapid"
+)
+
+func someRecord(t *rapid.T) Record {
+	r := Record{Incarnation: rapid.Uint64Min(1).Draw(t, "incarnation"), Sequence: rapid.Uint64().Draw(t, "sequence"),
+		At: rapid.Int64Min(0).Draw(t, "at"), Replicas: rapid.IntRange(0, 1000).Draw(t, "replicas"),
+		Accused: rapid.IntRange(0, 1000).Draw(t, "accused")}
+	for range rapid.IntRange(0, findingMost).Draw(t, "findings") {
+		r.Testimonies = append(r.Testimonies, Testimony{Key: rapid.Uint64().Draw(t, "key"),
+			Verdict: Verdict(rapid.IntRange(1, int(verdictEnd)-1).Draw(t, "verdict")),
+			Pace:    float64(rapid.IntRange(0, paceMost*paceUnit).Draw(t, "pace")) / paceUnit,
+			Old:     rapid.Int64Range(0, 1<<31).Draw(t, "old") * ms})
+	}
+	return r
+}
+
+func TestRecordThereAndBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := someRecord(t)
+		text := r.Append(nil)
+		if len(text) > recordMost {
+			t.Fatalf("%d bytes", len(text))
+		}
+		got, err := Decode(text)
+		if err != nil || !reflect.DeepEqual(got, r) {
+			t.Fatalf("got %+v, %v, want %+v", got, err, r)
+		}
+	})
+}
+
+// Danger: what is cut, flipped or too long is refused whole.
+func TestRecordDamaged(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		text := someRecord(t).Append(nil)
+		if _, err := Decode(text[:rapid.IntRange(0, len(text)-1).Draw(t, "cut")]); err == nil {
+			t.Fatal("a record cut short was read")
+		}
+		bit := rapid.IntRange(0, 8*len(text)-1).Draw(t, "bit")
+		text[bit/8] ^= 1 << (bit % 8)
+		if _, err := Decode(text); err == nil {
+			t.Fatal("a record with a flipped bit was read")
+		}
+	})
+	if _, err := Decode(make([]byte, recordMost+1)); err != errLong {
+		t.Errorf("a long record: %v", err)
+	}
+}
+
+func summed(body []byte) []byte {
+	return binary.LittleEndian.AppendUint32(body, uint32(xxhash.Sum64(body)))
+}
+
+// A later version may have more fields and more verdicts; they are passed over.
+func TestRecordOfLaterVersion(t *testing.T) {
+	r := Record{Incarnation: 3, Sequence: 9, At: 5, Testimonies: []Testimony{{Key: 7, Verdict: FoundAside}}}
+	body := r.Append(nil)
+	body = body[:len(body)-sumBytes]
+	body = protowire.AppendString(protowire.AppendTag(body, 40, protowire.BytesType), "what is this")
+	body = protowire.AppendFixed32(protowire.AppendTag(body, 41, protowire.Fixed32Type), 8)
+	odd := protowire.AppendVarint(protowire.AppendTag(nil, fieldVerdict, protowire.VarintType), 200)
+	body = protowire.AppendBytes(protowire.AppendTag(body, fieldFinding, protowire.BytesType), odd)
+	got, err := Decode(summed(body))
+	if err != nil || !reflect.DeepEqual(got, r) {
+		t.Errorf("got %+v, %v", got, err)
+	}
+	other := append([]byte{formNow + 1}, body[1:]...)
+	if _, err := Decode(summed(other)); err != errForm {
+		t.Errorf("another form: %v", err)
+	}
+	many := Record{Incarnation: 1}.Append(nil)
+	many = many[:len(many)-sumBytes]
+	for range findingMost + 1 {
+		many = protowire.AppendBytes(protowire.AppendTag(many, fieldFinding, protowire.BytesType), nil)
+	}
+	if _, err := Decode(summed(many)); err == nil && len(many) > 0 {
+		t.Log("findings without a verdict are passed over")
+	}
+	if _, err := Decode(summed(Record{Sequence: 1}.Append(nil)[:3])); err == nil {
+		t.Error("a record without an incarnation was read")
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(Record{Incarnation: 3, Sequence: 9, At: 5, Testimonies: []Testimony{{7, FoundAside, 2, 5 * ms}}}.Append(nil), true)
+	f.Add([]byte{1, 2, 3}, false)
+	f.Fuzz(func(t *testing.T, text []byte, sum bool) {
+		if sum { // past the checksum, to the fields
+			text = summed(append([]byte{formNow}, text...))
+		}
+		r, err := Decode(text)
+		if err != nil {
+			return
+		}
+		if len(r.Testimonies) > findingMost || r.Incarnation == 0 || r.At < 0 || r.Replicas < 0 || r.Accused < 0 {
+			t.Fatalf("took %+v", r)
+		}
+		for _, e := range r.Testimonies {
+			if e.Verdict == 0 || e.Verdict >= verdictEnd || math.IsNaN(e.Pace) || e.Pace < 0 || e.Pace > paceMost || e.Old < 0 {
+				t.Fatalf("took %+v", e)
+			}
+		}
+	})
+}
+
+func TestKey(t *testing.T) {
+	if Key("s-1", 5) == Key("s-1", 6) || Key("s-1", 5) == Key("s-2", 5) || Key("s-1", 5) != Key("s-1", 5) {
+		t.Error("keys do not tell incarnations apart")
+	}
+}
+
+func BenchmarkRecord(b *testing.B) {
+	r := Record{Incarnation: 3, Sequence: 9, At: 1.7e18, Replicas: 300, Accused: 2}
+	for i := range 4 {
+		r.Testimonies = append(r.Testimonies, Testimony{Key("s", int64(i)), FoundAside, 2.5, 1200 * ms})
+	}
+	b.ReportMetric(float64(len(r.Append(nil))), "bytes")
+	for b.Loop() {
+		if _, err := Decode(r.Append(nil)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
--- a/counters/counters.go
+++ b/counters/counters.go
@@ -21,6 +21,29 @@
 	}
 }
 
+// Slot is the place for the figures of a part that may be switched on and off.
+type Slot struct{ atomic.Pointer[json.Marshaler] }
+
+// Put shows figures from now on; nil shows none.
+func (s *Slot) Put(figures json.Marshaler) {
+	if figures == nil {
+		s.Store(nil)
+		return
+	}
+	s.Store(&figures)
+}
+
+// IsZero tells whether there is nothing to show.
+func (s *Slot) IsZero() bool { return s.Load() == nil }
+
+// MarshalJSON encodes the present figures.
+func (s *Slot) MarshalJSON() ([]byte, error) {
+	if f := s.Load(); f != nil {
+		return (*f).MarshalJSON()
+	}
+	return []byte("null"), nil
+}
+
 // Workload counts the queries of one workload.
 type Workload struct {
 	Taken     Count `json:"taken"`
@@ -29,6 +52,7 @@
 	Declined  Count `json:"declined"`
 	Forfeited Count `json:"forfeited"`
 	Left      Count `json:"left"` // by their clients
+	Over      Count `json:"over"` // of customers over their quotas
 }
 
 // Executions counts executions by how they ended.
@@ -69,6 +93,8 @@
 	Reloads      Count `json:"reloads"` // of the configuration, at SIGHUP
 	ReloadsWrong Count `json:"reloads_wrong"`
 
+	SharedStore Slot `json:"shared_store,omitzero"` // where one is used
+
 	Rounds       Count   `json:"rounds"`
 	DelayTotal   Count   `json:"delay_total_ns"` // from a fact's birth to the loop, over all facts
 	Facts        Count   `json:"facts"`
--- a/deployment/start.go
+++ b/deployment/start.go
@@ -77,6 +77,12 @@
 	return s, s.readFile()
 }
 
+// Check reads a configuration alone, as a start would; the error names the key at fault.
+func Check(file string) (Start, error) {
+	s := Start{Name: "check", Discovery: "127.0.0.1:1", file: file}
+	return s, s.readFile()
+}
+
 // Again reads the file once more for a process that runs. What it says of discovery can be followed; odd
 // names the other keys that now differ, which cannot change before the next start. With an error the file is
 // missing or wrong, and what was read before stays in force.
--- a/front/front.go
+++ b/front/front.go
@@ -204,7 +204,7 @@
 	if c != nil && c.twofold() {
 		return q, bad("the body has a length and an encoding")
 	}
-	q.Workload, q.ID = row, r.Header.Get("X-Trace-Id")
+	q.Workload, q.ID, q.Customer = row, r.Header.Get("X-Trace-Id"), r.Header.Get("X-Customer")
 	if !plain(q.ID) {
 		return q, bad("X-Trace-Id is missing or malformed")
 	}
--- a/node/admit.go
+++ b/node/admit.go
@@ -10,7 +10,8 @@
 type Query struct {
 	ID       string
 	Workload int
-	Until    int64 // when its client gives up
+	Customer string // whose it is, empty where that is not told
+	Until    int64  // when its client gives up
 	Text     []byte
 	Parts    []Part
 }
@@ -77,7 +78,11 @@
 		q.answer <- n.crowded()
 		return
 	}
-	q.handle = n.agg.Take(now, balance.Arrival{Workload: q.Workload, Patience: patience, Parts: len(q.Parts)})
+	over := n.overQuota(now, q.Customer)
+	if over {
+		count.Over.Add(1)
+	}
+	q.handle = n.agg.Take(now, balance.Arrival{Workload: q.Workload, Patience: patience, Parts: len(q.Parts), Over: over})
 	for _, p := range q.Parts {
 		q.handle.AddPart(p.Shard, p.Weight)
 	}
--- a/node/book.go
+++ b/node/book.go
@@ -114,6 +114,7 @@
 		return
 	}
 	n.count.ListNews.Add(1)
+	n.shared.listMoved()
 	whole := news.Whole || !live
 	if whole {
 		for i := range n.hosts {
@@ -130,6 +131,9 @@
 			i = n.place(e.Host)
 		}
 		n.hosts[i].gone = e.Standing == balance.Gone
+		if e.Standing != balance.Gone {
+			n.hosts[i].born = e.Born
+		}
 		if !known || e.Dial != "" { // one that has left may come without its address
 			n.pool.Address(i, e.Dial)
 		}
--- a/node/node.go
+++ b/node/node.go
@@ -47,7 +47,7 @@
 // fact is something that happened, on its way to the loop.
 type fact struct {
 	at   int64
-	what any // arrival, departure, replica.Notice, roster.News or stop
+	what any // arrival, departure, replica.Notice, roster.News, survey, allowance, sharing or stop
 }
 
 type stop struct{}
@@ -83,12 +83,14 @@
 	lateness int64     // how late the loop was lately, ns
 	sweep    int64
 	stopped  bool
+	shared   *shared // what is shared with other aggregators, nil where nothing is
 }
 
 // host is the replica that has an index.
 type host struct {
 	name string // empty where the index can be used again
 	gone bool   // off the list
+	born int64  // ms of Unix time, 0 for long ago
 }
 
 // Plan is what a node is made from.
@@ -217,6 +219,13 @@
 		n.bookNotice(now, v)
 	case roster.News:
 		n.bookNews(now, v, true)
+	case survey:
+		n.survey(now, v)
+		return // nothing has happened
+	case allowance:
+		n.allow(now, v)
+	case sharing:
+		n.share(v)
 	case stop:
 		n.stopped = true
 	}
--- /dev/null
+++ b/operator/functions.go
@@ -0,0 +1,308 @@
+package operator
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.starlark.net/starlark"
+	"go.starlark.net/syntax"
+)
+
+// kind is the type of a value.
+type kind uint8
+
+const (
+	text kind = iota
+	file
+	address // HOST:PORT
+	truth
+	whole
+	number
+	span // a time: "250ms"
+	size // bytes: "64MiB"
+)
+
+var kinds = [...]string{"a string", "a file's path", "an address HOST:PORT", "True or False", "a whole number",
+	"a number", `a time such as "250ms"`, `a size such as "64MiB"`}
+
+// parameter is one key of a function. Least and most are in the value's own unit: ns, bytes or as written.
+type parameter struct {
+	name        string
+	kind        kind
+	unset       any // where it is left out; nil where it must be there
+	least, most float64
+	help        string
+}
+
+// function is one that a script may call.
+type function struct {
+	name       string
+	help       string
+	many       bool // it may be called more than once
+	parameters []*parameter
+	order      func(*Orders, call) error
+}
+
+// call is one call of the script, checked.
+type call struct {
+	function *function
+	at       syntax.Position
+	values   map[string]any
+	given    map[string]bool
+}
+
+func (c call) text(key string) string    { return c.values[key].(string) }
+func (c call) truth(key string) bool     { return c.values[key].(bool) }
+func (c call) whole(key string) int64    { return c.values[key].(int64) }
+func (c call) number(key string) float64 { return c.values[key].(float64) }
+
+// tried tells whether the script named the key, be it with a wrong value.
+func (c call) tried(named []starlark.Tuple, key string) bool {
+	return slices.ContainsFunc(named, func(t starlark.Tuple) bool { return string(t[0].(starlark.String)) == key })
+}
+
+type table map[string]*function
+
+func (t table) names() []string { return slices.Sorted(maps.Keys(t)) }
+
+func (f *function) parameter(key string) *parameter {
+	i := slices.IndexFunc(f.parameters, func(p *parameter) bool { return p.name == key })
+	if i < 0 {
+		return nil
+	}
+	return f.parameters[i]
+}
+
+func (f *function) keys() (keys []string) {
+	for _, p := range f.parameters {
+		keys = append(keys, p.name)
+	}
+	return keys
+}
+
+const (
+	milli  = int64(time.Millisecond)
+	second = int64(time.Second)
+)
+
+// functions are all that a script may call. Each is checked and given defaults here and nowhere else.
+var functions = table{
+	"shared_store": {name: "shared_store", help: "shares what aggregators know through a Redis server", parameters: []*parameter{
+		{name: "address", kind: address, help: "where the store listens"},
+		{name: "database", kind: whole, unset: int64(0), most: 1023, help: "its number"},
+		{name: "prefix", kind: text, unset: "willowsill", help: "of every key; one for each fleet"},
+		{name: "user", kind: text, unset: "", help: "for AUTH"},
+		{name: "password_file", kind: file, unset: "", help: "for AUTH; read at each connection"},
+		{name: "ca_file", kind: file, unset: "", help: "PEM; switches TLS on"},
+		{name: "server_name", kind: text, unset: "", help: "on the store's certificate"},
+		{name: "round", kind: span, unset: 500 * milli, least: 50e6, most: 60e9, help: "between two rounds"},
+		{name: "deadline", kind: span, unset: 150 * milli, least: 5e6, most: 10e9, help: "of one round"},
+		{name: "sample", kind: whole, unset: int64(24), least: 2, most: 512, help: "most aggregators read in a round"},
+		{name: "health", kind: truth, unset: true, help: "findings on replicas are told and heard"},
+		{name: "quotas", kind: truth, unset: true, help: "quotas are kept over all aggregators"},
+	}, order: func(o *Orders, c call) error {
+		s := &Store{Address: c.text("address"), Database: int(c.whole("database")), Prefix: c.text("prefix"),
+			User: c.text("user"), PasswordFile: c.text("password_file"), CAFile: c.text("ca_file"),
+			ServerName: c.text("server_name"), Round: c.whole("round"), Deadline: c.whole("deadline"),
+			Sample: int(c.whole("sample")), Health: c.truth("health"), Quotas: c.truth("quotas")}
+		o.Store = s
+		switch {
+		case s.Deadline > s.Round:
+			return errors.New(`key "deadline" is longer than the round`)
+		case s.Prefix == "" || strings.ContainsAny(s.Prefix, " \r\n{}*?["):
+			return errors.New(`key "prefix" is empty or has signs that patterns use`)
+		case s.User != "" && s.PasswordFile == "":
+			return errors.New(`key "user" needs "password_file"`)
+		}
+		return nil
+	}},
+	"quota": {name: "quota", many: true, help: "what one customer may ask for over all aggregators", parameters: []*parameter{
+		{name: "customer", kind: text, help: "as its queries name it"},
+		{name: "rate", kind: number, least: 0.001, most: 1e7, help: "queries a second"},
+		{name: "burst", kind: number, unset: 0.0, most: 1e7, help: "queries that may be saved up"},
+	}, order: func(o *Orders, c call) error {
+		q := Quota{c.text("customer"), c.number("rate"), c.number("burst")}
+		if q.Customer == "" {
+			return errors.New(`key "customer" is empty`)
+		}
+		if slices.ContainsFunc(o.Quotas, func(was Quota) bool { return was.Customer == q.Customer }) {
+			return fmt.Errorf("key %q: %q has a quota already", "customer", q.Customer)
+		}
+		o.Quotas = append(o.Quotas, q)
+		return nil
+	}},
+}
+
+// together checks what no function can check alone.
+func (r *reader) together() {
+	o := r.orders
+	if at, there := r.once["quota"]; there && (o.Store == nil || !o.Store.Quotas) && len(r.faults) == 0 {
+		r.complain(at, "quota: nothing keeps it; shared_store with quotas = True is missing")
+	}
+}
+
+// read turns a value of the script into one of its kind.
+func (p *parameter) read(v starlark.Value) (any, error) {
+	wrong := fmt.Errorf("is %s, not %s", v.Type(), kinds[p.kind])
+	s, isText := starlark.AsString(v)
+	switch p.kind {
+	case text, file:
+		if !isText {
+			return nil, wrong
+		}
+		return s, nil
+	case address:
+		if !isText {
+			return nil, wrong
+		}
+		host, port, err := net.SplitHostPort(s)
+		if n, e := strconv.Atoi(port); err != nil || e != nil || n < 1 || n > 65535 || host == "" {
+			return nil, fmt.Errorf("is %q, not %s", s, kinds[p.kind])
+		}
+		return s, nil
+	case truth:
+		b, ok := v.(starlark.Bool)
+		if !ok {
+			return nil, wrong
+		}
+		return bool(b), nil
+	case whole:
+		n, err := starlark.AsInt32(v)
+		if _, isInt := v.(starlark.Int); !isInt || err != nil {
+			return nil, wrong
+		}
+		return int64(n), p.within(float64(n), strconv.Itoa(n))
+	case number:
+		x, ok := starlark.AsFloat(v)
+		if !ok || math.IsNaN(x) {
+			return nil, wrong
+		}
+		return x, p.within(x, v.String())
+	case span:
+		if !isText {
+			return nil, wrong
+		}
+		d, err := time.ParseDuration(s)
+		if err != nil {
+			return nil, fmt.Errorf("is %q, not %s", s, kinds[p.kind])
+		}
+		return int64(d), p.within(float64(d), s)
+	default:
+		if !isText {
+			return nil, wrong
+		}
+		n, err := bytes(s)
+		if err != nil {
+			return nil, err
+		}
+		return n, p.within(float64(n), s)
+	}
+}
+
+// within checks the limits of a value.
+func (p *parameter) within(x float64, as string) error {
+	if x < p.least || p.most > 0 && x > p.most {
+		return fmt.Errorf("is %s, outside %s to %s", as, p.written(p.least), p.written(p.most))
+	}
+	return nil
+}
+
+// written is a value as a script would have it.
+func (p *parameter) written(v any) string {
+	if f, ok := v.(float64); ok && (p.kind == span || p.kind == whole || p.kind == size) {
+		v = int64(f)
+	}
+	switch v := v.(type) {
+	case int64:
+		if p.kind == span {
+			return strconv.Quote(time.Duration(v).String())
+		}
+		return strconv.FormatInt(v, 10)
+	case float64:
+		return strconv.FormatFloat(v, 'g', -1, 64)
+	case bool:
+		if v {
+			return "True"
+		}
+		return "False"
+	case string:
+		return strconv.Quote(v)
+	}
+	return "none"
+}
+
+var units = []struct {
+	name string
+	n    int64
+}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"B", 1}}
+
+// bytes reads a size.
+func bytes(s string) (int64, error) {
+	for _, u := range units {
+		if rest, found := strings.CutSuffix(s, u.name); found {
+			if n, err := strconv.ParseInt(rest, 10, 40); err == nil && n >= 0 && n <= math.MaxInt64/u.n {
+				return n * u.n, nil
+			}
+		}
+	}
+	return 0, fmt.Errorf("is %q, not %s", s, kinds[size])
+}
+
+// Line is one value that holds.
+type Line struct {
+	Function string `json:"function"`
+	Key      string `json:"key"`
+	Value    string `json:"value"`
+	Default  bool   `json:"default"`
+	Help     string `json:"help"`
+	Where    string `json:"where"`
+}
+
+// Explain tells all that holds, in the order of the script; what was left out is marked as default.
+func (o *Orders) Explain() (lines []Line) {
+	for _, c := range o.said {
+		for _, p := range c.function.parameters {
+			lines = append(lines, Line{c.function.name, p.name, p.written(c.values[p.name]), !c.given[p.name], p.help,
+				c.at.String()})
+		}
+	}
+	return lines
+}
+
+// Off names the functions that the script did not call.
+func (o *Orders) Off() (names []string) {
+	for _, name := range functions.names() {
+		if !slices.ContainsFunc(o.said, func(c call) bool { return c.function.name == name }) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+// Help describes a function and its keys; false where there is none of that name.
+func Help(name string) (string, bool) {
+	f := functions[name]
+	if f == nil {
+		return "", false
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s: %s\n", f.name, f.help)
+	for _, p := range f.parameters {
+		state := "required"
+		if p.unset != nil {
+			state = "default " + p.written(p.unset)
+		}
+		fmt.Fprintf(&b, "  %-14s %s: %s (%s)\n", p.name, kinds[p.kind], p.help, state)
+	}
+	return b.String(), true
+}
+
+// Names are the functions that a script may call.
+func Names() []string { return functions.names() }
--- /dev/null
+++ b/operator/operator_test.go
@@ -0,0 +1,141 @@
+package operator
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// beside writes files into one folder and returns the path of the first.
+func beside(t *testing.T, files ...string) string {
+	t.Helper()
+	dir := t.TempDir()
+	for i := 0; i < len(files); i += 2 {
+		if err := os.WriteFile(filepath.Join(dir, files[i]), []byte(files[i+1]), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return filepath.Join(dir, files[0])
+}
+
+func TestOrders(t *testing.T) {
+	o, err := Read(beside(t, "a.star", `load("b.star", "rates")
+shared_store(address = "127.0.0.1:6379", round = "1s", health = False)
+for name, rate in rates.items():
+    quota(customer = name, rate = rate)
+`, "b.star", `rates = {"acme": 14, "souq": 2.5}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := Store{Address: "127.0.0.1:6379", Prefix: "willowsill", Round: 1e9, Deadline: 150e6, Sample: 24, Quotas: true}
+	if *o.Store != want || len(o.Quotas) != 2 || o.Quotas[1] != (Quota{"souq", 2.5, 0}) {
+		t.Errorf("read %+v %+v", *o.Store, o.Quotas)
+	}
+	given := ""
+	for _, l := range o.Explain() {
+		if !l.Default {
+			given += " " + l.Key + "=" + l.Value
+		}
+	}
+	if given != ` address="127.0.0.1:6379" round="1s" health=False customer="acme" rate=14 customer="souq" rate=2.5` {
+		t.Errorf("explained as given:%s", given)
+	}
+}
+
+// All that is wrong is told at once, each with its line and its key.
+func TestFaults(t *testing.T) {
+	_, err := Read(beside(t, "a.star", `quota(customer = "", rate = 3)
+shared_store(
+    adress = "127.0.0.1:6379",
+    round = "fast",
+    deadline = 5,
+    sample = 1,
+    health = "yes")
+quota(customer = "acme", rate = 0)
+shared_store(address = "nowhere", round = "100ms", deadline = "200ms")
+`))
+	var all Faults
+	if !errors.As(err, &all) {
+		t.Fatal(err)
+	}
+	for _, want := range []string{`:1:6: quota: key "customer" is empty`,
+		`:3:5: shared_store: key "adress" is unknown; is address meant?`, `:2:13: shared_store: key "address" is missing`,
+		`:4:5: shared_store: key "round" is "fast", not a time such as "250ms"`,
+		`:5:5: shared_store: key "deadline" is int`, `:6:5: shared_store: key "sample" is 1, outside 2 to 512`,
+		`:7:5: shared_store: key "health" is string, not True or False`,
+		`:8:26: quota: key "rate" is 0, outside 0.001`, `:9:13: shared_store is called a second time`,
+		`:9:14: shared_store: key "address" is "nowhere"`} {
+		if !strings.Contains(err.Error(), want) {
+			t.Errorf("nothing says %s", want)
+		}
+	}
+	if t.Failed() {
+		t.Log(err)
+	}
+}
+
+// Danger: a script must end, and reach nothing but what lies beside it.
+func TestBounds(t *testing.T) {
+	for name, c := range map[string][]string{
+		"endless":   {"for i in range(1 << 30):\n    pass", "too many steps"},
+		"form":      {"shared_store(", "a.star:1"},
+		"elsewhere": {`load("/etc/passwd.star", "x")`, "no .star file beside"},
+		"above":     {`load("../b.star", "x")`, "no .star file beside"},
+		"missing":   {`load("c.star", "x")`, "c.star"},
+		"circle":    {`load("a2.star", "x")`, "loads itself"},
+		"word":      {"shared_stone()\nopen('x')", `a.star:1:1: "shared_stone" is no function of this file; is shared_store meant?`},
+		"no store":  {`quota(customer = "a", rate = 1)`, "nothing keeps it"},
+		"positions": {`shared_store("127.0.0.1:1")`, "given by key"},
+		"long":      {strings.Repeat("#", mostSize+1), "over"},
+		"user":      {`shared_store(address = "h:1", user = "u")`, `"password_file"`},
+		"prefix":    {`shared_store(address = "h:1", prefix = "a*")`, `"prefix"`},
+		"deadline":  {`shared_store(address = "h:1", deadline = "1s")`, `"deadline" is longer`},
+		"twice":     {"shared_store(address = 'h:1')\nquota(customer='a', rate=1)\nquota(customer='a', rate=2)", "a quota already"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, err := Read(beside(t, "a.star", c[0], "a2.star", `load("a2.star", "x")`))
+			if err == nil || !strings.Contains(err.Error(), c[1]) {
+				t.Errorf("got %v, want %s", err, c[1])
+			}
+		})
+	}
+	if _, err := Read("no-such.star"); err == nil {
+		t.Error("a file that is not there was read")
+	}
+}
+
+func TestSize(t *testing.T) {
+	for s, want := range map[string]int64{"64MiB": 64 << 20, "3B": 3, "1GiB": 1 << 30, "5": -1, "-1KiB": -1, "xMiB": -1} {
+		n, err := bytes(s)
+		if want < 0 && err == nil || want >= 0 && n != want {
+			t.Errorf("%s is %d, %v", s, n, err)
+		}
+	}
+}
+
+// The scripts that come with the program are right, and the platform's switches nothing on.
+func TestOwnScripts(t *testing.T) {
+	all, _ := filepath.Glob("../examples/*.star")
+	for _, file := range append(all, "../deploy/operator.star") {
+		o, err := Read(file)
+		if err != nil {
+			t.Error(err)
+		} else if on := len(o.said) > 0; on != strings.Contains(file, "store") {
+			t.Errorf("%s: switched on: %v", file, on)
+		}
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add(`shared_store(address = "h:1", round = "1s")`)
+	f.Add(`quota(customer = "a" * 3, rate = 1e300)`)
+	f.Fuzz(func(t *testing.T, text string) {
+		file := filepath.Join(t.TempDir(), "a.star")
+		os.WriteFile(file, []byte(text), 0o600)
+		if o, err := Read(file); err == nil && o.Store != nil && o.Store.Deadline > o.Store.Round {
+			t.Errorf("took %+v", o.Store)
+		}
+	})
+}
