Shared store: findings weighed by recency, tested on faults; table of a hundred aggregators

Cause: with all aggregators telling slow parts by chance, a real trouble took 2.5 s to be heard; who had met a replica before its trouble outvoted who met it since.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -139,7 +139,7 @@
 	failed  int64 // the last of these was told
 	quick   bool  // and cost no time
 	slot    mean  // time for each own call, ns
-	lately  mean  // as slot, over a quarter of its span: what others are told
+	lately  mean  // as slot, over half of its span: what others are told
 	heard   int64 // last fulfilled execution
 	jammed  int64 // until then it is left alone for that
 	stale   bool  // its connection is in doubt: nothing is sent until it has been given back
@@ -282,7 +282,7 @@
 		}
 		r := &a.replicas[l.Replica]
 		if l.New || r.sent.width == 0 { // what another did under this index says nothing
-			*r = replica{slot: newMean(paceSpan), lately: newMean(timeSpan), sent: newRing(a.FallSpan)}
+			*r = replica{slot: newMean(paceSpan), lately: newMean(paceSpan / 2), sent: newRing(a.FallSpan)}
 		}
 		if l.Started != r.started { // a new process: what the old one did says nothing
 			r.letIn()
@@ -462,7 +462,7 @@
 			f := Finding{Replica: i, Cell: r.cell, Aside: r.aside, Trickle: r.since, Failed: r.failed,
 				Heard: r.heard}
 			if typical > 0 {
-				f.Pace = r.lately.of(now, 0) / typical
+				f.Pace, f.Met = r.lately.of(now, 0)/typical, r.lately.n.sum(now)
 			}
 			found = append(found, f)
 		}
--- a/balance/types.go
+++ b/balance/types.go
@@ -85,6 +85,7 @@
 	Failed        int64   // its last failure, if it has fulfilled nothing since; 0 for none
 	Heard         int64   // its last fulfilled execution; 0 for none
 	Pace          float64 // its time for each own call over that of all; 0 where not met lately
+	Met           float64 // own calls that this is known from
 }
 
 // Word is what others found of a replica, weighed by the caller. It narrows who is eligible; nothing in it chooses, and
--- a/commons/commons.go
+++ b/commons/commons.go
@@ -11,6 +11,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 
 	"willowsill/balance"
 )
@@ -216,7 +217,7 @@
 		a.Leases = c.leases(now, asked, reply)
 	}
 	if c.trust.believed() && c.Health {
-		a.Words = c.hearsay.weigh(now, c.survey, c.Members(now))
+		a.Words = slices.Clone(c.hearsay.weigh(now, c.survey, c.Members(now))) // it goes to another goroutine
 		for _, w := range a.Words {
 			c.figures.count(w)
 		}
--- a/commons/hearsay.go
+++ b/commons/hearsay.go
@@ -13,17 +13,23 @@
 	hearFor      = 4      // rounds that a record counts: then its writer is silent on it, or gone
 	holdsFor     = 3      // rounds that a word holds without being said again
 	witnesses    = 2      // independent ones at least, for anything
+	several      = 4      // that are believed at once
 	accuseMost   = 0.4    // of its replicas: a witness that accuses more is itself in trouble
 	accuseFew    = 3      // accused at least, for that
 	excludeMost  = 1. / 3 // of a cell's replicas that hearsay may have passed over at a time, one at least
 	tries        = 2.0    // that all aggregators together make in a rest at a replica set aside
 	splitMost    = 8      // rests that a try is put off by at most
-	slowFrom     = 2.0    // times the typical: told of and heard as slow
+	slowFrom     = 2.0    // times the typical is slow where it was met often,
+	slowFew      = 1.5    // and so much more over the number of calls where it was not: any part may be a heavy one
 	wellFor      = 2e9    // ns since it last served: still well
 	paceHeard    = 8.0    // the highest pace that is gone by
 	recordsMost  = 1024   // that are kept of others, the newest
 	testifiedFor = 8e9    // ns: an older finding is no news
 	rumoursFor   = 60e9   // ns that one off the list is remembered
+	relapseIn    = 20e9   // ns: spoken against again within so long, it is not yet mended, and each time
+	relapseHolds = 4e9    // ns longer a word holds, whoever finds it well,
+	relapseMost  = 3      // so many times at most
+	releaseOver  = 6e9    // ns, by chance, that a word holds on when nobody says it any more
 )
 
 // Survey is what this aggregator knows itself at one time.
@@ -43,9 +49,14 @@
 
 // rumour is what is kept of one replica.
 type rumour struct {
-	split int64 // the rest whose end was put off last
-	since int64 // it has been spoken against since then, 0 for not
-	seen  int64 // it was last on the list
+	split int64        // the rest whose end was put off last
+	since int64        // it has been spoken against since then, 0 for not
+	word  balance.Word // the last on its pace; Weight 0 for none that still holds
+	until int64        // that holds so long without being said again
+	late  int64        // after it was last said
+	last  int64        // it was last spoken against
+	again int          // times that this began anew soon after
+	seen  int64        // it was last on the list
 }
 
 // hearsay weighs what others found. The zero value is not usable; see newHearsay.
@@ -63,6 +74,7 @@
 type count struct {
 	aside, failing, slow, well int
 	paces                      []float64
+	olds, wells                []int64 // how old the findings are, against it and for it
 }
 
 // against is how many speak against it.
@@ -121,7 +133,7 @@
 			old := t.Old + h.age(now, w)
 			switch {
 			case t.Verdict == FoundWell:
-				c.well++
+				c.wells = append(c.wells, old)
 				continue
 			case !w.credible() || old > testifiedFor:
 				continue
@@ -137,16 +149,26 @@
 				t.Pace = paceHeard
 			}
 			c.paces = append(c.paces, t.Pace)
+			c.olds = append(c.olds, old)
 			h.accused[t.Key] = true
 		}
 	}
+	// Danger: in the first seconds of a trouble more have met the replica before it than since. Who found it well
+	// counts only where that is later than what half of those found who speak against it.
+	for _, c := range h.counted {
+		slices.Sort(c.olds)
+		for _, old := range c.wells {
+			if len(c.olds) == 0 || old < c.olds[len(c.olds)/2] {
+				c.well++
+			}
+		}
+	}
 }
 
 // weigh makes words of what the witnesses say; live is how many aggregators there are.
 func (h *hearsay) weigh(now int64, s Survey, live int) []balance.Word {
 	h.words = h.words[:0]
 	h.tally(now)
-	type cell struct{ listed, passed int }
 	cells := map[int]*cell{}
 	for i, f := range s.Findings {
 		if cells[f.Cell] == nil {
@@ -163,23 +185,46 @@
 	selfCut := h.selfCut(s)
 	for _, i := range h.gravest(s) {
 		f, said := s.Findings[i], h.counted[s.Keys[i]]
+		if said == nil {
+			said = &count{}
+		}
 		r, c := h.rumours[s.Keys[i]], cells[f.Cell]
 		w := balance.Word{Replica: f.Replica, Until: now + holdsFor*h.round}
 		against := said.against()
 		if against < witnesses || against <= said.well {
 			r.since = 0
+			// Danger: as the last testimony fades a hundred aggregators would try the replica at once, and lose a
+			// query each. So they come back one by one; what the first finds the others hear.
+			mended := said.well > against && now >= r.last+int64(r.again)*relapseHolds
+			if r.word.Weight > 0 && !mended && now < r.until && c.passed < c.most() {
+				c.passed++
+				w.Pace, w.Weight = r.word.Pace, r.word.Weight
+			} else {
+				r.word.Weight = 0
+			}
 		} else {
 			if r.since == 0 {
-				r.since = now
+				// Danger: one that fails and recovers by turns is found well by some in each good turn.
+				if r.since = now; r.last > 0 && now-r.last < relapseIn {
+					r.again = min(r.again+1, relapseMost)
+				} else {
+					r.again = 0
+				}
 			}
+			r.last = now
 			w.Suspect = said.aside+said.failing >= witnesses
 			// Danger: where every replica fails now and then, at any time some aggregator has just met that. Those
-			// who find it well need a round to say so; only two that set it aside are believed at once.
-			if (said.aside >= witnesses || now-r.since >= h.round/2) &&
-				c.passed+1 <= max(int(excludeMost*float64(c.listed)), 1) && c.listed > 1 {
+			// who find it well need a round to say so; only two that set it aside are believed at once, or several
+			// whom nobody contradicts.
+			if (said.aside >= witnesses || against >= several && said.well == 0 || now-r.since >= h.round/2) &&
+				c.passed < c.most() {
 				c.passed++
 				slices.Sort(said.paces)
 				w.Pace, w.Weight = min(said.paces[len(said.paces)/2], paceHeard), float64(against)
+				if r.word.Weight == 0 {
+					r.late = int64(h.chance.Float64() * releaseOver)
+				}
+				r.word, r.until = w, now+r.late+int64(r.again)*relapseHolds
 			}
 		}
 		switch {
@@ -209,16 +254,31 @@
 	return h.words
 }
 
-// gravest are the findings on replicas that are spoken of, those that most speak against first.
+// cell is what is reckoned of the replicas of a cell.
+type cell struct{ listed, passed int }
+
+// most is how many of them hearsay may have passed over: never one that is alone.
+func (c *cell) most() int {
+	if c.listed < 2 {
+		return 0
+	}
+	return max(int(excludeMost*float64(c.listed)), 1)
+}
+
+// gravest are the findings on replicas that are or were spoken of, those that most speak against first.
 func (h *hearsay) gravest(s Survey) (order []int) {
 	for i, key := range s.Keys {
-		if h.counted[key] != nil {
+		if h.counted[key] != nil || h.rumours[key].word.Weight > 0 {
 			order = append(order, i)
 		}
 	}
-	slices.SortStableFunc(order, func(i, j int) int {
-		return cmp.Compare(h.counted[s.Keys[j]].against(), h.counted[s.Keys[i]].against())
-	})
+	against := func(i int) int {
+		if c := h.counted[s.Keys[i]]; c != nil {
+			return c.against()
+		}
+		return 0
+	}
+	slices.SortStableFunc(order, func(i, j int) int { return cmp.Compare(against(j), against(i)) })
 	return order
 }
 
@@ -251,7 +311,7 @@
 			}
 		case f.Failed > 0 && now-f.Failed < testifiedFor:
 			t.Verdict, t.Old = FoundFailing, now-f.Failed
-		case f.Pace >= slowFrom && now-f.Heard < testifiedFor:
+		case f.Met > 0 && f.Pace >= slowFrom+slowFew/f.Met && now-f.Heard < testifiedFor:
 			t.Verdict, t.Old = FoundSlow, max(now-f.Heard, 0)
 		case h.accused[t.Key] && well:
 			t.Verdict, t.Old = FoundWell, now-f.Heard
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -55,7 +55,7 @@
 	Errors   Trouble = "one replica errors fast"
 	Hung     Trouble = "one replica hangs"
 	SlowOne  Trouble = "one replica 5x slow"
-	Flapping Trouble = "one replica flaps every 4 s"
+	Flapping Trouble = "one hangs every other 4 s"
 	Restart  Trouble = "a third restarts at once"
 	Greedy   Trouble = "one customer at 3x its quota"
 )
@@ -175,7 +175,7 @@
 		return slow
 	case Flapping:
 		if (w.now-origin-w.From)/(4*second)%2 == 0 {
-			return erring
+			return hung
 		}
 	}
 	return sound
--- a/store/store.go
+++ b/store/store.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
@@ -13,6 +14,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/redis/go-redis/v9"
@@ -40,6 +42,13 @@
 	Dial         func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
+// quiet keeps the library from writing to standard error; what fails is told by the rounds.
+type quiet struct{}
+
+func (quiet) Printf(context.Context, string, ...any) {}
+
+var silence sync.Once
+
 // Core is the aggregator as a Keeper sees it. Neither call waits for a socket.
 type Core interface {
 	// Consult asks what the aggregator knows now; false where it has no time for that.
@@ -69,6 +78,7 @@
 	if _, err := p.password(); err != nil {
 		return nil, err
 	}
+	silence.Do(func() { redis.SetLogger(quiet{}) })
 	k.client = redis.NewClient(&redis.Options{
 		Addr: p.Address, DB: p.Database, Protocol: 2, DisableIdentity: true,
 		PoolSize: poolMost, MaxRetries: -1, DialerRetries: 1, ConnMaxIdleTime: idleMost,
@@ -238,11 +248,13 @@
 		totals[i] = pipe.IncrBy(ctx, key, t.Units)
 		pipe.PExpire(ctx, key, time.Duration(t.Expire))
 	}
-	pipe.Exec(ctx) // each command's own error is looked at below
+	_, failed := pipe.Exec(ctx) // each command's own error is looked at below
 
 	// Without these three the round is none: nothing could be dated or fenced.
+	//
+	// Danger: where a connection is not let in the commands have no errors of their own, and empty answers.
 	at, err := clock.Result()
-	if err != nil {
+	if err = cmp.Or(err, failed); err != nil && at.IsZero() {
 		return reply, err
 	}
 	text, err := own.Bytes()
--- /dev/null
+++ b/store/store_test.go
@@ -0,0 +1,503 @@
+package store
+
+import (
+	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"fmt"
+	"math/big"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"willowsill/balance"
+	"willowsill/commons"
+	"willowsill/internal/pipes"
+	"willowsill/standin/redis"
+)
+
+const (
+	round    = 500 * time.Millisecond
+	deadline = 150 * time.Millisecond
+)
+
+// core is an aggregator that knows what the test says.
+type core struct {
+	mu      sync.Mutex
+	survey  commons.Survey
+	allowed []commons.Allowance
+	crowded bool
+}
+
+func (c *core) Consult(context.Context) (commons.Survey, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.survey, !c.crowded
+}
+
+func (c *core) Allow(a commons.Allowance) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	a.Words = slices.Clone(a.Words)
+	c.allowed = append(c.allowed, a)
+}
+
+// finds has it find something else of a replica from now on.
+func (c *core) finds(f balance.Finding) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.survey.Findings = slices.Clone(c.survey.Findings)
+	c.survey.Findings[f.Replica] = f
+}
+
+func (c *core) crowd() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.crowded = true
+}
+
+// passed are the replicas that it was last told to pass over.
+func (c *core) passed() (all []int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if n := len(c.allowed); n > 0 {
+		for _, w := range c.allowed[n-1].Words {
+			if w.Weight > 0 {
+				all = append(all, w.Replica)
+			}
+		}
+	}
+	return all
+}
+
+// one is a keeper with its core.
+type one struct {
+	*Keeper
+	core *core
+	logs *observer.ObservedLogs
+}
+
+type world struct {
+	*testing.T
+	server  *redis.Server
+	network *pipes.Network
+	began   time.Time
+	keepers []*one
+}
+
+func (w *world) now() int64 { return int64(time.Since(w.began)) + 1e9 }
+
+// play plays a test in a bubble of its own time with some keepers at one server.
+func play(t *testing.T, keepers int, change func(*Place, *commons.Terms), do func(*world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{T: t, server: &redis.Server{}, network: &pipes.Network{}, began: time.Now()}
+		l := w.network.Listen("r:1")
+		served := make(chan struct{})
+		go func() {
+			defer close(served)
+			w.server.Serve(l)
+		}()
+		ctx, stop := context.WithCancel(t.Context())
+		ended := make(chan struct{})
+		for i := range keepers {
+			p := Place{Address: "r:1", Prefix: "t", Dial: w.network.Dial}
+			terms := commons.Terms{Name: fmt.Sprint("n", i), Incarnation: 7, Seed: uint64(i), Round: int64(round),
+				Deadline: int64(deadline), Sample: 24, Aggregators: keepers, Rest: 1e9, Health: true,
+				Quotas: []commons.Quota{{Customer: "acme", Rate: 40}}}
+			if change != nil {
+				change(&p, &terms)
+			}
+			seen, logs := observer.New(zap.InfoLevel)
+			k := &one{core: &core{survey: survey(20)}, logs: logs}
+			keeper, err := New(p, commons.New(w.now(), terms), k.core, w.now, &Count{}, zap.New(seen))
+			if err != nil {
+				t.Fatal(err)
+			}
+			k.Keeper = keeper
+			w.keepers = append(w.keepers, k)
+			go func() {
+				k.Run(ctx)
+				ended <- struct{}{}
+			}()
+		}
+		do(w)
+		w.server.Misbehave(redis.Fault{})
+		stop()
+		for range keepers {
+			<-ended
+		}
+		l.Close()
+		<-served
+	})
+}
+
+func survey(replicas int) (s commons.Survey) {
+	for i := range replicas {
+		s.Findings = append(s.Findings, balance.Finding{Replica: i, Cell: i / 5})
+		s.Keys = append(s.Keys, commons.Key("s", int64(i)))
+	}
+	s.Demand, s.Left = []float64{5}, []float64{0}
+	return s
+}
+
+func (k *one) state() string { return k.count.Figures().State.String() }
+
+func (w *world) states() string {
+	all := ""
+	for _, k := range w.keepers {
+		all += k.state() + " "
+	}
+	return strings.TrimSpace(all)
+}
+
+// What two set aside a third passes over, and not for longer than they say so.
+func TestHeard(t *testing.T) {
+	play(t, 3, nil, func(w *world) {
+		time.Sleep(4 * round)
+		for _, k := range w.keepers[:2] {
+			k.core.finds(balance.Finding{Replica: 3, Aside: true, Failed: w.now()})
+		}
+		time.Sleep(4 * round)
+		synctest.Wait()
+		if got := w.keepers[2].core.passed(); len(got) != 1 || got[0] != 3 || w.states() != "fresh fresh fresh" {
+			w.Errorf("passed over %v, %s", got, w.states())
+		}
+		if f := w.keepers[2].count.Figures(); f.Live != 3 || f.Heard == 0 || f.Refused != 0 {
+			w.Errorf("%+v", f)
+		}
+		for _, k := range w.keepers[:2] {
+			k.core.finds(balance.Finding{Replica: 3})
+		}
+		time.Sleep(20 * round) // it fades, not at once for all
+		synctest.Wait()
+		if got := w.keepers[2].core.passed(); len(got) != 0 {
+			w.Errorf("still passes over %v", got)
+		}
+		if n := w.server.Connections(); n != 3 {
+			w.Errorf("%d connections", n)
+		}
+	})
+}
+
+// Tokens are leased by demand, and all together stay within the quota.
+func TestLeased(t *testing.T) {
+	play(t, 2, nil, func(w *world) {
+		time.Sleep(30 * time.Second)
+		synctest.Wait()
+		tokens := 0.0
+		for _, k := range w.keepers {
+			k.core.mu.Lock()
+			for _, a := range k.core.allowed {
+				for _, l := range a.Leases {
+					tokens += l.Tokens
+				}
+			}
+			k.core.mu.Unlock()
+		}
+		if tokens < 300 || tokens > 40*(30+20) {
+			w.Errorf("%.0f tokens in 30 s at 40 a second, 20 are asked for", tokens)
+		}
+	})
+}
+
+// Whatever the store does, rounds end in time, the aggregator is told so, and all is well soon after.
+func TestFaults(t *testing.T) {
+	for name, c := range map[string]struct {
+		fault redis.Fault
+		want  string // the state then; empty where rounds go on
+	}{
+		"2 s for 2 ms":       {redis.Fault{Delay: 2 * time.Second}, "lost"},
+		"silent":             {redis.Fault{Silent: true}, "lost"},
+		"carried out, mute":  {redis.Fault{Mute: true}, "lost"},
+		"stalls mid-reply":   {redis.Fault{Stall: 3}, "lost"},
+		"closes mid-reply":   {redis.Fault{CutAfter: 3}, "lost"},
+		"refuses":            {redis.Fault{Refuse: true}, "lost"},
+		"a byte at a time":   {redis.Fault{Trickle: 50 * time.Millisecond}, "lost"},
+		"a gigabyte":         {redis.Fault{Huge: 1 << 30}, "lost"},
+		"a billion items":    {redis.Fault{Many: 1 << 30}, "lost"},
+		"loading":            {redis.Fault{Error: "LOADING Redis is loading the dataset in memory"}, "lost"},
+		"read only":          {redis.Fault{Error: "READONLY You can't write against a read only replica."}, "lost"},
+		"out of memory":      {redis.Fault{Error: "OOM command not allowed when used memory > 'maxmemory'."}, "lost"},
+		"no permission":      {redis.Fault{Error: "NOPERM this user has no permissions to run this command"}, "lost"},
+		"cluster moved":      {redis.Fault{Error: "MOVED 3999 127.0.0.1:6381"}, "lost"},
+		"garbled":            {redis.Fault{Garble: true}, "distrusted"},
+		"clock a day onward": {redis.Fault{Skew: 24 * time.Hour}, ""},
+		"60 ms a command":    {redis.Fault{Delay: 60 * time.Millisecond}, "lost"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			play(t, 2, nil, func(w *world) {
+				time.Sleep(5 * round)
+				if synctest.Wait(); w.states() != "fresh fresh" {
+					w.Fatal(w.states())
+				}
+				w.server.Misbehave(c.fault)
+				w.server.Drop()
+				time.Sleep(20 * round)
+				synctest.Wait()
+				if c.want != "" && w.states() != c.want+" "+c.want {
+					w.Errorf("in trouble %s", w.states())
+				}
+				for _, k := range w.keepers {
+					if len(k.core.passed()) > 0 {
+						w.Error("words of a store in trouble")
+					}
+				}
+				w.server.Misbehave(redis.Fault{})
+				time.Sleep(80 * time.Second)
+				if synctest.Wait(); w.states() != "fresh fresh" {
+					w.Errorf("long after %s", w.states())
+				}
+			})
+		})
+	}
+}
+
+// A store that was emptied, or went back to an older state, is not believed for a while.
+func TestOlderState(t *testing.T) {
+	for name, fall := range map[string]func(*redis.Server){"emptied": (*redis.Server).Empty, "older": (*redis.Server).Return} {
+		t.Run(name, func(t *testing.T) {
+			play(t, 2, nil, func(w *world) {
+				time.Sleep(4 * round)
+				w.server.Keep()
+				time.Sleep(4 * round)
+				fall(w.server)
+				time.Sleep(2 * round)
+				if synctest.Wait(); w.states() != "distrusted distrusted" {
+					w.Error(w.states())
+				}
+				time.Sleep(15 * time.Second)
+				if synctest.Wait(); w.states() != "fresh fresh" {
+					w.Error(w.states())
+				}
+			})
+		})
+	}
+}
+
+// What stands at the keys may be of another type, another program, or very much: each is refused by itself.
+func TestOddKeys(t *testing.T) {
+	play(t, 1, nil, func(w *world) {
+		time.Sleep(4 * round)
+		for i := range 100_000 {
+			w.server.Plant("t:f", fmt.Sprint("x", i), "nonsense")
+		}
+		time.Sleep(2 * round)
+		synctest.Wait()
+		f := w.keepers[0].count.Figures()
+		if f.Refused == 0 || f.Refused > 3*24 || f.State != commons.Fresh {
+			w.Errorf("a hash of many fields: %+v", f)
+		}
+		w.server.Plant("t:f", "", "a string")
+		w.server.Plant("t:m", "", "a string")
+		odd := w.keepers[0].count.Odd.Load()
+		time.Sleep(4 * round)
+		synctest.Wait()
+		if k := w.keepers[0]; k.count.Odd.Load() == odd || k.state() != "fresh" {
+			w.Errorf("of the wrong type: %d odd parts, %s", k.count.Odd.Load(), k.state())
+		}
+		w.server.Plant("t:a:n0", "", strings.Repeat("x", 10<<20))
+		time.Sleep(4 * round)
+		synctest.Wait()
+		if k := w.keepers[0]; k.count.Figures().Failed == 0 {
+			w.Errorf("ten megabytes at its own key: %s", k.state())
+		}
+	})
+}
+
+// An aggregator that has no time to say what it knows goes on hearing.
+func TestCrowded(t *testing.T) {
+	play(t, 1, nil, func(w *world) {
+		w.keepers[0].core.crowd()
+		time.Sleep(10 * round)
+		synctest.Wait()
+		if k := w.keepers[0]; k.count.Unsurveyed.Load() == 0 || k.state() != "fresh" {
+			w.Errorf("%d unsurveyed, %s", k.count.Unsurveyed.Load(), k.state())
+		}
+	})
+}
+
+func write(t *testing.T, text []byte) string {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "f")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return file
+}
+
+// The password comes from a file, is right or wrong, and never stands in the log.
+func TestPassword(t *testing.T) {
+	for _, c := range []struct{ password, state string }{{"open sesame", "fresh"}, {"wrong", "lost"}} {
+		file := write(t, []byte(c.password+"\n"))
+		play(t, 1, func(p *Place, _ *commons.Terms) { p.User, p.PasswordFile = "willow", file }, func(w *world) {
+			w.server.Protect("willow", "open sesame")
+			time.Sleep(40 * round)
+			if synctest.Wait(); w.states() != c.state {
+				w.Errorf("with %q: %s", c.password, w.states())
+				for _, e := range w.keepers[0].logs.All()[:5] {
+					w.Log(e.Message, e.ContextMap())
+				}
+			}
+			for _, e := range w.keepers[0].logs.All() {
+				if strings.Contains(fmt.Sprint(e), c.password) && c.password != "wrong" {
+					w.Errorf("the log says %v", e)
+				}
+			}
+		})
+	}
+}
+
+// certificate makes one that signs itself, for a name.
+func certificate(t *testing.T, name string) (tls.Certificate, []byte) {
+	t.Helper()
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		t.Fatal(err)
+	}
+	form := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: name}, DNSNames: []string{name},
+		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), IsCA: true, BasicConstraintsValid: true}
+	der, err := x509.CreateCertificate(rand.Reader, form, form, &key.PublicKey, key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: key},
+		pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})
+}
+
+// Over TLS the store must show a certificate of the given authority, for its name.
+func TestTLS(t *testing.T) {
+	good, authority := certificate(t, "store.test")
+	_, other := certificate(t, "store.test")
+	for _, c := range []struct {
+		authority []byte
+		name      string
+		want      bool
+	}{{authority, "store.test", true}, {other, "store.test", false}, {authority, "else.test", false}} {
+		server := &redis.Server{}
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go server.Serve(tls.NewListener(l, &tls.Config{Certificates: []tls.Certificate{good}}))
+		place := Place{Address: l.Addr().String(), Prefix: "t", CAFile: write(t, c.authority), ServerName: c.name,
+			Dial: (&net.Dialer{}).DialContext}
+		k, err := New(place, commons.New(1, commons.Terms{Name: "a", Incarnation: 1, Round: int64(round),
+			Deadline: int64(deadline)}), &core{}, func() int64 { return 1 }, &Count{}, zap.NewNop())
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		_, err = k.carry(ctx, &commons.Request{Presence: []byte("x"), Lasts: 1e9})
+		if (err == nil) != c.want {
+			t.Errorf("%s: %v", c.name, err)
+		}
+		cancel()
+		k.client.Close()
+		l.Close()
+	}
+	if _, err := New(Place{Address: "h:1", CAFile: write(t, []byte("none"))}, nil, nil, nil, nil, nil); err == nil ||
+		!strings.Contains(err.Error(), `"ca_file"`) {
+		t.Errorf("a file without a certificate: %v", err)
+	}
+	if _, err := New(Place{Address: "h:1", PasswordFile: "no-such"}, nil, nil, nil, nil, nil); err == nil ||
+		!strings.Contains(err.Error(), `"password_file"`) {
+		t.Errorf("no password file: %v", err)
+	}
+}
+
+// Danger: one short line may announce a gigabyte, and libraries make room before it comes.
+func TestGuard(t *testing.T) {
+	for _, c := range []struct {
+		text string
+		want error
+	}{
+		{"+OK\r\n:5\r\n$3\r\nabc\r\n*2\r\n$1\r\na\r\n$-1\r\n_\r\n,1.5\r\n#t\r\n%1\r\n+a\r\n+b\r\n", nil},
+		{"$16385\r\n", errBulk}, {"$1073741824\r\n", errBulk}, {"*1073741824\r\n", errItems}, {"%5000\r\n", errItems},
+		{"$x\r\n", errSign}, {"?\r\n", errSign}, {"\r\n", errSign}, {"$-7\r\n", errSign},
+		{"-" + strings.Repeat("e", lineMost+1), errLine}, {"$12\r\n$999999999\r\n\r\n", nil},
+		{"$9999999999999999999999\r\n", errSign},
+	} {
+		for _, step := range []int{1, 3, 1 << 20} { // however it is cut up
+			g, err := &guard{}, error(nil)
+			for rest := c.text; rest != "" && err == nil; {
+				n := min(step, len(rest))
+				err, rest = g.look([]byte(rest[:n])), rest[n:]
+			}
+			if err != c.want {
+				t.Errorf("%.20q by %d: %v, want %v", c.text, step, err, c.want)
+			}
+		}
+	}
+}
+
+func FuzzGuard(f *testing.F) {
+	f.Add([]byte("$3\r\nabc\r\n*1\r\n:1\r\n"), 2)
+	f.Fuzz(func(t *testing.T, text []byte, step int) {
+		whole, parts := &guard{}, &guard{}
+		a := whole.look(text)
+		step = max(step, 1)
+		var b error
+		for rest := text; len(rest) > 0 && b == nil; {
+			n := min(step, len(rest))
+			b, rest = parts.look(rest[:n]), rest[n:]
+		}
+		if a != b || whole.skip > bulkMost+2 || len(whole.line) > lineMost+1 {
+			t.Errorf("%v and %v, %d to skip", a, b, whole.skip)
+		}
+	})
+}
+
+func BenchmarkRound(b *testing.B) {
+	for _, n := range []int{0, 24, 1000} {
+		b.Run(fmt.Sprint(n, " witnesses"), func(b *testing.B) {
+			server := &redis.Server{}
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer l.Close()
+			go server.Serve(l)
+			k, err := New(Place{Address: l.Addr().String(), Prefix: "t", Dial: (&net.Dialer{}).DialContext},
+				commons.New(1, commons.Terms{Name: "a", Incarnation: 1, Round: int64(round), Deadline: int64(deadline)}),
+				&core{}, func() int64 { return 1 }, &Count{}, zap.NewNop())
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer k.client.Close()
+			record := commons.Record{Incarnation: 1, Sequence: 1, At: 1}
+			for i := range 4 {
+				record.Testimonies = append(record.Testimonies, commons.Testimony{Key: uint64(i), Verdict: commons.FoundAside})
+			}
+			text := record.Append(nil)
+			for i := range n {
+				server.Plant("t:f", fmt.Sprint("n", i), string(text))
+			}
+			commandsWere, bytesWere := server.Traffic()
+			rounds := 0
+			for b.Loop() {
+				rounds++
+				r := &commons.Request{Presence: text, Lasts: 1e9, Findings: text, Sample: 24, Heartbeat: 5, LiveFrom: 1}
+				if _, err := k.carry(b.Context(), r); err != nil {
+					b.Fatal(err)
+				}
+			}
+			commands, bytes := server.Traffic()
+			b.ReportMetric(float64(commands-commandsWere)/float64(rounds), "commands/round")
+			b.ReportMetric(float64(bytes-bytesWere)/float64(rounds), "bytes/round")
+		})
+	}
+}
