--- a/balance/balance.go
+++ b/balance/balance.go
@@ -504,9 +504,10 @@
 }
 
 // takes is how long a part sent now should take: the replica's time for each own call, times the calls.
-func (r *replica) takes(now int64, prior, doubt float64) int64 {
+// With heard the word of others counts as well, and only passes over: admission goes by what was met here.
+func (r *replica) takes(now int64, prior, doubt float64, heard bool) int64 {
 	sum, n := r.slot.sum.sum(now)+doubt*prior, r.slot.n.sum(now)+doubt
-	if now < r.word.Until { // others met it
+	if heard && now < r.word.Until { // others met it
 		sum, n = sum+r.word.Weight*r.word.Pace*prior, n+r.word.Weight
 	}
 	pace := sum / n
@@ -518,7 +519,7 @@
 	holders := a.holders[p.shard]
 	from := a.pointers[p.shard] % max(len(holders), 1)
 	prior, doubt := a.guess(now, w)
-	expected, crowded := a.expect(now, p, prior, doubt)
+	expected, crowded := a.expect(now, p, prior, doubt, true)
 	for level := range 4 {
 		best, choice, tied := costLimit-priority+1, -1, false
 		for k := range holders {
@@ -527,7 +528,7 @@
 			// A slow replica, one that has just failed this part and one set aside are there when no other is.
 			if level < 3 && r.aside && !(crowded && r.idles()) && !r.trickles(now, a.rest) ||
 				!a.coldRoom(now, r, p) ||
-				level < 1 && float64(r.takes(now, prior, doubt)) > slowMul*float64(expected) ||
+				level < 1 && float64(r.takes(now, prior, doubt, true)) > slowMul*float64(expected) ||
 				level < 2 && slices.ContainsFunc(p.executions, func(e execution) bool { return e.replica == i }) ||
 				(r.calls >= channels || r.stale || now < r.jammed) && !overCap {
 				continue
@@ -654,7 +655,7 @@
 	prior, doubt := q.agg.guess(now, q.workload)
 	for i := range q.parts {
 		if p := &q.parts[i]; p.step == q.step && p.stage == unasked {
-			p.offer, _ = q.agg.expect(now, p, prior, doubt)
+			p.offer, _ = q.agg.expect(now, p, prior, doubt, false)
 			offers = append(offers, p)
 		}
 	}
@@ -673,12 +674,12 @@
 // ones would be late, and one stands idle that was set aside for failures that cost no time. Danger: with
 // none sound, declining all would never find one mended; and what the sound have no room for would be
 // declined while others rest, though a try there costs next to nothing.
-func (a *Aggregator) expect(now int64, p *part, prior, doubt float64) (best int64, crowded bool) {
+func (a *Aggregator) expect(now int64, p *part, prior, doubt float64, heard bool) (best int64, crowded bool) {
 	times := [...]int64{math.MaxInt64, math.MaxInt64, math.MaxInt64, math.MaxInt64}
 	for _, h := range a.holders[p.shard] {
 		if r := &a.replicas[h]; now >= r.jammed && a.coldRoom(now, r, p) {
 			n := slices.Index([]bool{!r.aside && !r.stale, r.idles(), !r.stale, true}, true)
-			times[n] = min(times[n], r.takes(now, prior, doubt)<<(n/3)) // in doubt: it waits for those before it
+			times[n] = min(times[n], r.takes(now, prior, doubt, heard)<<(n/3)) // in doubt: it waits for those before it
 		}
 	}
 	if float64(times[0]) > crowdShare*float64(a.shortest) && times[1] < times[0] {
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -23,6 +23,8 @@
 //	ok|errored|full|timeout|noconn|reset|cancelled|moot QUERY.PART ... TOOK   the parts' last executions ended
 //	leave QUERY                 the client went
 //	flood N QUERY ...           take, N times, with a number behind the name
+//	hear REPLICA UNTIL [suspect] [pace=X*CALLS] [try=T]   what others found of it
+//	over QUERY WORKLOAD ...     as take, of a customer over what was agreed
 //	> send QUERY.PART REPLICA [until T]
 //	> cancel QUERY.PART EXECUTION
 //	> end QUERY whole|partial|declined|forfeited
@@ -143,10 +145,10 @@
 	return list
 }
 
-func (p *play) take(name string, words []string) {
+func (p *play) take(name string, over bool, words []string) {
 	shards := words[2:]
 	q := p.start().Take(p.now, Arrival{Workload: p.kinds[words[0]], Patience: p.time(words[1]),
-		Parts: len(shards)})
+		Parts: len(shards), Over: over})
 	p.queries[name] = q
 	p.step(q, shards)
 }
@@ -161,6 +163,25 @@
 	}
 }
 
+func (p *play) hear(words []string) {
+	w := Word{Replica: p.numbers[words[0]], Until: p.time(words[1])}
+	for _, word := range words[2:] {
+		key, value, _ := strings.Cut(word, "=")
+		switch key {
+		case "suspect":
+			w.Suspect = true
+		case "pace":
+			pace, calls, _ := strings.Cut(value, "*")
+			w.Pace, w.Weight = p.number(pace), p.number(calls)
+		case "try":
+			w.Try = p.time(value)
+		default:
+			p.fatal("unknown key %s", key)
+		}
+	}
+	p.start().Hear(p.now, w)
+}
+
 func (p *play) decide() {
 	name := func(q *Query) string {
 		for n, other := range p.queries {
@@ -235,10 +256,14 @@
 	case "clock":
 		p.now = p.time(words[1])
 	case "take":
-		p.take(words[1], words[2:])
+		p.take(words[1], false, words[2:])
+	case "over":
+		p.take(words[1], true, words[2:])
+	case "hear":
+		p.hear(words[1:])
 	case "flood":
 		for i := range int(p.number(words[1])) {
-			p.take(fmt.Sprint(words[2], i), words[3:])
+			p.take(fmt.Sprint(words[2], i), false, words[3:])
 		}
 	case "step":
 		p.step(p.queries[words[1]], words[2:])
--- /dev/null
+++ b/cmd/willowsill/demo_test.go
@@ -0,0 +1,130 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"willowsill/standin/redis"
+)
+
+// On sockets, with the store slow, silent and back while one replica fails: no query is lost, none is late by the store.
+func TestDemoWithStore(t *testing.T) {
+	phases, err := demonstrate(t.Context(), true, 400*time.Millisecond)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(phases) != 6 {
+		t.Errorf("%d phases", len(phases))
+	}
+	for _, p := range phases {
+		if p.Answers["200"] == 0 || p.Answers["failed"] != 0 || p.WorstMS > float64(demoGoal.Milliseconds()) {
+			t.Errorf("%s: %v, the worst %.0f ms", p.Name, p.Answers, p.WorstMS)
+		}
+	}
+	if phases[0].Store == nil || phases[2].Store["state"] == "fresh" {
+		t.Errorf("of the store is said %v, and when it takes 2 s %v", phases[0].Store, phases[2].Store)
+	}
+}
+
+func told(t *testing.T, args ...string) (code int, out, complaints string) {
+	var o, c bytes.Buffer
+	code = command(nil, args, &o, &c)
+	return code, o.String(), c.String()
+}
+
+func TestCommands(t *testing.T) {
+	wrong := filepath.Join(t.TempDir(), "a.star")
+	os.WriteFile(wrong, []byte("shared_store(adress = 'h:1')"), 0o600)
+	for _, c := range []struct {
+		args      []string
+		code      int
+		out, wail string
+	}{
+		{[]string{"check", "../../examples/store.star"}, 0, "is right", ""},
+		{[]string{"check", "../../examples/config.json"}, 0, "is right", ""},
+		{[]string{"check", wrong}, 2, "", `"adress" is unknown; is address meant?`},
+		{[]string{"check", "no-such.json"}, 2, "", "no-such.json"},
+		{[]string{"explain", "../../deploy/operator.star"}, 0, "shared_store is off", ""},
+		{[]string{"explain", "../../examples/config.json"}, 2, "", ".star"},
+		{[]string{"serve", "--operator", wrong}, 2, "", ""},
+		{[]string{"demo", "--each", "1ns"}, 2, "", "--each"},
+		{[]string{"sevre"}, 2, "", "unknown command"},
+		{[]string{"check"}, 2, "", "accepts 1 arg"},
+		{[]string{"completion", "bash"}, 0, "bash completion", ""},
+		{[]string{"check", "--help"}, 0, "password_file", ""},
+	} {
+		code, out, wail := told(t, c.args...)
+		if code != c.code || !strings.Contains(out, c.out) || !strings.Contains(wail, c.wail) {
+			t.Errorf("%v: %d, %q, %q", c.args, code, out, wail)
+		}
+	}
+	_, out, _ := told(t, "explain", "--json", "../../examples/store.star")
+	var all struct {
+		Holds []struct {
+			Function, Key, Value string
+			Default              bool
+		}
+	}
+	if err := json.Unmarshal([]byte(out), &all); err != nil || len(all.Holds) != 18 || all.Holds[0].Default {
+		t.Errorf("%v, %d lines", err, len(all.Holds))
+	}
+}
+
+// press keeps so many queries under way at each aggregator for a time.
+func (f *fleet) press(ctx context.Context, under int, each time.Duration) {
+	var all sync.WaitGroup
+	until := time.Now().Add(each)
+	for _, front := range f.fronts {
+		for range under {
+			all.Go(func() {
+				for time.Now().Before(until) {
+					f.ask(ctx, front)
+				}
+			})
+		}
+	}
+	all.Wait()
+}
+
+// BenchmarkLoopDelay measures how long facts wait for the loop, the 99th hundredth, with and without a store in trouble.
+func BenchmarkLoopDelay(b *testing.B) {
+	for _, c := range []struct {
+		name  string
+		store bool
+		fault redis.Fault
+	}{{"none", false, redis.Fault{}}, {"good", true, redis.Fault{}}, {"2s", true, redis.Fault{Delay: 2 * time.Second}},
+		{"silent", true, redis.Fault{Silent: true}}, {"trickle", true, redis.Fault{Trickle: 5 * time.Millisecond}}} {
+		b.Run(c.name, func(b *testing.B) {
+			f, err := startFleet(c.store)
+			defer f.stop()
+			if err != nil {
+				b.Fatal(err)
+			}
+			if f.store != nil {
+				f.store.Misbehave(c.fault)
+			}
+			for b.Loop() {
+				f.press(b.Context(), 24, 2*time.Second)
+			}
+			r, err := http.Get(f.fronts[0] + "/counters")
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer r.Body.Close()
+			var all struct {
+				Delay map[string]float64 `json:"delay_ns"`
+			}
+			json.NewDecoder(r.Body).Decode(&all)
+			b.ReportMetric(all.Delay["p50"]/1e3, "p50_us")
+			b.ReportMetric(all.Delay["p99"]/1e3, "p99_us")
+		})
+	}
+}
--- a/counters/counters.go
+++ b/counters/counters.go
@@ -3,6 +3,8 @@
 
 import (
 	"encoding/json"
+	"math"
+	"math/bits"
 	"sync/atomic"
 )
 
@@ -21,6 +23,51 @@
 	}
 }
 
+// Spread counts values by size: steps to each doubling, so that a share of them is known to a thirty-second. One
+// goroutine shows values, others may read.
+type Spread [64 * spreadSteps]Count
+
+const (
+	spreadSteps = 32
+	spreadBits  = 6 // that tell the step, with the leading one
+)
+
+// Show counts a value; those below 0 count as 0.
+func (s *Spread) Show(v int64) { s[spreadRow(uint64(max(v, 0)))].Add(1) }
+
+// spreadRow is where a value is counted: exact below twice the steps, then by its leading bits.
+func spreadRow(v uint64) int {
+	if v < 2*spreadSteps {
+		return int(v)
+	}
+	doublings := bits.Len64(v) - spreadBits
+	return doublings*spreadSteps + int(v>>doublings)
+}
+
+// Below is a value that so large a share of those shown stay below, to a step; 0 where there are none.
+func (s *Spread) Below(share float64) int64 {
+	all := int64(0)
+	for i := range s {
+		all += s[i].Load()
+	}
+	left := int64(math.Ceil(share * float64(all)))
+	for i := range s {
+		if left -= s[i].Load(); left <= 0 && all > 0 {
+			if i < 2*spreadSteps {
+				return int64(i)
+			}
+			doublings := i/spreadSteps - 1
+			return int64(i-doublings*spreadSteps+1) << doublings
+		}
+	}
+	return 0
+}
+
+// MarshalJSON encodes a few shares.
+func (s *Spread) MarshalJSON() ([]byte, error) {
+	return json.Marshal(map[string]int64{"p50": s.Below(0.5), "p99": s.Below(0.99), "p999": s.Below(0.999)})
+}
+
 // Slot is the place for the figures of a part that may be switched on and off.
 type Slot struct{ atomic.Pointer[json.Marshaler] }
 
@@ -99,6 +146,7 @@
 	DelayTotal   Count   `json:"delay_total_ns"` // from a fact's birth to the loop, over all facts
 	Facts        Count   `json:"facts"`
 	DelayHighest Highest `json:"delay_highest_ns"`
+	Delay        Spread  `json:"delay_ns"` // the same delays by size
 	HeldHighest  Highest `json:"held_highest"`
 }
 
--- /dev/null
+++ b/counters/counters_test.go
@@ -0,0 +1,50 @@
+package counters
+
+import (
+	"encoding/json"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever is shown, a share is known to a step, as from all values sorted.
+func TestSpread(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		values := rapid.SliceOfN(rapid.Int64Range(0, 1<<50), 1, 200).Draw(t, "values")
+		share := rapid.Float64Range(0.01, 1).Draw(t, "share")
+		var s Spread
+		for _, v := range values {
+			s.Show(v)
+		}
+		slices.Sort(values)
+		n := 0
+		for n < len(values) && float64(n) < share*float64(len(values)) {
+			n++
+		}
+		truth := values[max(n, 1)-1]
+		if got := s.Below(share); got < truth || float64(got) > (1+1.0/spreadSteps)*float64(truth)+1 {
+			t.Fatalf("below %v: %d, the value is %d", share, got, truth)
+		}
+	})
+	var none Spread
+	none.Show(-5)
+	if none.Below(0.99) != 0 {
+		t.Error("a value below 0")
+	}
+}
+
+func TestSlot(t *testing.T) {
+	c := New(map[string]int{"a": 0})
+	text, _ := json.Marshal(c)
+	var keys map[string]json.RawMessage
+	json.Unmarshal(text, &keys)
+	if _, there := keys["shared_store"]; there {
+		t.Error("a part that is off is shown")
+	}
+	c.SharedStore.Put(&Count{})
+	text, _ = json.Marshal(c)
+	if json.Unmarshal(text, &keys); string(keys["shared_store"]) != "0" {
+		t.Errorf("shown as %s", keys["shared_store"])
+	}
+}
--- a/node/admit.go
+++ b/node/admit.go
@@ -14,6 +14,7 @@
 	Until    int64  // when its client gives up
 	Text     []byte
 	Parts    []Part
+	Load     any // what a carrier of another kind than frames needs
 }
 
 // Part is one part of a query.
--- a/node/book.go
+++ b/node/book.go
@@ -7,7 +7,6 @@
 
 	"willowsill/balance"
 	"willowsill/counters"
-	"willowsill/replica"
 	"willowsill/roster"
 )
 
@@ -32,12 +31,13 @@
 	n.pending = n.pending[:0]
 }
 
-// bookNotice books what a connection had to tell.
-func (n *Node) bookNotice(now int64, v replica.Notice) {
-	if v.Err != nil {
-		n.log.Info("a connection to a replica broke or did not come up", zap.Error(v.Err))
+// bookNotice books what the carrier had to tell.
+func (n *Node) bookNotice(now int64, v notice) {
+	reports, err := n.pool.Note(v.what)
+	if err != nil {
+		n.log.Info("a connection to a replica broke or did not come up", zap.Error(err))
 	}
-	for _, r := range n.pool.Note(v) {
+	for _, r := range reports {
 		e := n.out[r.Ticket]
 		if r.Result == balance.Fulfilled && !e.query.in[e.part] {
 			e.query.in[e.part], e.query.values[e.part] = true, r.Value
--- a/node/node.go
+++ b/node/node.go
@@ -47,7 +47,7 @@
 // fact is something that happened, on its way to the loop.
 type fact struct {
 	at   int64
-	what any // arrival, departure, replica.Notice, roster.News, survey, allowance, sharing or stop
+	what any // arrival, departure, notice, roster.News, survey, allowance, sharing or stop
 }
 
 type stop struct{}
@@ -69,7 +69,7 @@
 
 	// Of the loop alone from here.
 	agg      *balance.Aggregator
-	pool     *replica.Pool
+	pool     Carrier
 	index    map[string]int // of each replica, by host
 	hosts    []host         // by index
 	queries  map[*balance.Query]*query
@@ -104,6 +104,9 @@
 	Log        *zap.Logger
 	Ask        func() // asks for a watch of the list; it must not wait
 	Dial       replica.Dial
+
+	// Carry makes what takes parts to replicas; nil for frames on connections made with Dial.
+	Carry func(tell func(any), now func() int64) Carrier
 }
 
 // New starts a node.
@@ -119,9 +122,13 @@
 	}
 	n.agg = balance.New(n.Now(), p.Deployment.Deployment)
 	n.advice = n.agg.Advice()
-	n.pool = replica.NewPool(replica.Terms{Streams: p.Terms.Streams, ConnectWithin: p.Terms.ConnectWithin,
-		IdleAfter: p.Terms.IdleAfter, Now: n.Now, Dial: p.Dial},
-		func(v replica.Notice) { n.facts <- fact{n.Now(), v} }, p.Budget, p.Count)
+	tell := func(v any) { n.facts <- fact{n.Now(), notice{v}} }
+	if p.Carry != nil {
+		n.pool = p.Carry(tell, n.Now)
+	} else {
+		n.pool = frames{replica.NewPool(replica.Terms{Streams: p.Terms.Streams, ConnectWithin: p.Terms.ConnectWithin,
+			IdleAfter: p.Terms.IdleAfter, Now: n.Now, Dial: p.Dial}, func(v replica.Notice) { tell(v) }, p.Budget, p.Count)}
+	}
 	n.bookNews(n.Now(), p.Known, false)
 	n.moved = true // the first round is for the list, which may have to be asked for
 	go n.run()
@@ -206,6 +213,11 @@
 	delay := now - f.at
 	n.count.Facts.Add(1)
 	n.count.DelayTotal.Add(delay)
+	switch f.what.(type) {
+	case survey, allowance: // no query waits for them
+	default:
+		n.count.Delay.Show(delay)
+	}
 	n.late(delay)
 	if delay > longDelay {
 		n.log.Warn("a fact waited long for the loop", zap.Duration("delay", time.Duration(delay)))
@@ -215,7 +227,7 @@
 		n.admit(now, v.query)
 	case departure:
 		n.depart(now, v.query)
-	case replica.Notice:
+	case notice:
 		n.bookNotice(now, v)
 	case roster.News:
 		n.bookNews(now, v, true)
--- a/node/send.go
+++ b/node/send.go
@@ -38,7 +38,7 @@
 		wait := (s.CutAt - now) / waitUnit
 		shard := q.Parts[s.Part].Shard
 		e.ticket = &replica.Ticket{Part: replica.Part{ID: q.ID + "." + strconv.Itoa(shard), Shard: shard,
-			Wait: wait, Text: q.Text}}
+			Wait: wait, Text: q.Text}, Load: q.Load}
 		q.executions[s.Part] = append(q.executions[s.Part], e)
 		q.out++
 		if wait < 1 {
--- a/replica/pool.go
+++ b/replica/pool.go
@@ -17,6 +17,7 @@
 // the pool reports it, or the owner gives it up.
 type Ticket struct {
 	Part
+	Load  any // what its query has for a carrier of another kind, nil for none
 	conn  *connection
 	frame *frame
 	since int64
--- a/store/store.go
+++ b/store/store.go
@@ -4,7 +4,6 @@
 
 import (
 	"bytes"
-	"cmp"
 	"context"
 	"crypto/tls"
 	"crypto/x509"
@@ -14,20 +13,17 @@
 	"os"
 	"strconv"
 	"strings"
-	"sync"
 	"time"
 
-	"github.com/redis/go-redis/v9"
-	"github.com/redis/go-redis/v9/maintnotifications"
+	"github.com/gomodule/redigo/redis"
 	"go.uber.org/zap"
 
 	"willowsill/commons"
 )
 
 const (
-	poolMost = 2                // connections: one that works, and one that is being given up
-	idleMost = 60 * time.Second // a connection that carried nothing for so long is closed
-	fileMost = 64 << 10         // bytes of a password or a certificate
+	fileMost = 64 << 10                // bytes of a password or a certificate
+	milli    = int64(time.Millisecond) // the store's unit of time, ns
 )
 
 // Place is where the store is and how it is entered. Times in ns.
@@ -42,13 +38,6 @@
 	Dial         func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// quiet keeps the library from writing to standard error; what fails is told by the rounds.
-type quiet struct{}
-
-func (quiet) Printf(context.Context, string, ...any) {}
-
-var silence sync.Once
-
 // Core is the aggregator as a Keeper sees it. Neither call waits for a socket.
 type Core interface {
 	// Consult asks what the aggregator knows now; false where it has no time for that.
@@ -65,45 +54,80 @@
 	now    func() int64
 	count  *Count
 	log    *zap.Logger
-	client *redis.Client
+	secure *tls.Config // nil for none
+	conn   *line       // the one connection, nil while there is none
+	needed error       // what in the answer under way makes the round none
+}
+
+// line is a connection to the store: what the library speaks on, and the socket under it.
+type line struct {
+	redis.Conn
+	socket net.Conn
 }
 
 // New makes a keeper; the error names what in the place cannot be used. now is the aggregator's clock, ns.
 func New(p Place, c *commons.Commons, core Core, now func() int64, count *Count, log *zap.Logger) (*Keeper, error) {
 	k := &Keeper{place: p, common: c, core: core, now: now, count: count, log: log}
-	secure, err := p.secure()
-	if err != nil {
+	var err error
+	if k.secure, err = p.secure(); err != nil {
 		return nil, err
 	}
 	if _, err := p.password(); err != nil {
 		return nil, err
 	}
-	silence.Do(func() { redis.SetLogger(quiet{}) })
-	k.client = redis.NewClient(&redis.Options{
-		Addr: p.Address, DB: p.Database, Protocol: 2, DisableIdentity: true,
-		PoolSize: poolMost, MaxRetries: -1, DialerRetries: 1, ConnMaxIdleTime: idleMost,
-		ContextTimeoutEnabled:      true,
-		MaintNotificationsConfig:   &maintnotifications.Config{Mode: maintnotifications.ModeDisabled},
-		CredentialsProviderContext: p.credentials,
-		Dialer: func(ctx context.Context, network, address string) (net.Conn, error) {
-			conn, err := p.Dial(ctx, network, address)
-			if err != nil {
-				return nil, err
-			}
-			if secure != nil {
-				private := tls.Client(conn, secure)
-				if err := private.HandshakeContext(ctx); err != nil {
-					conn.Close()
-					return nil, err
-				}
-				conn = private
-			}
-			return &guard{Conn: conn}, nil
-		},
-	})
 	return k, nil
 }
 
+// connect opens the connection and is let in. The connection's time is up when ctx ends.
+func (k *Keeper) connect(ctx context.Context) error {
+	p := k.place
+	password, err := p.password()
+	if err != nil {
+		return err
+	}
+	socket, err := p.Dial(ctx, "tcp", p.Address)
+	if err != nil {
+		return err
+	}
+	if by, limited := ctx.Deadline(); limited {
+		socket.SetDeadline(by)
+	}
+	if k.secure != nil {
+		private := tls.Client(socket, k.secure)
+		if err := private.HandshakeContext(ctx); err != nil {
+			socket.Close()
+			return err
+		}
+		socket = private
+	}
+	k.conn = &line{redis.NewConn(&guard{Conn: socket}, 0, 0), socket}
+	if password != "" {
+		words := []any{password}
+		if p.User != "" {
+			words = []any{p.User, password}
+		}
+		if _, err := k.conn.Do("AUTH", words...); err != nil {
+			k.hangUp()
+			return err
+		}
+	}
+	if p.Database != 0 {
+		if _, err := k.conn.Do("SELECT", p.Database); err != nil {
+			k.hangUp()
+			return err
+		}
+	}
+	return nil
+}
+
+// hangUp closes the connection, if there is one.
+func (k *Keeper) hangUp() {
+	if k.conn != nil {
+		k.conn.Close()
+		k.conn = nil
+	}
+}
+
 // secure is how connections are encrypted, nil where they are not.
 func (p Place) secure() (*tls.Config, error) {
 	if p.CAFile == "" {
@@ -136,11 +160,6 @@
 	return strings.TrimRight(string(text), "\r\n"), nil
 }
 
-func (p Place) credentials(context.Context) (string, string, error) {
-	password, err := p.password()
-	return p.User, password, err
-}
-
 func readFile(path string) ([]byte, error) {
 	info, err := os.Stat(path)
 	if err == nil && info.Size() > fileMost {
@@ -154,7 +173,7 @@
 
 // Run keeps in touch until ctx ends, and closes the connections.
 func (k *Keeper) Run(ctx context.Context) {
-	defer k.client.Close()
+	defer k.hangUp()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -206,101 +225,146 @@
 	return p.Prefix + ":q:" + customer + ":" + strconv.FormatInt(window, 10)
 }
 
-// carry sends a request as one pipeline and reads the reply.
+// errOdd is an answer of another type than was asked for.
+var errOdd = errors.New("an answer of the wrong type")
+
+// pipe is one round: commands that travel together, each with what takes in its answer.
+type pipe struct {
+	conn  *line
+	takes []func(answer any, err error)
+}
+
+func (p *pipe) send(take func(any, error), name string, words ...any) error {
+	p.takes = append(p.takes, take)
+	return p.conn.Send(name, words...)
+}
+
+// carry sends a request as one pipeline and reads the reply. After an error of the connection it is closed: what might
+// still come on it would be taken for the next round's.
 func (k *Keeper) carry(ctx context.Context, r *commons.Request) (reply commons.Reply, err error) {
-	p, c, name := k.place, k.common, k.common.Name
-	pipe := k.client.Pipeline()
-	clock := pipe.Time(ctx)
-	own := pipe.Get(ctx, p.presence(name))
-	set := pipe.Set(ctx, p.presence(name), r.Presence, time.Duration(r.Lasts))
-	var beat, live *redis.IntCmd
-	if r.Heartbeat > 0 {
-		beat = pipe.ZAdd(ctx, p.members(), redis.Z{Score: float64(r.Heartbeat), Member: name})
-		live = pipe.ZCount(ctx, p.members(), strconv.FormatInt(r.LiveFrom, 10), "+inf")
-	}
-	if r.SweepTo > 0 {
-		pipe.ZRemRangeByScore(ctx, p.members(), "-inf", strconv.FormatInt(r.SweepTo, 10))
-	}
-	switch {
-	case r.Findings != nil:
-		pipe.HSet(ctx, p.findings(), name, r.Findings)
-	case r.Sample > 0:
-		pipe.HDel(ctx, p.findings(), name)
-	}
-	if len(r.Drop) > 0 {
-		pipe.HDel(ctx, p.findings(), r.Drop...)
-	}
-	var records *redis.KeyValueSliceCmd
-	if r.Sample > 0 {
-		records = pipe.HRandFieldWithValues(ctx, p.findings(), r.Sample)
-	}
-	counts := make([]*redis.SliceCmd, len(r.Reads))
-	for i, q := range r.Reads {
-		keys := make([]string, q.Counts())
-		for j := range keys {
-			keys[j] = p.tokens(c.Quotas[q.Quota].Customer, q.Window-1-int64(j))
+	if k.conn == nil {
+		if err := k.connect(ctx); err != nil {
+			return reply, err
 		}
-		counts[i] = pipe.MGet(ctx, keys...)
 	}
-	totals := make([]*redis.IntCmd, len(r.Takes))
-	for i, t := range r.Takes {
-		key := p.tokens(c.Quotas[t.Quota].Customer, t.Window)
-		totals[i] = pipe.IncrBy(ctx, key, t.Units)
-		pipe.PExpire(ctx, key, time.Duration(t.Expire))
+	if by, limited := ctx.Deadline(); limited {
+		k.conn.socket.SetDeadline(by)
 	}
-	_, failed := pipe.Exec(ctx) // each command's own error is looked at below
-
-	// Without these three the round is none: nothing could be dated or fenced.
-	//
-	// Danger: where a connection is not let in the commands have no errors of their own, and empty answers.
-	at, err := clock.Result()
-	if err = cmp.Or(err, failed); err != nil && at.IsZero() {
-		return reply, err
+	stop := context.AfterFunc(ctx, func() { k.conn.socket.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	p := &pipe{conn: k.conn}
+	if err = k.ask(p, r, &reply); err == nil {
+		err = p.conn.Flush()
 	}
-	text, err := own.Bytes()
-	if err != nil && !errors.Is(err, redis.Nil) {
-		return reply, err
+	for i := 0; err == nil && i < len(p.takes); i++ {
+		answer, e := p.conn.Receive()
+		if p.conn.Err() != nil {
+			err = p.conn.Err()
+			break
+		}
+		p.takes[i](answer, e)
 	}
-	if err := set.Err(); err != nil {
+	if err != nil {
+		k.hangUp()
 		return reply, err
 	}
-	reply.Clock = at.UnixNano()
-	if err == nil {
-		reply.Own = bytes.Clone(text)
+	return reply, k.needed
+}
+
+// ask puts a request's commands into a pipe; their answers go into the reply.
+func (k *Keeper) ask(p *pipe, r *commons.Request, reply *commons.Reply) error {
+	place, c, name := k.place, k.common, k.common.Name
+	// Without these the round is none: nothing could be dated or fenced.
+	k.needed = nil
+	need := func(err error) bool {
+		if err != nil && k.needed == nil {
+			k.needed = err
+		}
+		return err == nil
 	}
+	// Without the others it goes on.
 	odd := func(err error) bool {
 		if err != nil {
 			reply.Odd++
 			k.count.Odd.Add(1)
 			k.log.Warn("a part of the shared store's answer cannot be used", zap.Error(err))
 		}
-		return err != nil
+		return err == nil
 	}
-	if beat != nil && !odd(beat.Err()) && !odd(live.Err()) {
-		reply.Live = int(min(live.Val(), 1<<20))
+	none := func(_ any, err error) { odd(err) }
+	steps := []error{
+		p.send(func(answer any, err error) {
+			pair, err := redis.Int64s(answer, err)
+			if err == nil && len(pair) != 2 {
+				err = errOdd
+			}
+			if need(err) {
+				reply.Clock = pair[0]*int64(time.Second) + pair[1]*int64(time.Microsecond)
+			}
+		}, "TIME"),
+		p.send(func(answer any, err error) {
+			text, err := redis.Bytes(answer, err)
+			if errors.Is(err, redis.ErrNil) {
+				return
+			}
+			if need(err) {
+				reply.Own = bytes.Clone(text)
+			}
+		}, "GET", place.presence(name)),
+		p.send(func(_ any, err error) { need(err) }, "SET", place.presence(name), r.Presence, "PX", r.Lasts/milli),
 	}
-	if records != nil && !odd(records.Err()) {
-		for _, e := range records.Val() {
-			reply.Entries = append(reply.Entries, commons.Entry{Name: e.Key, Text: []byte(e.Value)})
-			k.count.BytesRead.Add(int64(len(e.Key) + len(e.Value)))
-		}
+	if r.Heartbeat > 0 {
+		steps = append(steps, p.send(none, "ZADD", place.members(), r.Heartbeat, name),
+			p.send(func(answer any, err error) {
+				if n, err := redis.Int64(answer, err); odd(err) {
+					reply.Live = int(min(max(n, 0), 1<<20))
+				}
+			}, "ZCOUNT", place.members(), r.LiveFrom, "+inf"))
 	}
-	reply.Counts = make([][]int64, len(counts))
-	for i, m := range counts {
-		if odd(m.Err()) {
-			continue
-		}
-		for _, v := range m.Val() {
-			s, _ := v.(string)
-			n, _ := strconv.ParseInt(s, 10, 64) // a window that nobody opened has no count
-			reply.Counts[i] = append(reply.Counts[i], n)
-		}
+	if r.SweepTo > 0 {
+		steps = append(steps, p.send(none, "ZREMRANGEBYSCORE", place.members(), "-inf", r.SweepTo))
+	}
+	switch {
+	case r.Findings != nil:
+		steps = append(steps, p.send(none, "HSET", place.findings(), name, r.Findings))
+	case r.Sample > 0:
+		steps = append(steps, p.send(none, "HDEL", place.findings(), name))
+	}
+	if len(r.Drop) > 0 {
+		steps = append(steps, p.send(none, "HDEL", redis.Args{place.findings()}.AddFlat(r.Drop)...))
 	}
-	reply.Totals = make([]int64, len(totals))
-	for i, t := range totals {
-		if !odd(t.Err()) {
-			reply.Totals[i] = t.Val()
+	if r.Sample > 0 {
+		steps = append(steps, p.send(func(answer any, err error) {
+			flat, err := redis.ByteSlices(answer, err)
+			if !odd(err) {
+				return
+			}
+			for i := 0; i+1 < len(flat); i += 2 {
+				reply.Entries = append(reply.Entries, commons.Entry{Name: string(flat[i]), Text: flat[i+1]})
+				k.count.BytesRead.Add(int64(len(flat[i]) + len(flat[i+1])))
+			}
+		}, "HRANDFIELD", place.findings(), r.Sample, "WITHVALUES"))
+	}
+	reply.Counts = make([][]int64, len(r.Reads))
+	for i, q := range r.Reads {
+		keys := make([]any, q.Counts())
+		for j := range keys {
+			keys[j] = place.tokens(c.Quotas[q.Quota].Customer, q.Window-1-int64(j))
 		}
+		steps = append(steps, p.send(func(answer any, err error) {
+			if n, err := redis.Int64s(answer, err); odd(err) { // a window that nobody opened counts 0
+				reply.Counts[i] = n
+			}
+		}, "MGET", keys...))
+	}
+	reply.Totals = make([]int64, len(r.Takes))
+	for i, t := range r.Takes {
+		key := place.tokens(c.Quotas[t.Quota].Customer, t.Window)
+		steps = append(steps, p.send(func(answer any, err error) {
+			if n, err := redis.Int64(answer, err); odd(err) {
+				reply.Totals[i] = n
+			}
+		}, "INCRBY", key, t.Units), p.send(none, "PEXPIRE", key, t.Expire/milli))
 	}
-	return reply, nil
+	return errors.Join(steps...)
 }
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -406,7 +406,7 @@
 			t.Errorf("%s: %v", c.name, err)
 		}
 		cancel()
-		k.client.Close()
+		k.hangUp()
 		l.Close()
 	}
 	if _, err := New(Place{Address: "h:1", CAFile: write(t, []byte("none"))}, nil, nil, nil, nil, nil); err == nil ||
@@ -477,7 +477,7 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			defer k.client.Close()
+			defer k.hangUp()
 			record := commons.Record{Incarnation: 1, Sequence: 1, At: 1}
 			for i := range 4 {
 				record.Testimonies = append(record.Testimonies, commons.Testimony{Key: uint64(i), Verdict: commons.FoundAside})
