--- a/cmd/willowsill/demo.go
+++ b/cmd/willowsill/demo.go
@@ -50,19 +50,29 @@
 func demonstrating() *cobra.Command {
 	var withStore, asJSON bool
 	var each time.Duration
+	var sites int
 	c := &cobra.Command{
 		Use:   "demo",
 		Short: "Run a small fleet of stand-ins and some queries, and print what happened",
 		Long: "demo starts replicas, a discovery and three aggregators on loopback, asks queries of them, makes one\n" +
 			"replica fail and mends it. With --store the aggregators share what they find through a stand-in of a\n" +
 			"Redis server, which stalls and vanishes on the way.",
-		Example: "  willowsill demo\n  willowsill demo --store --json",
+		Example: "  willowsill demo\n  willowsill demo --store --json\n  willowsill demo --sites 2",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if each < 200*time.Millisecond || each > time.Minute {
 				return coded{fmt.Errorf("--each is %v, outside 200ms to 1m", each), 2}
 			}
-			phases, err := demonstrate(c.Context(), withStore, each)
+			var phases []phase
+			var err error
+			switch {
+			case sites == 1:
+				phases, err = demonstrate(c.Context(), withStore, each)
+			case sites == 2 && !withStore:
+				phases, err = demonstrateSites(c.Context(), each)
+			default:
+				return coded{fmt.Errorf("--sites is 1 or 2, and 2 goes without --store"), 2}
+			}
 			if err != nil {
 				return coded{err, 1}
 			}
@@ -83,6 +93,7 @@
 		},
 	}
 	c.Flags().BoolVar(&withStore, "store", false, "share what is found through a stand-in store")
+	c.Flags().IntVar(&sites, "sites", 1, "two: one goes dark, and its queries are carried to the other")
 	c.Flags().DurationVar(&each, "each", 2*time.Second, "how long each phase takes")
 	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
 	return c
@@ -92,6 +103,8 @@
 type fleet struct {
 	fronts []string
 	sick   atomic.Bool // the first replica fails
+	dark   atomic.Bool // all do
+	lists  string      // the discovery's address
 	met    atomic.Int64
 	store  *redis.Server
 	ends   []func()
@@ -122,7 +135,8 @@
 	return l.Addr().String(), nil
 }
 
-func startFleet(withStore bool) (*fleet, error) {
+// startReplicas starts replicas and the discovery that names them.
+func startReplicas() (*fleet, error) {
 	f := &fleet{}
 	list := standin.NewDiscovery()
 	for i := range demoShards * demoHolders {
@@ -133,6 +147,9 @@
 					return replica.Reply{ID: p.ID, End: replica.Failed}, true
 				}
 			}
+			if f.dark.Load() {
+				return replica.Reply{ID: p.ID, End: replica.Failed}, true
+			}
 			select {
 			case <-time.After(demoWork):
 			case <-ctx.Done():
@@ -146,7 +163,13 @@
 		}
 		list.Change(standin.Host{Host: fmt.Sprint("s-", i), Dial: address, Block: i % demoShards, Health: "active"})
 	}
-	discovery, err := f.listen(func(l net.Listener) { (&http.Server{Handler: list}).Serve(l) })
+	var err error
+	f.lists, err = f.listen(func(l net.Listener) { (&http.Server{Handler: list}).Serve(l) })
+	return f, err
+}
+
+func startFleet(withStore bool) (*fleet, error) {
+	f, err := startReplicas()
 	if err != nil {
 		return f, err
 	}
@@ -160,7 +183,7 @@
 		orders.Store = &operator.Store{Address: address, Prefix: "demo", Round: 200e6, Deadline: 100e6, Sample: 24, Health: true}
 	}
 	for i := range demoAggregators {
-		if err := f.aggregator(i, discovery, orders); err != nil {
+		if err := f.aggregator(i, orders, (&net.Dialer{}).DialContext); err != nil {
 			return f, err
 		}
 	}
@@ -168,9 +191,9 @@
 }
 
 // aggregator starts the whole program once, but for its process.
-func (f *fleet) aggregator(number int, discovery string, orders *operator.Orders) error {
+func (f *fleet) aggregator(number int, orders *operator.Orders, dial replica.Dial) error {
 	row := balance.Workload{LatencyGoal: int64(demoGoal), LateShare: 0.3, Floor: 1, Need: 1, PartialShare: 0.9}
-	start := deployment.Start{Name: fmt.Sprint("n", number), Discovery: discovery, Sockets: 512,
+	start := deployment.Start{Name: fmt.Sprint("n", number), Discovery: f.lists, Sockets: 512,
 		Deployment: deployment.Deployment{Workload: map[string]int{"lookup": 0}, Deployment: balance.Deployment{
 			Number: number, Aggregators: demoAggregators, Seed: uint64(7 + number), Tick: 5e6,
 			Workloads: []balance.Workload{row}, Shards: demoShards, Cells: demoShards, Reach: 1, PartsPerCall: 1,
@@ -185,7 +208,7 @@
 	stop, end := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
 	go func() {
-		ended <- run(stop, nil, start, orders, l, (&net.Dialer{}).DialContext, zap.NewNop())
+		ended <- run(stop, nil, start, orders, l, dial, zap.NewNop())
 	}()
 	f.fronts = append(f.fronts, "http://"+l.Addr().String())
 	f.ends = append(f.ends, func() {
--- a/cmd/willowsill/main.go
+++ b/cmd/willowsill/main.go
@@ -108,7 +108,13 @@
 		watch.Run(watching, start.AsksForList)
 	}()
 
-	server := front.NewServer(&front.Front{Core: core, Clock: clock, Workload: start.Workload,
+	serving, ways, err := openWays(start, orders, core, clock, count, dial, log)
+	if err != nil {
+		shares.end()
+		core.Close()
+		return err
+	}
+	server := front.NewServer(&front.Front{Core: serving, Clock: clock, Workload: start.Workload,
 		Shards: start.Shards, Count: count, Log: log}, l, budget)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve() }()
@@ -119,13 +125,14 @@
 		case err := <-served:
 			return err
 		case <-reload:
-			follow(&start, watch, shares, count, log)
+			follow(&start, watch, shares, ways, count, log)
 		case <-stop.Done():
 			leaving = true
 		}
 	}
 	log.Info("leaving")
-	err := server.Stop(time.Duration(max(start.LongestCutOff, leastWait)))
+	err = server.Stop(time.Duration(max(start.LongestCutOff, leastWait)))
+	ways.end()
 	if e := <-served; err == nil && !errors.Is(e, http.ErrServerClosed) {
 		err = e
 	}
@@ -141,7 +148,7 @@
 // and switches on and off what the script says.
 //
 // Danger: a file that is missing, half-written or wrong must not end what runs well, nor change a part of it.
-func follow(start *deployment.Start, watch *roster.Watch, shares *sharing, count *counters.Counters,
+func follow(start *deployment.Start, watch *roster.Watch, shares *sharing, ways *ways, count *counters.Counters,
 	log *zap.Logger) {
 	count.Reloads.Add(1)
 	next, odd, err := start.Again()
@@ -160,6 +167,7 @@
 	if len(odd) > 0 {
 		log.Warn("what these keys say now holds from the next start on", zap.Strings("keys", odd))
 	}
+	ways.follow(orders)
 	log.Info("the configuration was read again", zap.String("discovery", next.Discovery))
 	watch.Follow(next.Discovery)
 }
--- a/counters/counters.go
+++ b/counters/counters.go
@@ -141,6 +141,7 @@
 	ReloadsWrong Count `json:"reloads_wrong"`
 
 	SharedStore Slot `json:"shared_store,omitzero"` // where one is used
+	Gateway     Slot `json:"gateway,omitzero"`
 
 	Rounds       Count   `json:"rounds"`
 	DelayTotal   Count   `json:"delay_total_ns"` // from a fact's birth to the loop, over all facts
--- /dev/null
+++ b/gateway/door.go
@@ -0,0 +1,343 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"errors"
+	"fmt"
+	"maps"
+	"net"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"willowsill/balance"
+	"willowsill/deployment"
+	"willowsill/front"
+	"willowsill/node"
+	"willowsill/window"
+)
+
+const (
+	doorHead    = 2 * time.Second  // for a request's head
+	doorIdle    = 60 * time.Second // that a peer's connection may stand: longer than peers keep it
+	doorHeader  = 32 << 10
+	visitedMost = 8 // sites named on a query
+	certName    = ".gateway"
+)
+
+// Door takes in queries of other sites.
+type Door struct {
+	Own        string
+	Sites      []string // whose gateways are let in
+	Front      http.Handler
+	Deployment deployment.Deployment
+	Clock      node.Clock
+	Window     *window.Window
+	Count      *Count
+	Log        *zap.Logger
+	Secure     bool // peers show certificates that name their sites
+
+	// Willing is how many more queries a second of a workload the site would take; nil where that is not told.
+	Willing func(workload int) float64
+
+	mu      sync.Mutex // guards Window and waiting
+	waiting map[string]chan struct{}
+}
+
+// ServeHTTP serves one query of a peer.
+func (d *Door) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	site, err := d.peer(r)
+	if err != nil {
+		d.Count.Stranger.Add(1)
+		d.Log.Warn("a peer was not let in", zap.Error(err))
+		http.Error(w, err.Error(), http.StatusForbidden)
+		return
+	}
+	if r.URL.Path == pathPing {
+		w.Header().Set(headerWilling, d.willing())
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
+	came, err := d.came(r, site)
+	if err != nil {
+		w.Header().Set(headerRan, "0")
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	d.Count.Taken.Add(1)
+	r = r.WithContext(context.WithValue(r.Context(), visitedKey{}, came))
+	row, known := d.Deployment.Workload[strings.TrimPrefix(r.URL.Path, "/")]
+	if known && d.Willing != nil {
+		w.Header().Set(headerWilling, strconv.FormatFloat(d.Willing(row), 'f', 2, 64))
+	}
+	if !known || d.Deployment.Workloads[row].Effect == balance.Repeatable {
+		d.Front.ServeHTTP(w, r)
+		return
+	}
+	d.once(w, r, r.Header.Get("X-Trace-Id"))
+}
+
+// willing is what the site would take of each workload, as NAME=RATE with commas between.
+func (d *Door) willing() string {
+	if d.Willing == nil {
+		return ""
+	}
+	var all []string
+	for _, name := range slices.Sorted(maps.Keys(d.Deployment.Workload)) {
+		all = append(all, fmt.Sprintf("%s=%.2f", name, d.Willing(d.Deployment.Workload[name])))
+	}
+	return strings.Join(all, ",")
+}
+
+// peer tells which site a request comes from.
+func (d *Door) peer(r *http.Request) (string, error) {
+	if !d.Secure {
+		all := strings.Split(r.Header.Get(headerVisited), ",")
+		return all[len(all)-1], nil
+	}
+	if r.TLS == nil || len(r.TLS.PeerCertificates) == 0 {
+		return "", errors.New("no certificate")
+	}
+	names := r.TLS.PeerCertificates[0].DNSNames
+	for _, s := range d.Sites {
+		if slices.Contains(names, s+certName) {
+			return s, nil
+		}
+	}
+	return "", fmt.Errorf("a certificate for %q, and of none of the sites known here", names)
+}
+
+// came reads the sites that a query came through. Danger: a query that names none would go round for ever, and one that
+// names this site has.
+func (d *Door) came(r *http.Request, peer string) ([]string, error) {
+	all := strings.Split(r.Header.Get(headerVisited), ",")
+	switch {
+	case len(r.Header[headerVisited]) != 1 || all[len(all)-1] != peer:
+		return nil, errors.New(headerVisited + " does not end with the peer's site")
+	case len(all) > visitedMost:
+		return nil, errors.New(headerVisited + " names too many sites")
+	case slices.Contains(all, d.Own):
+		return nil, errors.New("the query has been here")
+	}
+	return all, nil
+}
+
+// once runs a query whose effect must not come twice, or gives a repeat the answer of the first.
+func (d *Door) once(w http.ResponseWriter, r *http.Request, id string) {
+	for {
+		d.mu.Lock()
+		verdict, kept := d.Window.Begin(d.Clock.Now(), id)
+		wait := d.waiting[id]
+		if verdict == window.Fresh {
+			if d.waiting == nil {
+				d.waiting = map[string]chan struct{}{}
+			}
+			d.waiting[id] = make(chan struct{})
+		}
+		d.mu.Unlock()
+		switch verdict {
+		case window.Fresh:
+			d.run(w, r, id)
+			return
+		case window.Answered:
+			d.Count.Repeated.Add(1)
+			replay(w, kept)
+			return
+		case window.Full:
+			http.Error(w, "declined", http.StatusServiceUnavailable)
+			return
+		case window.CutOff:
+			d.Count.CutOff.Add(1)
+			w.Header().Set(headerRan, "1")
+			http.Error(w, "how it ended is not known", http.StatusInternalServerError)
+			return
+		}
+		d.Count.Joined.Add(1)
+		select {
+		case <-wait:
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// run serves a query to its end, whether its peer still waits or not: what has begun has an effect, and a repeat of it
+// must find how it ended.
+func (d *Door) run(w http.ResponseWriter, r *http.Request, id string) {
+	k := &keep{ResponseWriter: w, status: http.StatusOK}
+	ended := false
+	defer func() {
+		d.mu.Lock()
+		switch now := d.Clock.Now(); {
+		case !ended: // it ended in a panic
+			d.Window.Cut(now, id)
+		case k.status == http.StatusServiceUnavailable || k.status >= 400 && k.status < 500: // it never ran
+			d.Window.Undo(id)
+		default:
+			d.Window.End(now, id, k.whole())
+		}
+		close(d.waiting[id])
+		delete(d.waiting, id)
+		d.mu.Unlock()
+	}()
+	d.Front.ServeHTTP(k, r.WithContext(context.WithoutCancel(r.Context())))
+	ended = true
+	replay(w, k.whole())
+}
+
+// keep holds an answer back until it is whole.
+type keep struct {
+	http.ResponseWriter
+	status int
+	body   bytes.Buffer
+}
+
+func (k *keep) WriteHeader(status int)             { k.status = status }
+func (k *keep) Write(b []byte) (int, error)        { return k.body.Write(b) }
+func (k *keep) FlushError() error                  { return nil }
+func (k *keep) Unwrap() http.ResponseWriter        { return k.ResponseWriter }
+func (k *keep) SetWriteDeadline(t time.Time) error { return nil }
+func (k *keep) whole() []byte {
+	return append(strconv.AppendInt(nil, int64(k.status), 10), k.body.Bytes()...)
+}
+
+// replay writes an answer that was kept: three digits of status, then the body.
+func replay(w http.ResponseWriter, kept []byte) {
+	status, err := strconv.Atoi(string(kept[:min(3, len(kept))]))
+	if err != nil {
+		http.Error(w, "no answer", http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(kept)-3))
+	w.WriteHeader(status)
+	w.Write(kept[3:])
+}
+
+// Server makes the server of a door, to be served on a listener.
+func (d *Door) Server(secure *tls.Config) *http.Server {
+	return &http.Server{Handler: d, ReadHeaderTimeout: doorHead, IdleTimeout: doorIdle, MaxHeaderBytes: doorHeader,
+		TLSConfig: secure, ErrorLog: zap.NewStdLog(d.Log)}
+}
+
+// Listen opens a door's listener, with TLS where secure is not nil.
+func Listen(l net.Listener, secure *tls.Config) net.Listener {
+	if secure == nil {
+		return l
+	}
+	return tls.NewListener(l, secure)
+}
+
+// Papers are the files that prove a site to others and others to it. They are read anew at each handshake, so that new
+// ones count without a restart and what is under way goes on.
+type Papers struct {
+	CertFile, KeyFile, CAFile string
+}
+
+// Secure makes the settings of both directions: TLS 1.3, each side with a certificate of the same authority that is for a
+// site's gateway.
+func (p Papers) Secure() (server, client *tls.Config, err error) {
+	if _, err := p.own(); err != nil {
+		return nil, nil, err
+	}
+	if _, err := p.authority(); err != nil {
+		return nil, nil, err
+	}
+	server = &tls.Config{MinVersion: tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+			own, err := p.own()
+			if err != nil {
+				return nil, err
+			}
+			pool, err := p.authority()
+			if err != nil {
+				return nil, err
+			}
+			return &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{own},
+				ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool}, nil
+		}}
+	client = &tls.Config{MinVersion: tls.VersionTLS13,
+		GetClientCertificate: func(*tls.CertificateRequestInfo) (*tls.Certificate, error) {
+			own, err := p.own()
+			return &own, err
+		},
+		// The name is a site's and not a host's, so the chain is checked here and not by the library's rule for hosts.
+		InsecureSkipVerify: true,
+		VerifyConnection: func(s tls.ConnectionState) error {
+			pool, err := p.authority()
+			if err != nil {
+				return err
+			}
+			if len(s.PeerCertificates) == 0 {
+				return errors.New("the gateway showed no certificate")
+			}
+			inner := x509.NewCertPool()
+			for _, c := range s.PeerCertificates[1:] {
+				inner.AddCert(c)
+			}
+			if _, err := s.PeerCertificates[0].Verify(x509.VerifyOptions{Roots: pool, Intermediates: inner,
+				KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}}); err != nil {
+				return err
+			}
+			for _, name := range s.PeerCertificates[0].DNSNames {
+				if strings.HasSuffix(name, certName) {
+					return nil
+				}
+			}
+			return fmt.Errorf("the certificate is for %q, no site's gateway", s.PeerCertificates[0].DNSNames)
+		}}
+	return server, client, nil
+}
+
+func (p Papers) own() (tls.Certificate, error) {
+	c, err := tls.LoadX509KeyPair(p.CertFile, p.KeyFile)
+	if err != nil {
+		return c, fmt.Errorf("the site's certificate: %w", err)
+	}
+	return c, nil
+}
+
+func (p Papers) authority() (*x509.CertPool, error) {
+	text, err := os.ReadFile(p.CAFile)
+	if err != nil {
+		return nil, fmt.Errorf("the authority: %w", err)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, fmt.Errorf("the authority: %s holds no certificate", p.CAFile)
+	}
+	return pool, nil
+}
+
+// ping asks a gateway for a sign of life, and returns what its site would take of each workload, as it says.
+func (p *pool) ping(ctx context.Context, address string) (willing string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, pingWait)
+	defer cancel()
+	scheme := "http://"
+	if p.client.TLSClientConfig != nil {
+		scheme = "https://"
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, scheme+address+pathPing, nil)
+	if err != nil {
+		return "", err
+	}
+	a, err := p.client.RoundTrip(r)
+	if err != nil {
+		return "", err
+	}
+	defer a.Body.Close()
+	if a.StatusCode != http.StatusNoContent {
+		return "", fmt.Errorf("the gateway at %s answered %s", address, a.Status)
+	}
+	return a.Header.Get(headerWilling), nil
+}
+
+var _ front.Core = (*Core)(nil)
--- /dev/null
+++ b/gateway/door_test.go
@@ -0,0 +1,177 @@
+package gateway
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"willowsill/node"
+	"willowsill/standin/papers"
+	"willowsill/window"
+)
+
+func newAuthority(t *testing.T) *papers.Authority {
+	t.Helper()
+	a, err := papers.New(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// issue has an authority make papers for a name, good until then.
+func issue(t *testing.T, a *papers.Authority, file, name string, until time.Time) Papers {
+	t.Helper()
+	cert, key, err := a.Issue(file, name, until)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Papers{cert, key, a.File}
+}
+
+// openDoor listens with a site's papers.
+func openDoor(t *testing.T, p Papers) (d *Door, address string) {
+	t.Helper()
+	server, _, err := p.Secure()
+	if err != nil {
+		t.Fatal(err)
+	}
+	d = &Door{Own: "b", Sites: []string{"a"}, Front: http.NotFoundHandler(), Clock: node.NewClock(), Count: &Count{},
+		Log: zap.NewNop(), Secure: true, Window: window.New(window.Terms{Most: 9, Bytes: 999, For: 1e9})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := d.Server(nil)
+	go s.Serve(Listen(l, server))
+	t.Cleanup(func() { s.Close() })
+	return d, l.Addr().String()
+}
+
+// Who shows no certificate of a known site's gateway and the same authority, in its time, is not let in, either way.
+func TestPapers(t *testing.T) {
+	ours, theirs := newAuthority(t), newAuthority(t)
+	later, before := time.Now().Add(time.Hour), time.Now().Add(-time.Hour)
+	good := issue(t, ours, "1614", "b.gateway", later)
+	mixed := issue(t, theirs, "1667", "a.gateway", later) // signed elsewhere, and trusts us
+	mixed.CAFile = ours.File
+	for name, c := range map[string]struct {
+		door, caller Papers
+		want         string
+	}{
+		"good":               {good, issue(t, ours, "1904", "a.gateway", later), ""},
+		"caller expired":     {good, issue(t, ours, "1989", "a.gateway", before), "certificate"},
+		"caller of others":   {good, mixed, "certificate"},
+		"caller unknown":     {good, issue(t, ours, "2140", "z.gateway", later), "403"},
+		"caller no gateway":  {good, issue(t, ours, "2228", "a", later), "403"},
+		"door expired":       {issue(t, ours, "2302", "b.gateway", before), issue(t, ours, "2352", "a.gateway", later), "expired"},
+		"door is no gateway": {issue(t, ours, "2438", "www.b", later), issue(t, ours, "2483", "a.gateway", later), "no site's gateway"},
+		"door of others":     {issue(t, theirs, "2534", "b.gateway", later), issue(t, ours, "2630", "a.gateway", later), "unknown authority"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			_, address := openDoor(t, c.door)
+			_, secure, err := c.caller.Secure()
+			if err != nil {
+				t.Fatal(err)
+			}
+			p := newPool((&net.Dialer{}).DialContext, secure, 1, nil, nil)
+			defer p.client.CloseIdleConnections()
+			_, err = p.ping(t.Context(), address)
+			if c.want == "" && err != nil || c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want)) {
+				t.Errorf("got %v, want %q", err, c.want)
+			}
+		})
+	}
+}
+
+// New papers count for the next connection; one that is there goes on.
+func TestNewPapers(t *testing.T) {
+	root := newAuthority(t)
+	_, address := openDoor(t, issue(t, root, "b", "b.gateway", time.Now().Add(time.Hour)))
+	caller := issue(t, root, "caller", "z.gateway", time.Now().Add(time.Hour))
+	_, secure, err := caller.Secure()
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := newPool((&net.Dialer{}).DialContext, secure, 1, nil, nil)
+	defer p.client.CloseIdleConnections()
+	if _, err := p.ping(t.Context(), address); err == nil {
+		t.Error("an unknown site was let in")
+	}
+	issue(t, root, "caller", "a.gateway", time.Now().Add(time.Hour))
+	p.client.CloseIdleConnections()
+	if _, err := p.ping(t.Context(), address); err != nil {
+		t.Error(err)
+	}
+	os.WriteFile(caller.KeyFile, []byte("nonsense"), 0o600)
+	if _, err := p.ping(t.Context(), address); err != nil {
+		t.Errorf("on the connection that is there: %v", err)
+	}
+	p.client.CloseIdleConnections()
+	if _, err := p.ping(t.Context(), address); err == nil || strings.Contains(err.Error(), "nonsense") {
+		t.Errorf("with papers that cannot be read: %v", err)
+	}
+}
+
+// What a peer sends is checked before it reaches the front.
+func TestCame(t *testing.T) {
+	d := &Door{Own: "b", Sites: []string{"a"}, Count: &Count{}, Log: zap.NewNop(), Front: http.HandlerFunc(
+		func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, visited(r.Context())) })}
+	for visited, want := range map[string]string{"a": "200 [a]", "c,a": "200 [c a]", "b,a": "400", "a,b,a": "400", "": "200 []",
+		"a,a,a,a,a,a,a,a,a": "400"} {
+		r := httptest.NewRequest("POST", "/look", nil)
+		r.Header.Set(headerVisited, visited)
+		w := httptest.NewRecorder()
+		d.ServeHTTP(w, r)
+		if got := strings.TrimSpace(fmt.Sprint(w.Code, " ", w.Body)); !strings.HasPrefix(got, want) && visited != "" {
+			t.Errorf("%q: %s, want %s", visited, got, want)
+		}
+		if w.Code == 400 && w.Header().Get(headerRan) != "0" {
+			t.Errorf("%q: nothing says that it never ran", visited)
+		}
+	}
+}
+
+// What a planned restart carries over is whole or nothing.
+func TestKeepsake(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "ids")
+	door := func() *Door {
+		return &Door{Clock: node.NewClock(), Window: window.New(window.Terms{Most: 9, Bytes: 999, For: 60e9})}
+	}
+	first := door()
+	if err := first.Load(file); err != nil {
+		t.Errorf("where nothing was saved: %v", err)
+	}
+	first.Window.Begin(first.Clock.Now(), "done")
+	first.Window.End(first.Clock.Now(), "done", []byte("200x"))
+	first.Window.Begin(first.Clock.Now(), "under way")
+	if err := first.Save(file); err != nil {
+		t.Fatal(err)
+	}
+	second := door()
+	if err := second.Load(file); err != nil {
+		t.Fatal(err)
+	}
+	if v, text := second.Window.Begin(second.Clock.Now(), "done"); v != window.Answered || string(text) != "200x" {
+		t.Errorf("%v %s", v, text)
+	}
+	if v, _ := second.Window.Begin(second.Clock.Now(), "under way"); v != window.CutOff {
+		t.Errorf("what was under way: %v", v)
+	}
+	text, _ := os.ReadFile(file)
+	os.WriteFile(file, text[:len(text)-3], 0o600)
+	if third := door(); third.Load(file) == nil || third.Window.Len() != 0 {
+		t.Error("a file cut short was taken")
+	}
+	if left, _ := filepath.Glob(file + ".*"); len(left) != 0 {
+		t.Errorf("left behind: %v", left)
+	}
+}
--- /dev/null
+++ b/gateway/gateway_test.go
@@ -0,0 +1,400 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/zap"
+
+	"willowsill/balance"
+	"willowsill/counters"
+	"willowsill/deployment"
+	"willowsill/front"
+	"willowsill/internal/pipes"
+	"willowsill/node"
+	"willowsill/replica"
+	"willowsill/roster"
+	"willowsill/routes"
+	"willowsill/sockets"
+	"willowsill/standin"
+	"willowsill/standin/link"
+	"willowsill/window"
+)
+
+// site is a whole one: replicas, discovery, an aggregator, a gateway with its door.
+type site struct {
+	name    string
+	node    *node.Node
+	core    *Core
+	count   *Count
+	door    *Door
+	server  *http.Server
+	address string
+	effects map[string]int // by id, how often a part ran at the replicas
+	mu      sync.Mutex
+	work    time.Duration
+	workers chan struct{} // parts that are worked on at a time; nil for any number
+	silent  bool          // replicas take parts and say nothing
+	ends    []func()
+	dead    bool
+}
+
+type world struct {
+	*testing.T
+	network *pipes.Network
+	sites   map[string]*site
+	links   map[string]*link.Link // FROM>TO
+}
+
+var workloads = map[string]int{"look": 0, "book": 1, "pay": 2}
+
+func theDeployment() deployment.Deployment {
+	row := balance.Workload{LatencyGoal: 1500e6, LateShare: 0.3, Floor: 1, Need: 1, PartialShare: 0.9, RepeatWindow: 10e9}
+	rows := []balance.Workload{row, row, row}
+	rows[1].Effect, rows[2].Effect = balance.Tagged, balance.OnceOnly
+	return deployment.Deployment{Workload: workloads, Deployment: balance.Deployment{Aggregators: 1, Tick: 5e6,
+		Workloads: rows, Shards: 2, Cells: 1, Reach: 1, PartsPerCall: 1, MaxExecutions: 3, Cancels: true, MaxComeBack: 2000e6,
+		ColdShare: 0.2, ColdRamp: 9000e6, FallMultiple: 4, FallSpan: 1000e6}}
+}
+
+var theTerms = deployment.Terms{MostHeld: 100, Streams: 32, ConnectWithin: 500e6, IdleAfter: 15e9, LongestCutOff: 3e9}
+
+// play plays sites, each with a way to all others, in a bubble of its own time.
+func play(t *testing.T, names []string, do func(*world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &world{T: t, network: &pipes.Network{}, sites: map[string]*site{}, links: map[string]*link.Link{}}
+		for _, from := range names {
+			for _, to := range names {
+				w.links[from+">"+to] = &link.Link{}
+			}
+		}
+		for _, name := range names {
+			w.start(name, names)
+		}
+		time.Sleep(3 * time.Second) // the ways are known
+		do(w)
+		for _, s := range w.sites {
+			s.stop()
+		}
+		time.Sleep(time.Minute) // what is on the links arrives
+	})
+}
+
+func (s *site) stop() {
+	if s.dead {
+		return
+	}
+	s.dead = true
+	s.core.Close()
+	s.node.Close()
+	for _, end := range s.ends {
+		end()
+	}
+}
+
+func (w *world) start(name string, names []string) {
+	s := &site{name: name, count: &Count{}, address: "g-" + name + ":1", effects: map[string]int{}, work: 50 * time.Millisecond}
+	list := standin.NewDiscovery()
+	for i := range 2 {
+		l := w.network.Listen(fmt.Sprint("r-", name, ":", i))
+		toy := &standin.Replica{Answer: func(ctx context.Context, p replica.Part) (replica.Reply, bool) {
+			s.mu.Lock()
+			s.effects[p.ID]++
+			work, workers, silent := s.work, s.workers, s.silent
+			s.mu.Unlock()
+			if silent {
+				<-ctx.Done()
+				return replica.Reply{}, false
+			}
+			if workers != nil {
+				select {
+				case workers <- struct{}{}:
+					defer func() { <-workers }()
+				case <-ctx.Done():
+					return replica.Reply{}, false
+				}
+			}
+			select {
+			case <-time.After(work):
+			case <-ctx.Done():
+				return replica.Reply{}, false
+			}
+			return replica.Reply{ID: p.ID, Value: name + p.ID}, true
+		}}
+		go toy.Serve(l)
+		s.ends = append(s.ends, func() { l.Close() })
+		list.Change(standin.Host{Host: fmt.Sprint("s-", i), Dial: l.String(), Health: "active"})
+	}
+	lists := &http.Server{Handler: list}
+	go lists.Serve(w.network.Listen("d-" + name + ":1"))
+	d, count := theDeployment(), counters.New(workloads)
+	watch := roster.NewWatch("d-"+name+":1", 1, 0, w.network.Dial, func(ctx context.Context, n roster.News) { s.node.News(ctx, n) })
+	s.node = node.New(node.Plan{Clock: node.NewClock(), Deployment: d, Terms: theTerms, Budget: sockets.NewBudget(256),
+		Count: count, Log: zap.NewNop(), Ask: watch.Ask, Dial: w.network.Dial})
+	ctx, stop := context.WithCancel(w.Context())
+	watched := make(chan struct{})
+	go func() {
+		defer close(watched)
+		watch.Run(ctx, false)
+	}()
+	s.ends = append(s.ends, func() {
+		stop()
+		<-watched
+		lists.Close()
+	})
+	p := Plan{Clock: s.node.Clock, Own: name, Deployment: d, Terms: theTerms, Local: s.node, Log: zap.NewNop()}
+	for _, other := range names {
+		if other != name {
+			p.Sites = append(p.Sites, Site{Link: routes.Link{Site: other, Queries: 200, Bytes: 1e7, Cost: 0.01},
+				Gateways: []string{"g-" + other + ":1"}})
+		}
+	}
+	p.Dial = func(ctx context.Context, n, address string) (net.Conn, error) {
+		other := strings.TrimSuffix(strings.TrimPrefix(address, "g-"), ":1")
+		return w.links[name+">"+other].Over(w.network.Dial)(ctx, n, address)
+	}
+	core, err := New(p, s.count)
+	if err != nil {
+		w.Fatal(err)
+	}
+	s.core = core
+	f := &front.Front{Core: core, Clock: s.node.Clock, Workload: workloads, Shards: 2, Count: count, Log: zap.NewNop()}
+	s.door = &Door{Willing: core.Willing, Own: name, Front: f, Deployment: d, Clock: s.node.Clock, Count: s.count, Log: zap.NewNop(),
+		Window: window.New(window.Terms{Most: 1000, Bytes: 1 << 20, For: 10e9})}
+	s.server = s.door.Server(nil)
+	if len(names) > 2 { // sites that say they take none are sent none: here they say nothing
+		s.door.Willing = nil
+	}
+	l := w.network.Listen(s.address)
+	go s.server.Serve(l)
+	s.ends = append(s.ends, func() { s.server.Close(); l.Close() })
+	w.sites[name] = s
+}
+
+// kill ends a site's gateway at once, as a machine that dies.
+func (s *site) kill() { s.server.Close() }
+
+// ask asks a site one query as a client and says how it ended.
+func (s *site) ask(ctx context.Context, id, workload string, patience time.Duration) string {
+	began := time.Now()
+	a, ok := s.core.Serve(ctx, node.Query{ID: id, Workload: workloads[workload], Until: s.node.Clock.Now() + int64(patience),
+		Text: []byte("t"), Parts: []node.Part{{Shard: 0, Weight: 0.5}, {Shard: 1, Weight: 0.5}}})
+	if took := time.Since(began); took > patience {
+		return fmt.Sprint("late: ", took)
+	}
+	if !ok {
+		return "left"
+	}
+	text := [...]string{"whole", "partial", "declined", "forfeited"}[a.Final]
+	for _, v := range a.Values {
+		text += " " + v.Value
+	}
+	return text
+}
+
+// carried asks until one query is carried, and returns how it ended.
+func (w *world) carried(from, id, workload string) (got string) {
+	w.Helper()
+	for i := range 60 {
+		got = w.sites[from].ask(w.Context(), fmt.Sprint(id, i), workload, 2*time.Second)
+		if got != "declined" {
+			return got
+		}
+		time.Sleep(200 * time.Millisecond)
+	}
+	w.Errorf("nothing was carried; the last ended %s", got)
+	return got
+}
+
+// What the own site serves stays; a site that is left has its queries carried, over 80 ms each way, and comes back.
+func TestCarried(t *testing.T) {
+	play(t, []string{"a", "b"}, func(w *world) {
+		far := link.Way{Delay: 80 * time.Millisecond}
+		w.links["a>b"].Set(far, far)
+		a := w.sites["a"]
+		if got := a.ask(w.Context(), "q", "look", 2*time.Second); got != "whole aq.0 aq.1" || a.count.Carried.Load() != 0 {
+			w.Errorf("at home %s", got)
+		}
+		a.core.Evacuate(true)
+		if got := w.carried("a", "r", "look"); !strings.HasPrefix(got, "whole br") {
+			w.Errorf("carried %s", got)
+		}
+		time.Sleep(5 * time.Second)
+		f := a.core.Figures()["b"].(map[string]any)
+		if least := f["least_ns"].(int64); least < 1 || f["delay_ns"].(int64) < 150e6 || f["usable"] != true {
+			w.Errorf("of the way is known %v", f)
+		}
+		served := 0
+		for i := range 100 {
+			if strings.HasPrefix(a.ask(w.Context(), fmt.Sprint("s", i), "look", 2*time.Second), "whole b") {
+				served++
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		if served < 40 {
+			w.Errorf("%d of 100 were served at the other site", served)
+		}
+		a.core.Evacuate(false)
+		time.Sleep(25 * time.Second)
+		if got := a.ask(w.Context(), "z", "look", 2*time.Second); got != "whole az.0 az.1" {
+			w.Errorf("back again %s", got)
+		}
+	})
+}
+
+// A gateway that dies with queries under way: each has one answer in time, and nothing but what may run twice does.
+func TestKilledMidQuery(t *testing.T) {
+	for _, workload := range []string{"look", "book", "pay"} {
+		t.Run(workload, func(t *testing.T) {
+			play(t, []string{"a", "b"}, func(w *world) {
+				a, b := w.sites["a"], w.sites["b"]
+				a.core.Evacuate(true)
+				w.carried("a", "warm", workload)
+				time.Sleep(20 * time.Second)
+				b.mu.Lock()
+				b.work = 300 * time.Millisecond
+				b.mu.Unlock()
+				var all sync.WaitGroup
+				var mu sync.Mutex
+				ended := map[string]int{}
+				for i := range 4 {
+					all.Go(func() {
+						got := a.ask(w.Context(), fmt.Sprint("k", i), workload, 2*time.Second)
+						mu.Lock()
+						defer mu.Unlock()
+						ended[strings.Fields(got)[0]]++
+					})
+				}
+				time.Sleep(150 * time.Millisecond)
+				b.kill()
+				all.Wait()
+				time.Sleep(3 * time.Second)
+				if n := ended["whole"] + ended["declined"] + ended["forfeited"]; n != 4 || ended["late:"] > 0 {
+					w.Errorf("ended %v", ended)
+				}
+				ran := 0
+				for id, times := range b.effects {
+					if strings.HasPrefix(id, "k") {
+						ran++
+						if workload == "pay" && times > 1 {
+							w.Errorf("%s ran %d times", id, times)
+						}
+					}
+				}
+				if ran > 0 && workload == "pay" && ended["declined"] == 4 {
+					w.Errorf("%d parts ran, and all were declined as if none had: %v", ran, ended)
+				}
+			})
+		})
+	}
+}
+
+// A repeat of a query with an effect joins the one under way, or gets its answer.
+func TestRepeats(t *testing.T) {
+	play(t, []string{"a", "b"}, func(w *world) {
+		b := w.sites["b"]
+		post := func(id string) (int, string) {
+			c := http.Client{Transport: &http.Transport{DialContext: w.network.Dial}}
+			defer c.CloseIdleConnections()
+			r, _ := http.NewRequest("POST", "http://"+b.address+"/pay", strings.NewReader(
+				`{"segments":[{"segment":0,"boost":0.5},{"segment":1,"boost":0.5}],"text":"t"}`))
+			for k, v := range map[string]string{"X-Qos": "pay", "X-Trace-Id": id, "X-Expires-In-Ms": "1000", headerVisited: "a"} {
+				r.Header.Set(k, v)
+			}
+			a, err := c.Do(r)
+			if err != nil {
+				return 0, err.Error()
+			}
+			defer a.Body.Close()
+			text := make([]byte, 1<<10)
+			n, _ := a.Body.Read(text)
+			return a.StatusCode, string(text[:n])
+		}
+		var all sync.WaitGroup
+		answers := make([]string, 3)
+		for i := range answers {
+			all.Go(func() {
+				time.Sleep(time.Duration(i) * 10 * time.Millisecond)
+				status, text := post("p1")
+				answers[i] = fmt.Sprint(status, text)
+			})
+		}
+		all.Wait()
+		if status, text := post("p1"); answers[0] != fmt.Sprint(status, text) || !strings.HasPrefix(answers[0], "200") ||
+			answers[1] != answers[0] || answers[2] != answers[0] {
+			w.Errorf("%q and %d %s", answers, status, text)
+		}
+		if b.effects["p1.0"] != 1 || b.count.Joined.Load() != 2 || b.count.Repeated.Load() < 1 {
+			w.Errorf("ran %v, %d joined, %d repeated", b.effects, b.count.Joined.Load(), b.count.Repeated.Load())
+		}
+		time.Sleep(time.Second)
+	})
+}
+
+// A link cut one way, in silence: queries end in time, the way is closed within seconds, and opened again.
+func TestCutOneWay(t *testing.T) {
+	play(t, []string{"a", "b"}, func(w *world) {
+		a := w.sites["a"]
+		a.core.Evacuate(true)
+		w.carried("a", "warm", "look")
+		w.links["a>b"].Set(link.Way{}, link.Way{Cut: true})
+		for i := range 20 {
+			if got := a.ask(w.Context(), fmt.Sprint("c", i), "look", 2*time.Second); strings.HasPrefix(got, "late") || got == "left" {
+				w.Error(got)
+			}
+		}
+		time.Sleep(5 * time.Second)
+		began := time.Now()
+		if got := a.ask(w.Context(), "d", "look", 2*time.Second); got != "declined" || time.Since(began) > 0 {
+			w.Errorf("with the way closed %s after %v", got, time.Since(began))
+		}
+		w.links["a>b"].Set(link.Way{}, link.Way{})
+		time.Sleep(5 * time.Second)
+		if got := w.carried("a", "e", "look"); !strings.HasPrefix(got, "whole b") {
+			w.Error(got)
+		}
+	})
+}
+
+// Three sites that all send what they get: a query crosses two links at most, and ends declined once.
+func TestLoop(t *testing.T) {
+	play(t, []string{"a", "b", "c"}, func(w *world) {
+		for _, s := range w.sites {
+			s.core.Evacuate(true)
+		}
+		for i := range 30 {
+			if got := w.sites["a"].ask(w.Context(), fmt.Sprint("l", i), "look", 2*time.Second); got != "declined" {
+				w.Errorf("%s", got)
+			}
+			time.Sleep(300 * time.Millisecond)
+		}
+		a, b, c := w.sites["a"].count, w.sites["b"].count, w.sites["c"].count
+		if a.Carried.Load() == 0 || a.Taken.Load() != 0 || b.Taken.Load()+c.Taken.Load() > 2*a.Carried.Load() {
+			w.Errorf("a carried %d and took %d, b took %d, c took %d", a.Carried.Load(), a.Taken.Load(), b.Taken.Load(), c.Taken.Load())
+		}
+	})
+}
+
+// Danger: a peer's answer with a part that was not asked for, or one twice, must not be passed on.
+func TestDecode(t *testing.T) {
+	q := node.Query{Parts: []node.Part{{Shard: 1}, {Shard: 2}}}
+	for text, want := range map[string]bool{
+		`{"all_in":true,"matches":[{"segment":1,"payload":"x"},{"segment":2,"payload":"y"}]}`: true,
+		`{"all_in":false,"matches":[{"segment":1,"payload":"x"}]}`:                            true,
+		`{"all_in":true,"matches":[{"segment":1,"payload":"x"},{"segment":1,"payload":"y"}]}`: false,
+		`{"all_in":true,"matches":[{"segment":3,"payload":"x"}]}`:                             false,
+		`{"all_in":true,"matches":[]}`:                                                        false, `{`: false, `{"matches":[{"segment":1,"segment":2,"payload":"x"}]}`: false,
+	} {
+		if _, err := decode(q, text); (err == nil) != want || err != nil && !errors.Is(err, errAnswer) {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
--- /dev/null
+++ b/gateway/long_test.go
@@ -0,0 +1,182 @@
+package gateway
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"sync"
+	"testing"
+	"text/tabwriter"
+	"time"
+
+	"willowsill/balance"
+	"willowsill/node"
+	"willowsill/standin/link"
+)
+
+var long = flag.Bool("long", false, "play half an hour of two sites, and three baselines; else a few minutes of the gateway alone")
+
+// policy is how a query is served in a run: by the gateway, or by a baseline.
+type policy string
+
+const (
+	byRoutes policy = "gateway"
+	nowhere  policy = "no gateway"
+	all      policy = "all that is declined"
+	half     policy = "half and half"
+)
+
+// serve serves one query by a policy. The baselines use the same way, core and module.
+func (p policy) serve(ctx context.Context, s *site, q node.Query, coin bool) (node.Answer, bool) {
+	carry := func(declined node.Answer) (node.Answer, bool) {
+		s.core.mu.Lock()
+		s.core.limits[0].Take() // carry gives its room back
+		s.core.mu.Unlock()
+		return s.core.carry(ctx, q, 0, declined)
+	}
+	switch p {
+	case nowhere:
+		return s.node.Serve(ctx, q)
+	case all:
+		a, ok := s.node.Serve(ctx, q)
+		if !ok || a.Final != balance.Declined {
+			return a, ok
+		}
+		return carry(a)
+	case half:
+		if coin {
+			return carry(node.Answer{Final: balance.Declined})
+		}
+		return s.node.Serve(ctx, q)
+	}
+	return s.core.Serve(ctx, q)
+}
+
+// tally is what came of the queries of one phase.
+type tally struct{ asked, goal, late, declined, failed, lost int }
+
+func (t tally) share() float64 { return float64(t.goal) / float64(max(t.asked, 1)) }
+
+// halfHour plays two sites of which one is dark in the middle, and returns what came of each phase: before, dark, after.
+func halfHour(t *testing.T, p policy, whole time.Duration) (phases [3]tally, most int, carried int64) {
+	play(t, []string{"a", "b"}, func(w *world) {
+		far := link.Way{Delay: 80 * time.Millisecond, Jitter: 10 * time.Millisecond, Loss: 0.01, Stall: 200 * time.Millisecond}
+		w.links["a>b"].Set(far, far)
+		w.links["b>a"].Set(far, far)
+		began := time.Now()
+		phase := func() int {
+			switch since := time.Since(began); {
+			case since < whole*3/10:
+				return 0
+			case since < whole*6/10:
+				return 1
+			}
+			return 2
+		}
+		var mu sync.Mutex
+		var under sync.WaitGroup
+		var pay []string // queries whose parts must run once, at whichever site
+		for n, name := range []string{"a", "b"} {
+			s := w.sites[name]
+			s.mu.Lock()
+			s.workers = make(chan struct{}, 6)
+			s.mu.Unlock()
+			chance := rand.New(rand.NewPCG(7, uint64(n)))
+			under.Go(func() {
+				for i := 0; time.Since(began) < whole; i++ {
+					time.Sleep(time.Duration(chance.ExpFloat64() * 1e9 / 20))
+					coin, workload, number := chance.IntN(2) == 0, chance.IntN(3), phase()
+					if name == "a" {
+						s.mu.Lock()
+						s.silent = number == 1
+						s.mu.Unlock()
+					}
+					under.Go(func() {
+						asked := time.Now()
+						patience := 3 * time.Second
+						a, ok := p.serve(w.Context(), s, node.Query{ID: fmt.Sprint(name, i), Workload: workload,
+							Until: s.node.Clock.Now() + int64(patience), Text: []byte("t"),
+							Parts: []node.Part{{Shard: 0, Weight: 0.5}, {Shard: 1, Weight: 0.5}}}, coin)
+						took := time.Since(asked)
+						mu.Lock()
+						defer mu.Unlock()
+						if workload == workloads["pay"] {
+							pay = append(pay, fmt.Sprint(name, i))
+						}
+						row := &phases[number]
+						row.asked++
+						switch {
+						case !ok || took > patience:
+							row.lost++
+						case a.Final == balance.Whole && took <= 1500*time.Millisecond:
+							row.goal++
+						case a.Final == balance.Whole:
+							row.late++
+						case a.Final == balance.Declined:
+							row.declined++
+						default:
+							row.failed++
+						}
+						if name == "a" {
+							s.core.mu.Lock()
+							most = max(most, s.core.limits[0].InFlight())
+							s.core.mu.Unlock()
+						}
+					})
+				}
+			})
+		}
+		under.Wait()
+		carried = w.sites["a"].count.Carried.Load()
+		a, b := w.sites["a"], w.sites["b"]
+		for _, id := range pay {
+			for _, part := range []string{".0", ".1"} {
+				a.mu.Lock()
+				times := a.effects[id+part]
+				a.mu.Unlock()
+				b.mu.Lock()
+				times += b.effects[id+part]
+				b.mu.Unlock()
+				if times > 1 {
+					w.Errorf("%s%s, which must run once, ran %d times", id, part, times)
+				}
+			}
+		}
+	})
+	return phases, most, carried
+}
+
+// TestHalfHour plays two sites with 80 ms of way each and a loss of 1%, one of them dark in the middle: no query is lost,
+// and the gateway serves more than without. With -long it is half an hour, against three baselines.
+func TestHalfHour(t *testing.T) {
+	whole, policies := 3*time.Minute, []policy{byRoutes, nowhere}
+	if *long {
+		whole, policies = 30*time.Minute, []policy{byRoutes, nowhere, all, half}
+	}
+	table := tabwriter.NewWriter(os.Stdout, 0, 0, 1, ' ', 0)
+	fmt.Fprintln(table, "| policy\t| phase\t| asked\t| within goal\t| late\t| declined\t| failed\t| lost\t|")
+	shares := map[policy][3]tally{}
+	for _, p := range policies {
+		phases, most, carried := halfHour(t, p, whole)
+		shares[p] = phases
+		for i, row := range phases {
+			fmt.Fprintf(table, "| %s\t| %s\t| %d\t| %.4f\t| %d\t| %d\t| %d\t| %d\t|\n", p, []string{"before", "dark", "after"}[i],
+				row.asked, row.share(), row.late, row.declined, row.failed, row.lost)
+			if row.lost > 0 {
+				t.Errorf("%s: %d queries lost", p, row.lost)
+			}
+		}
+		t.Logf("%s: %d carried, at most %d in flight", p, carried, most)
+	}
+	if testing.Verbose() {
+		table.Flush()
+	}
+	if with, without := shares[byRoutes][1].share(), shares[nowhere][1].share(); with < without+0.1 {
+		t.Errorf("while one site is dark %.3f are served within the goal, %.3f without a gateway", with, without)
+	}
+	if before, after := shares[byRoutes][0].share(), shares[byRoutes][2].share(); after < before-0.05 {
+		t.Errorf("%.3f before and %.3f after", before, after)
+	}
+}
--- a/operator/functions.go
+++ b/operator/functions.go
@@ -27,10 +27,12 @@
 	number
 	span // a time: "250ms"
 	size // bytes: "64MiB"
+	addresses
 )
 
 var kinds = [...]string{"a string", "a file's path", "an address HOST:PORT", "True or False", "a whole number",
-	"a number", `a time such as "250ms"`, `a size such as "64MiB"`}
+	"a number", `a time such as "250ms"`, `a size such as "64MiB"`,
+	"a list of addresses HOST:PORT"}
 
 // parameter is one key of a function. Least and most are in the value's own unit: ns, bytes or as written.
 type parameter struct {
@@ -62,6 +64,7 @@
 func (c call) truth(key string) bool     { return c.values[key].(bool) }
 func (c call) whole(key string) int64    { return c.values[key].(int64) }
 func (c call) number(key string) float64 { return c.values[key].(float64) }
+func (c call) list(key string) []string  { return c.values[key].([]string) }
 
 // tried tells whether the script named the key, be it with a wrong value.
 func (c call) tried(named []starlark.Tuple, key string) bool {
@@ -123,6 +126,33 @@
 		}
 		return nil
 	}},
+	"site": {name: "site", help: "names this site and opens a door for other sites' gateways", parameters: []*parameter{
+		{name: "name", kind: text, help: "as other sites' links and certificates have it"},
+		{name: "listen", kind: address, help: "for other sites' gateways"},
+		{name: "cert_file", kind: file, help: "PEM, for NAME.gateway; read at each handshake"},
+		{name: "key_file", kind: file, help: "PEM"},
+		{name: "ca_file", kind: file, help: "PEM, of the authority of all sites"},
+		{name: "remember", kind: file, unset: "", help: "where ids are kept over a planned restart"},
+		{name: "dark", kind: truth, unset: false, help: "nothing new is asked here; SIGHUP changes it"},
+	}, order: func(o *Orders, c call) error {
+		o.Site = &Site{c.text("name"), c.text("listen"), c.text("cert_file"), c.text("key_file"), c.text("ca_file"),
+			c.text("remember"), c.truth("dark")}
+		return siteName(o.Site.Name, "name")
+	}},
+	"link": {name: "link", many: true, help: "is the way to another site", parameters: []*parameter{
+		{name: "to", kind: text, help: "the other site's name"},
+		{name: "gateways", kind: addresses, help: "where its gateways listen"},
+		{name: "queries", kind: number, unset: 50.0, least: 0.1, most: 1e6, help: "a second, at most"},
+		{name: "bytes", kind: size, unset: int64(1 << 20), least: 1024, help: "a second, at most"},
+		{name: "cost", kind: number, unset: 0.05, most: 1e6, help: "of one query carried, in revenue"},
+	}, order: func(o *Orders, c call) error {
+		l := Link{c.text("to"), c.list("gateways"), c.number("queries"), c.whole("bytes"), c.number("cost")}
+		if slices.ContainsFunc(o.Links, func(was Link) bool { return was.To == l.To }) {
+			return fmt.Errorf("key %q: there is a link to %q already", "to", l.To)
+		}
+		o.Links = append(o.Links, l)
+		return siteName(l.To, "to")
+	}},
 	"quota": {name: "quota", many: true, help: "what one customer may ask for over all aggregators", parameters: []*parameter{
 		{name: "customer", kind: text, help: "as its queries name it"},
 		{name: "rate", kind: number, least: 0.001, most: 1e7, help: "queries a second"},
@@ -140,9 +170,28 @@
 	}},
 }
 
+// siteName checks a site's name, which stands in certificates and headers.
+func siteName(name, key string) error {
+	if name == "" || strings.Trim(name, "abcdefghijklmnopqrstuvwxyz0123456789-") != "" {
+		return fmt.Errorf("key %q: %q is not made of a to z, digits and hyphens", key, name)
+	}
+	return nil
+}
+
 // together checks what no function can check alone.
 func (r *reader) together() {
 	o := r.orders
+	site, isSite := r.once["site"]
+	link, isLink := r.once["link"]
+	switch {
+	case len(r.faults) > 0:
+	case isLink && !isSite:
+		r.complain(link, "link: site is missing")
+	case isSite && !isLink:
+		r.complain(site, "site: it has no link to another")
+	case isSite && slices.ContainsFunc(o.Links, func(l Link) bool { return l.To == o.Site.Name }):
+		r.complain(link, "link: key %q is this site", "to")
+	}
 	if at, there := r.once["quota"]; there && (o.Store == nil || !o.Store.Quotas) && len(r.faults) == 0 {
 		r.complain(at, "quota: nothing keeps it; shared_store with quotas = True is missing")
 	}
@@ -162,11 +211,24 @@
 		if !isText {
 			return nil, wrong
 		}
-		host, port, err := net.SplitHostPort(s)
-		if n, e := strconv.Atoi(port); err != nil || e != nil || n < 1 || n > 65535 || host == "" {
+		if !isAddress(s) {
 			return nil, fmt.Errorf("is %q, not %s", s, kinds[p.kind])
 		}
 		return s, nil
+	case addresses:
+		list, ok := v.(*starlark.List)
+		if !ok || list.Len() == 0 {
+			return nil, wrong
+		}
+		var all []string
+		for one := range list.Elements() {
+			s, isText := starlark.AsString(one)
+			if !isText || !isAddress(s) || slices.Contains(all, s) {
+				return nil, fmt.Errorf("has %v, no address HOST:PORT or one that stands twice", one)
+			}
+			all = append(all, s)
+		}
+		return all, nil
 	case truth:
 		b, ok := v.(starlark.Bool)
 		if !ok {
@@ -206,6 +268,12 @@
 	}
 }
 
+func isAddress(s string) bool {
+	host, port, err := net.SplitHostPort(s)
+	n, e := strconv.Atoi(port)
+	return err == nil && e == nil && n >= 1 && n <= 65535 && host != ""
+}
+
 // within checks the limits of a value.
 func (p *parameter) within(x float64, as string) error {
 	if x < p.least || p.most > 0 && x > p.most {
@@ -234,6 +302,12 @@
 		return "False"
 	case string:
 		return strconv.Quote(v)
+	case []string:
+		quoted := make([]string, len(v))
+		for i, s := range v {
+			quoted[i] = strconv.Quote(s)
+		}
+		return "[" + strings.Join(quoted, ", ") + "]"
 	}
 	return "none"
 }
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -33,6 +33,8 @@
 	File   string
 	Store  *Store
 	Quotas []Quota
+	Site   *Site
+	Links  []Link
 
 	said []call // as the script said it, for Explain
 }
@@ -53,6 +55,26 @@
 	Quotas       bool   // quotas are kept over all aggregators
 }
 
+// Site is this site among others, and the door that their gateways come in by.
+type Site struct {
+	Name     string
+	Listen   string // HOST:PORT for other sites' gateways
+	CertFile string // of this site's gateway, as is KeyFile
+	KeyFile  string
+	CAFile   string // of the authority of all sites' certificates
+	Remember string // where ids are kept over a planned restart; empty for nowhere
+	Dark     bool   // nothing new is asked of this site's replicas
+}
+
+// Link is the way to another site.
+type Link struct {
+	To       string
+	Gateways []string
+	Queries  float64 // a second, at most
+	Bytes    int64   // a second, at most
+	Cost     float64 // of one query carried, in revenue
+}
+
 // Quota is what one customer may ask for over all aggregators.
 type Quota struct {
 	Customer string
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -92,7 +92,14 @@
 		"user":      {`shared_store(address = "h:1", user = "u")`, `"password_file"`},
 		"prefix":    {`shared_store(address = "h:1", prefix = "a*")`, `"prefix"`},
 		"deadline":  {`shared_store(address = "h:1", deadline = "1s")`, `"deadline" is longer`},
-		"twice":     {"shared_store(address = 'h:1')\nquota(customer='a', rate=1)\nquota(customer='a', rate=2)", "a quota already"},
+		"no site":   {`link(to = "b", gateways = ["h:1"])`, "site is missing"},
+		"no link":   {`site(name = "a", listen = "h:1", cert_file = "c", key_file = "k", ca_file = "r")`, "no link"},
+		"gateways":  {`link(to = "b", gateways = ["h:1", "h"])`, `"h", no address`},
+		"none":      {`link(to = "b", gateways = [])`, "not a list of addresses"},
+		"site name": {`link(to = "B b", gateways = ["h:1"])`, "hyphens"},
+		"to itself": {`site(name = "a", listen = "h:1", cert_file = "c", key_file = "k", ca_file = "r")
+link(to = "a", gateways = ["h:1"])`, "is this site"},
+		"twice": {"shared_store(address = 'h:1')\nquota(customer='a', rate=1)\nquota(customer='a', rate=2)", "a quota already"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			_, err := Read(beside(t, "a.star", c[0], "a2.star", `load("a2.star", "x")`))
@@ -122,7 +129,7 @@
 		o, err := Read(file)
 		if err != nil {
 			t.Error(err)
-		} else if on := len(o.said) > 0; on != strings.Contains(file, "store") {
+		} else if on := len(o.said) > 0; on == (strings.Contains(file, "deploy") || strings.Contains(file, "customers")) {
 			t.Errorf("%s: switched on: %v", file, on)
 		}
 	}
--- /dev/null
+++ b/routes/routes.go
@@ -0,0 +1,350 @@
+// Package routes decides for one site how many of each workload's queries go over which link to other sites. It does
+// no I/O and reads no clock.
+//
+// Decides: what stays, what goes where, how much of a link is used, who may be asked at all, how a site is left and
+// taken up again.
+//
+// How to call it: New at the start. Facts go in by Asked, Carried, Linked, Willing and Evacuate; Decide(now), at intervals,
+// returns a plan; Route is asked for each query that the own site will not serve, and goes by the plan.
+package routes
+
+import (
+	"math"
+	"slices"
+)
+
+const (
+	hopsMost     = 2    // links that a query may cross
+	fade         = 0.5  // of the newest interval in a rate
+	riseMost     = 1.0  // of a link's rate, in an interval: a plan grows no faster, but for the first few queries,
+	fallMost     = 0.5  // and shrinks no faster, but where the other site or the link says so
+	band         = 0.1  // of a rate: a plan that differs by less is not followed
+	returnShare  = 0.2  // of a link, kept for what the other site may have to send this way
+	burstFor     = 1.0  // seconds of a route's rate that may go at once, and
+	burstLeast   = 3.0  // queries at least: they come by chance
+	headroom     = 1.25 // times the excess is planned for, for the same reason
+	refusedMost  = 0.25 // of what was carried there: with more refused a site is asked for less
+	backOff      = 0.8  // times what it took, then
+	forward      = 0.04 // more each interval, else;
+	forwardFirst = 1.0  // and as much until it has refused once, or when nothing was refused for long
+	forgotten    = 60   // intervals without a refusal: that is long
+	rampFor      = 20e9 // ns over which an evacuated site takes its own queries again
+	sureFor      = 5e9  // ns that what another site said of itself holds
+	spareWays    = 2.0  // times the way there and back that a query must have left beyond the far site's time
+	leastRate    = 0.2  // queries a second: enough to find out whether a site takes any
+	firstRate    = 4.0  // queries a second that a site not tried yet is thought to take, and that a plan may begin with
+	lossDiscount = 4.0  // a link that loses a share of its queries counts for so much less of its limit
+)
+
+// Workload is what is told of one kind of query. Revenue is of one served within its goal; Bytes are there and back.
+type Workload struct {
+	Name    string
+	Revenue float64
+	Bytes   float64
+	Serves  int64 // the time that a site takes for one, typically, ns
+}
+
+// Link is one way to another site.
+type Link struct {
+	Site    string
+	Queries float64 // a second, at most
+	Bytes   float64 // a second, at most
+	Cost    float64 // of one query carried, in revenue
+}
+
+// Terms are what a site is told. Times in ns.
+type Terms struct {
+	Site      string
+	Workloads []Workload
+	Links     []Link
+	Interval  int64 // between two plans
+}
+
+// Figures are a link's at present.
+type Figures struct {
+	Delay  int64   // there and back, ns
+	Loss   float64 // share of queries that came to nothing on the way
+	Usable bool
+}
+
+// Plan is what goes where: queries a second of each workload over each link.
+type Plan struct {
+	Rates   [][]float64 // by workload, then link
+	Local   float64     // share of the own queries that the own site is asked for
+	Value   float64     // revenue a second that the plan expects to save
+	Greedy  bool        // the solver gave no answer in time, and the plan is the simple one
+	Changed bool
+}
+
+type flow struct {
+	tokens float64
+	at     int64
+}
+
+// opinion is what is known of how much another site takes of a workload.
+type opinion struct {
+	told    float64 // as it said, queries a second; below 0 for nothing said
+	toldAt  int64
+	learned float64 // as its answers show
+	calm    int     // intervals since it refused last, 0 for never
+	carried float64 // in this interval
+	refused float64
+}
+
+// Routes decides for one site.
+type Routes struct {
+	Terms
+	Solve    func(Problem) (Plan, bool) // the planner; false where it has no answer
+	excess   []float64                  // queries a second of each workload that the own site would not serve
+	missed   []float64                  // in this interval
+	links    []Figures
+	opinions [][]opinion // by workload, then link
+	plan     Plan
+	flows    [][]flow
+	decided  int64
+	dark     bool
+	since    int64 // it is dark, or light again, since then; 0 for always light
+}
+
+// New makes a site's routes at its start.
+func New(now int64, t Terms) *Routes {
+	r := &Routes{Terms: t, Solve: Simplex, excess: make([]float64, len(t.Workloads)), missed: make([]float64, len(t.Workloads)),
+		links: make([]Figures, len(t.Links)), decided: now}
+	r.plan.Local = 1
+	for range t.Workloads {
+		row := make([]opinion, len(t.Links))
+		for i := range row {
+			row[i] = opinion{told: -1, learned: firstRate}
+		}
+		r.opinions = append(r.opinions, row)
+		r.flows = append(r.flows, make([]flow, len(t.Links)))
+		r.plan.Rates = append(r.plan.Rates, make([]float64, len(t.Links)))
+	}
+	return r
+}
+
+// Missed tells of a query of the own clients that the own site would not serve, or not within its goal.
+func (r *Routes) Missed(workload int) { r.missed[workload]++ }
+
+// Carried tells how a query that went over a link ended there.
+func (r *Routes) Carried(workload, link int, refused bool) {
+	o := &r.opinions[workload][link]
+	o.carried++
+	if refused {
+		o.refused++
+	}
+}
+
+// Linked tells a link's figures.
+func (r *Routes) Linked(link int, f Figures) { r.links[link] = f }
+
+// Willing tells how many queries a second another site says it would take.
+func (r *Routes) Willing(now int64, workload, link int, rate float64) {
+	o := &r.opinions[workload][link]
+	o.told, o.toldAt = max(rate, 0), now
+}
+
+// Evacuate leaves the own site, or takes it up again over a ramp.
+func (r *Routes) Evacuate(now int64, dark bool) {
+	if r.dark != dark {
+		r.dark, r.since = dark, now
+	}
+}
+
+// Local is the share of the own queries that the own site is asked for: none while it is dark, all when it is long light.
+func (r *Routes) Local(now int64) float64 {
+	switch {
+	case r.dark:
+		return 0
+	case r.since == 0:
+		return 1
+	}
+	return min(float64(now-r.since)/rampFor, 1)
+}
+
+// Next is when Decide wants to be called again.
+func (r *Routes) Next() int64 { return r.decided + r.Interval }
+
+// Decide makes a new plan.
+func (r *Routes) Decide(now int64) Plan {
+	span := max(float64(now-r.decided)/1e9, 1e-3)
+	r.decided = now
+	for w := range r.excess {
+		r.excess[w] += fade * (r.missed[w]/span - r.excess[w])
+		r.missed[w] = 0
+		for l := range r.Links {
+			r.learn(now, w, l, span)
+		}
+	}
+	p := r.problem(now)
+	plan, solved := r.Solve(p)
+	if !solved {
+		plan = Greedy(p)
+		plan.Greedy = true
+	}
+	plan.Local = r.Local(now)
+	r.follow(&plan, p)
+	r.plan = plan
+	return plan
+}
+
+// learn draws what another site takes from how it answered.
+//
+// Danger: two sites that are both short would hand each other what neither serves. A site that refuses is asked for
+// less at once and for more only slowly, so what goes to and fro dies down.
+func (r *Routes) learn(now int64, w, l int, span float64) {
+	o := &r.opinions[w][l]
+	if rate := o.carried / span; o.carried > 0 {
+		if o.refused > refusedMost*o.carried {
+			o.learned = max(min(o.learned, rate)*backOff, leastRate)
+			o.calm = 1
+		} else if rate > o.learned*(1-riseMost) { // what is not used says nothing
+			step := forward
+			if o.calm == 0 || o.calm > forgotten {
+				step = forwardFirst
+			}
+			o.learned = max(o.learned, rate)*(1+step) + leastRate*step
+		}
+		if o.calm > 0 {
+			o.calm++
+		}
+	}
+	o.carried, o.refused = 0, 0
+	if o.told >= 0 && now-o.toldAt > sureFor {
+		o.told = -1
+	}
+}
+
+// takes is how many queries a second a site is thought to take.
+func (o *opinion) takes() float64 {
+	switch {
+	case o.told >= 0 && o.calm == 0: // it has refused nothing yet: its word is all there is
+		return o.told
+	case o.told >= 0:
+		return min(o.told, o.learned)
+	}
+	return o.learned
+}
+
+// Problem is what a planner solves: the greatest revenue within the excess, what others take, and the links.
+type Problem struct {
+	Worth   [][]float64 // of one query of a workload over a link, what it costs taken off; 0 or less for never
+	Excess  []float64   // queries a second, by workload
+	Takes   [][]float64 // by workload and link, at most
+	Queries []float64   // by link, at most
+	Bytes   []float64   // by link, at most
+	Weight  []float64   // bytes of a query, by workload
+}
+
+func (r *Routes) problem(now int64) Problem {
+	p := Problem{}
+	for _, rate := range r.excess {
+		p.Excess = append(p.Excess, headroom*rate)
+	}
+	for _, l := range r.links {
+		share := 0.0
+		if l.Usable {
+			share = (1 - returnShare) * max(1-lossDiscount*l.Loss, 0)
+		}
+		i := len(p.Queries)
+		p.Queries = append(p.Queries, share*r.Links[i].Queries)
+		p.Bytes = append(p.Bytes, share*r.Links[i].Bytes)
+	}
+	for w, load := range r.Workloads {
+		p.Weight = append(p.Weight, load.Bytes)
+		worth, takes := make([]float64, len(r.Links)), make([]float64, len(r.Links))
+		for l := range r.Links {
+			worth[l] = load.Revenue*(1-r.links[l].Loss) - r.Links[l].Cost
+			takes[l] = r.opinions[w][l].takes()
+		}
+		p.Worth, p.Takes = append(p.Worth, worth), append(p.Takes, takes)
+	}
+	return p
+}
+
+// follow moves from the old plan to the new one in steps.
+//
+// Danger: a plan that jumps with every interval has the far site decline what the near one just sent, and the next
+// plan undo it. Small differences are passed over, growth is slow; limits are kept at once whatever the old plan was.
+func (r *Routes) follow(plan *Plan, p Problem) {
+	for w := range plan.Rates {
+		for l := range plan.Rates[w] {
+			was, want := r.plan.Rates[w][l], plan.Rates[w][l]
+			rate := min(max(want, was*(1-fallMost)), was*(1+riseMost)+firstRate)
+			if math.Abs(want-was) <= band*was {
+				rate = was
+			}
+			plan.Rates[w][l] = min(rate, p.Takes[w][l])
+			if p.Worth[w][l] <= 0 {
+				plan.Rates[w][l] = 0
+			}
+		}
+	}
+	for l := range p.Queries { // the links' limits hold for what is followed, not only for what was planned
+		queries, bytes := 0.0, 0.0
+		for w := range plan.Rates {
+			queries += plan.Rates[w][l]
+			bytes += plan.Rates[w][l] * p.Weight[w]
+		}
+		scale := 1.0
+		if queries > p.Queries[l] {
+			scale = min(scale, p.Queries[l]/queries)
+		}
+		if bytes > p.Bytes[l] {
+			scale = min(scale, p.Bytes[l]/bytes)
+		}
+		for w := range plan.Rates {
+			plan.Rates[w][l] *= scale
+		}
+	}
+	plan.Value = 0
+	for w := range plan.Rates {
+		for l, rate := range plan.Rates[w] {
+			plan.Value += rate * p.Worth[w][l]
+			plan.Changed = plan.Changed || rate != r.plan.Rates[w][l]
+		}
+	}
+}
+
+// Query is one that the own site does not serve.
+type Query struct {
+	Workload int
+	Left     int64    // of its client's time, ns
+	Visited  []string // sites that it came through, the own one left out
+}
+
+// Route returns the link that a query goes over, or -1. The way with the most tokens in hand is taken, so a plan over
+// several links is followed query by query.
+//
+// Danger: a query that goes round between sites uses every link and is served nowhere; one whose time is nearly up comes
+// back too late. Neither leaves.
+func (r *Routes) Route(now int64, q Query) int {
+	if len(q.Visited) >= hopsMost {
+		return -1
+	}
+	best, most := -1, 1.0
+	for l, link := range r.Links {
+		if link.Site == r.Site || slices.Contains(q.Visited, link.Site) || !r.links[l].Usable ||
+			q.Left < int64(spareWays*float64(r.links[l].Delay))+r.Workloads[q.Workload].Serves {
+			continue
+		}
+		if f := r.fill(now, q.Workload, l); f.tokens >= most {
+			best, most = l, f.tokens
+		}
+	}
+	if best >= 0 {
+		r.flows[q.Workload][best].tokens--
+	}
+	return best
+}
+
+// fill lets time pass over a route's tokens.
+func (r *Routes) fill(now int64, w, l int) *flow {
+	f, rate := &r.flows[w][l], r.plan.Rates[w][l]
+	f.tokens = min(f.tokens+rate*float64(now-f.at)/1e9, max(rate*burstFor, burstLeast))
+	f.at = now
+	if rate == 0 {
+		f.tokens = 0
+	}
+	return f
+}
--- /dev/null
+++ b/routes/routes_test.go
@@ -0,0 +1,290 @@
+package routes
+
+import (
+	"fmt"
+	"math"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+const second = int64(1e9)
+
+func someProblem(t *rapid.T) Problem {
+	workloads, links := rapid.IntRange(1, 5).Draw(t, "workloads"), rapid.IntRange(1, 4).Draw(t, "links")
+	rate := rapid.Float64Range(0, 200)
+	var p Problem
+	for range links {
+		p.Queries = append(p.Queries, rate.Draw(t, "queries"))
+		p.Bytes = append(p.Bytes, 1000*rate.Draw(t, "bytes"))
+	}
+	for range workloads {
+		p.Excess = append(p.Excess, rate.Draw(t, "excess"))
+		p.Weight = append(p.Weight, rapid.Float64Range(0, 5000).Draw(t, "weight"))
+		var worth, takes []float64
+		for range links {
+			worth = append(worth, rapid.Float64Range(-1, 10).Draw(t, "worth"))
+			takes = append(takes, rate.Draw(t, "takes"))
+		}
+		p.Worth, p.Takes = append(p.Worth, worth), append(p.Takes, takes)
+	}
+	return p
+}
+
+func (p Problem) kept(t *rapid.T, name string, rates [][]float64) {
+	const grain = 1e-4
+	for w := range rates {
+		sum := 0.0
+		for l, rate := range rates[w] {
+			sum += rate
+			if rate < 0 || rate > p.Takes[w][l]+grain || rate > 0 && p.Worth[w][l] <= 0 {
+				t.Fatalf("%s: %v of workload %d over link %d, %v are taken, worth %v", name, rate, w, l, p.Takes[w][l], p.Worth[w][l])
+			}
+		}
+		if sum > p.Excess[w]+grain {
+			t.Fatalf("%s: %v of an excess of %v", name, sum, p.Excess[w])
+		}
+	}
+	for l := range p.Queries {
+		queries, bytes := 0.0, 0.0
+		for w := range rates {
+			queries += rates[w][l]
+			bytes += rates[w][l] * p.Weight[w]
+		}
+		if queries > p.Queries[l]+grain || bytes > p.Bytes[l]*(1+grain)+1 {
+			t.Fatalf("%s: over link %d %v of %v queries, %v of %v bytes", name, l, queries, p.Queries[l], bytes, p.Bytes[l])
+		}
+	}
+}
+
+// Both planners keep every limit, and the solver's plan is never worth less.
+func TestPlanners(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := someProblem(t)
+		simple := Greedy(p)
+		p.kept(t, "greedy", simple.Rates)
+		best, solved := Simplex(p)
+		if !solved {
+			return
+		}
+		p.kept(t, "simplex", best.Rates)
+		if best.Value < simple.Value-1e-3*max(simple.Value, 1) {
+			t.Fatalf("the solver's plan is worth %v, the simple one %v", best.Value, simple.Value)
+		}
+	})
+}
+
+// Where a cheap query blocks the link that a dear one needs, the simple plan loses and the solver's does not.
+func TestWorthOfSolver(t *testing.T) {
+	p := Problem{Worth: [][]float64{{3, 2.9}, {2.5, 0}}, Excess: []float64{100, 100}, Takes: [][]float64{{100, 100}, {100, 0}},
+		Queries: []float64{100, 100}, Bytes: []float64{1e9, 1e9}, Weight: []float64{1, 1}}
+	best, solved := Simplex(p)
+	if simple := Greedy(p); !solved || math.Abs(best.Value-540) > 1 || simple.Value > 301 {
+		t.Errorf("%v, %v and %v", solved, best.Value, simple.Value)
+	}
+}
+
+func two(name, other string, queries float64) Terms {
+	return Terms{Site: name, Interval: second, Workloads: []Workload{{"lookup", 1, 1000, 50e6}, {"report", 4, 4000, 100e6}},
+		Links: []Link{{other, queries, 1e6, 0.1}}}
+}
+
+// site is a model of one site: it serves so much of each workload, its own first.
+type site struct {
+	*Routes
+	capacity float64
+	own      float64 // queries a second of each workload
+	carried  []float64
+	sent     [][]float64 // by interval, of each workload
+}
+
+// play has two sites route for each other for some intervals; change may change them in each.
+func play(intervals int, a, b *site, change func(i int)) {
+	sites := []*site{a, b}
+	now := int64(0)
+	for _, s := range sites {
+		s.Linked(0, Figures{Delay: 160e6, Usable: true})
+		s.carried = make([]float64, 2)
+	}
+	for i := range intervals {
+		if change != nil {
+			change(i)
+		}
+		now += second
+		next := [][]float64{make([]float64, 2), make([]float64, 2)}
+		for n, s := range sites {
+			room, far := s.capacity*s.Local(now), sites[1-n]
+			for w := range 2 { // its own first
+				served := min(s.own, room)
+				room -= served
+				excess := s.own - served
+				for range int(excess) {
+					s.Missed(w)
+				}
+				sent := 0.0
+				for k := range int(excess) { // one after the other through the interval
+					if s.Route(now-second+int64(float64(second)*float64(k)/excess), Query{Workload: w, Left: 2 * second}) == 0 {
+						sent++
+					}
+				}
+				next[n][w] = sent
+			}
+			for w := range 2 { // then what the other one sent
+				for range int(s.carried[w]) {
+					far.Carried(w, 0, room < 1)
+					room = max(room-1, 0)
+				}
+			}
+			s.sent = append(s.sent, next[n])
+		}
+		a.carried, b.carried = next[1], next[0]
+		for _, s := range sites {
+			s.Decide(now)
+		}
+	}
+}
+
+// Under constant load the routes settle: after some intervals a plan moves no more than a tenth about its mean.
+func TestSettles(t *testing.T) {
+	for _, c := range []struct{ capacityA, capacityB float64 }{{60, 200}, {60, 110}, {0, 300}, {60, 60}, {95, 120}} {
+		a := &site{Routes: New(0, two("a", "b", 100)), capacity: c.capacityA, own: 50}
+		b := &site{Routes: New(0, two("b", "a", 100)), capacity: c.capacityB, own: 50}
+		play(120, a, b, nil)
+		for _, s := range []*site{a, b} {
+			sum, least, most := 0.0, math.Inf(1), 0.0
+			tail := s.sent[80:]
+			for _, sent := range tail {
+				all := sent[0] + sent[1]
+				sum += all / float64(len(tail))
+				least, most = min(least, all), max(most, all)
+			}
+			if most-least > max(0.5*sum, 5) {
+				t.Errorf("%v: %s sends %.0f to %.0f, %.1f in the mean", c, s.Site, least, most, sum)
+			}
+			if c.capacityA == 60 && c.capacityB == 60 && sum > 10 {
+				t.Errorf("two short sites hand each other %.1f queries a second", sum)
+			}
+		}
+		if c.capacityB == 200 {
+			last := a.sent[len(a.sent)-1]
+			if last[0]+last[1] < 30 {
+				t.Errorf("of 40 that a cannot serve b, with 100 to spare, is sent %v", last)
+			}
+		}
+	}
+}
+
+// Under scarcity a link carries what is worth most for what it takes.
+func TestScarceLink(t *testing.T) {
+	a := &site{Routes: New(0, two("a", "b", 50)), capacity: 0, own: 100}
+	b := &site{Routes: New(0, two("b", "a", 50)), capacity: 500, own: 0}
+	play(60, a, b, nil)
+	last := a.plan.Rates
+	if last[1][0] < 30 || last[0][0] > 5 || last[0][0]+last[1][0] > 40.01 {
+		t.Errorf("over a link of 50 a second go %.1f lookups and %.1f reports", last[0][0], last[1][0])
+	}
+}
+
+// A site that went dark is left at once, and takes its own queries again over a ramp.
+func TestDark(t *testing.T) {
+	a := &site{Routes: New(0, two("a", "b", 500)), capacity: 200, own: 50}
+	b := &site{Routes: New(0, two("b", "a", 500)), capacity: 300, own: 20}
+	var local []float64
+	play(90, a, b, func(i int) {
+		a.Evacuate(int64(i)*second, i >= 10 && i < 50)
+		local = append(local, a.Local(int64(i)*second+1))
+	})
+	if local[9] != 1 || local[11] != 0 || local[49] != 0 || local[55] <= 0 || local[55] >= 1 || local[80] != 1 {
+		t.Errorf("the own share goes %v", local)
+	}
+	if carried := a.sent[48][0] + a.sent[48][1]; carried < 70 {
+		t.Errorf("dark for half a minute, %.0f of 100 are carried", carried)
+	}
+	if carried := a.sent[89][0] + a.sent[89][1]; carried != 0 {
+		t.Errorf("long light again, %.0f are carried", carried)
+	}
+}
+
+// Whatever happens: no query to its own site, to one it came through, over a link that is down or too slow for what
+// is left, nor after two hops; and no more tokens than the plan's rate and its burst.
+func TestRouteBounds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		links := rapid.IntRange(1, 4).Draw(t, "links")
+		terms := Terms{Site: "s9", Interval: second, Workloads: []Workload{{"lookup", 1, 1000, 50e6}}}
+		for i := range links {
+			terms.Links = append(terms.Links, Link{fmt.Sprint("s", rapid.SampledFrom([]int{i, 9}).Draw(t, "site")), 50, 1e6, 0.1})
+		}
+		r, now := New(0, terms), int64(0)
+		usable, delay := make([]bool, links), make([]int64, links)
+		spent, allowed := make([]float64, links), make([]float64, links)
+		for range rapid.IntRange(1, 20).Draw(t, "turns") {
+			for l := range links {
+				usable[l], delay[l] = rapid.Bool().Draw(t, "usable"), rapid.Int64Range(0, 400e6).Draw(t, "delay")
+				r.Linked(l, Figures{Delay: delay[l], Usable: usable[l], Loss: rapid.Float64Range(0, 0.3).Draw(t, "loss")})
+				if rapid.Bool().Draw(t, "told") {
+					r.Willing(now, 0, l, rapid.Float64Range(0, 100).Draw(t, "willing"))
+				}
+			}
+			for range rapid.IntRange(0, 60).Draw(t, "missed") {
+				r.Missed(0)
+				q := Query{Left: rapid.Int64Range(0, 2*second).Draw(t, "left")}
+				for range rapid.IntRange(0, 3).Draw(t, "hops") {
+					q.Visited = append(q.Visited, fmt.Sprint("s", rapid.IntRange(0, 3).Draw(t, "visited")))
+				}
+				l := r.Route(now, q)
+				if l < 0 {
+					continue
+				}
+				spent[l]++
+				if terms.Links[l].Site == "s9" || !usable[l] || len(q.Visited) >= hopsMost || q.Left < 2*delay[l] {
+					t.Fatalf("%+v over link %d, delay %d, usable %v", q, l, delay[l], usable[l])
+				}
+				for _, v := range q.Visited {
+					if v == terms.Links[l].Site {
+						t.Fatalf("back to %s", v)
+					}
+				}
+			}
+			now += second
+			r.Decide(now)
+			for l := range links {
+				rate := r.plan.Rates[0][l]
+				if rate > 50*(1-returnShare)+1e-6 {
+					t.Fatalf("a rate of %v over a link of 50", rate)
+				}
+				allowed[l] += rate
+				if most := allowed[l] + max(rate, 50) + burstLeast; spent[l] > most {
+					t.Fatalf("%v queries over link %d, at most %v", spent[l], l, most)
+				}
+			}
+		}
+	})
+}
+
+func BenchmarkPlan(b *testing.B) {
+	for _, size := range []struct{ workloads, links int }{{2, 1}, {4, 3}, {6, 5}} {
+		t := Terms{Site: "s", Interval: second}
+		for w := range size.workloads {
+			t.Workloads = append(t.Workloads, Workload{fmt.Sprint("w", w), float64(1 + w), 1000, 50e6})
+		}
+		for l := range size.links {
+			t.Links = append(t.Links, Link{fmt.Sprint("l", l), 100, 1e6, 0.1})
+		}
+		r := New(0, t)
+		for l := range size.links {
+			r.Linked(l, Figures{Usable: true})
+		}
+		for w := range size.workloads {
+			r.excess[w] = 50
+		}
+		p := r.problem(0)
+		for name, plan := range map[string]func(Problem) Plan{"greedy": Greedy,
+			"simplex": func(p Problem) Plan { plan, _ := Simplex(p); return plan }} {
+			b.Run(fmt.Sprint(name, " ", size.workloads, "x", size.links), func(b *testing.B) {
+				for b.Loop() {
+					plan(p)
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/standin/link/link.go
@@ -0,0 +1,212 @@
+// Package link plays a link between sites for trials and tests: what crosses it takes a time each way, and it can be cut
+// one way or both, silently or with resets. Bytes keep their order, as on TCP; what is lost there shows as a stall.
+package link
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+)
+
+// Way is how one direction behaves.
+type Way struct {
+	Delay  time.Duration
+	Jitter time.Duration // up to so much more, by chance
+	Stall  time.Duration // that a lost packet costs,
+	Loss   float64       // the share of writes that meet it
+	Rate   float64       // bytes a second; 0 for no limit
+	Cut    bool          // nothing comes through, and nobody is told
+}
+
+// Link carries connections. Its zero value is a link without delay.
+type Link struct {
+	mu      sync.Mutex
+	there   Way
+	back    Way
+	changed chan struct{}
+	ends    map[net.Conn]struct{}
+	chance  *rand.Rand
+	bytes   int64
+}
+
+// Set changes both directions from now on.
+func (l *Link) Set(there, back Way) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.there, l.back = there, back
+	if l.changed != nil {
+		close(l.changed)
+	}
+	l.changed = make(chan struct{})
+}
+
+// Reset breaks all connections.
+func (l *Link) Reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.ends {
+		c.Close()
+	}
+}
+
+// Bytes is how many have crossed.
+func (l *Link) Bytes() int64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bytes
+}
+
+type dial = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Over makes a dial function whose connections cross the link. A connection takes a way there and back to come up.
+func (l *Link) Over(to dial) dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		for _, back := range []bool{false, true} {
+			if err := l.cross(ctx, back, 0); err != nil {
+				return nil, err
+			}
+		}
+		far, err := to(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		near, mid := net.Pipe()
+		l.mu.Lock()
+		if l.ends == nil {
+			l.ends = map[net.Conn]struct{}{}
+		}
+		l.ends[mid], l.ends[far] = struct{}{}, struct{}{}
+		l.mu.Unlock()
+		var both sync.WaitGroup
+		both.Go(func() { l.copy(far, mid, false) })
+		both.Go(func() { l.copy(mid, far, true) })
+		go func() {
+			both.Wait()
+			l.mu.Lock()
+			delete(l.ends, mid)
+			delete(l.ends, far)
+			l.mu.Unlock()
+		}()
+		return near, nil
+	}
+}
+
+// packet is what was written at once, and when it arrives.
+type packet struct {
+	bytes []byte
+	at    time.Time
+}
+
+// copy carries one direction of a connection until one side ends.
+func (l *Link) copy(to, from net.Conn, back bool) {
+	gone, leave := context.WithCancel(context.Background()) // nothing more is to be read
+	defer leave()
+	defer to.Close()
+	defer from.Close()
+	queue := make(chan packet, 1024)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		defer to.Close()
+		defer from.Close()
+		for p := range queue {
+			time.Sleep(time.Until(p.at))
+			if !l.open(gone, back) {
+				return
+			}
+			if _, err := to.Write(p.bytes); err != nil {
+				return
+			}
+		}
+	}()
+	free := time.Now() // when the link has taken what came before
+	for {
+		b := make([]byte, 4<<10)
+		n, err := from.Read(b)
+		if n > 0 {
+			l.mu.Lock()
+			l.bytes += int64(n)
+			l.mu.Unlock()
+			w := l.way(back)
+			if now := time.Now(); free.Before(now) {
+				free = now
+			}
+			if w.Rate > 0 {
+				free = free.Add(time.Duration(float64(n) / w.Rate * 1e9))
+			}
+			select {
+			case queue <- packet{b[:n], free.Add(l.takes(w))}:
+			case <-ended:
+				return
+			}
+		}
+		if err != nil {
+			leave()
+			close(queue)
+			<-ended
+			return
+		}
+	}
+}
+
+func (l *Link) way(back bool) Way {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if back {
+		return l.back
+	}
+	return l.there
+}
+
+// takes draws how long a packet takes.
+func (l *Link) takes(w Way) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.chance == nil {
+		l.chance = rand.New(rand.NewPCG(1, 2))
+	}
+	d := w.Delay
+	if w.Jitter > 0 {
+		d += time.Duration(l.chance.Int64N(int64(w.Jitter)))
+	}
+	if l.chance.Float64() < w.Loss {
+		d += w.Stall
+	}
+	return d
+}
+
+// open waits while a direction is cut; false where the connection ended meanwhile.
+func (l *Link) open(ctx context.Context, back bool) bool {
+	for {
+		l.mu.Lock()
+		cut := l.there.Cut && !back || l.back.Cut && back
+		if l.changed == nil {
+			l.changed = make(chan struct{})
+		}
+		changed := l.changed
+		l.mu.Unlock()
+		if !cut {
+			return true
+		}
+		select { // what a cut holds when its connection ends never comes
+		case <-changed:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// cross waits for one way of the link.
+func (l *Link) cross(ctx context.Context, back bool, _ int) error {
+	if !l.open(ctx, back) {
+		return ctx.Err()
+	}
+	select {
+	case <-time.After(l.takes(l.way(back))):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
