Gateway: customers take turns over a full way, a longer way is learned within seconds

Cause: at a link's limit one customer's crowd took all the room that came free; and after a change of route the limit stood at two queries for half a minute, as delay was held against a least that no longer holds.

Change: fair/ decides who waits and who is next, by virtual time, bounded in length and time; the gateway asks it where the limit is reached.

--- a/gateway/core.go
+++ b/gateway/core.go
@@ -16,6 +16,7 @@
 	"willowsill/balance"
 	"willowsill/counters"
 	"willowsill/deployment"
+	"willowsill/fair"
 	"willowsill/front"
 	"willowsill/node"
 	"willowsill/replica"
@@ -49,6 +50,9 @@
 	pingEach   = 500 * time.Millisecond
 	pingWait   = time.Second
 	pingMissed = 3        // one after the other, and a site's ways are not used
+	waitMost   = 64       // queries that wait for room on a link,
+	waitOne    = 0.5      // this share of them of one customer at most,
+	waitShare  = 10       // and each for this part of its time at most
 	tripsMost  = 512      // queries on their way at a time
 	smooth     = 0.2      // of the newest delay in the mean
 	carryTwice = 2        // gateways of a site that one query may be sent to
@@ -83,6 +87,7 @@
 	routes *routes.Routes
 	spare  *routes.Spare
 	limits []*routes.Limit
+	queues []*fair.Queue // of each link: what waits for room there
 	delays []figures
 
 	cancel context.CancelFunc
@@ -126,6 +131,7 @@
 	for i, s := range p.Sites {
 		t.Links = append(t.Links, s.Link)
 		c.limits = append(c.limits, routes.NewLimit(now))
+		c.queues = append(c.queues, fair.New(fair.Terms{Most: waitMost, MostOne: waitOne}))
 		for _, address := range s.Gateways {
 			known.Entries = append(known.Entries, roster.Entry{Host: s.Site + "/" + address, Dial: address, Cell: i})
 		}
@@ -244,12 +250,73 @@
 		c.routes.Missed(q.Workload)
 	}
 	link := c.routes.Route(now, routes.Query{Workload: q.Workload, Left: q.Until - now, Visited: came})
-	if link >= 0 && !c.limits[link].Take() {
+	if link < 0 || c.limits[link].Take() {
+		return link
+	}
+	if !c.waits(ctx, now, q, link) {
 		return -1
 	}
 	return link
 }
 
+// waits has a query wait for room on a link, for a tenth of its time at most; it is called and returns with the lock. False
+// means that it got none.
+//
+// Danger: at the limit one customer's crowd would take all the room that comes free; customers take turns.
+func (c *Core) waits(ctx context.Context, now int64, q node.Query, link int) bool {
+	room := make(chan bool, 1)
+	wait := (q.Until - now) / waitShare
+	dropped, taken := c.queues[link].Push(now, fair.Item{Customer: q.Customer, Until: now + wait, Load: room})
+	turnAway(dropped)
+	if !taken {
+		return false
+	}
+	c.mu.Unlock()
+	defer c.mu.Lock()
+	timer := time.NewTimer(time.Duration(wait))
+	defer timer.Stop()
+	select {
+	case got := <-room:
+		return got
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	select {
+	case got := <-room: // it came at the last moment
+		return got
+	default:
+		c.queues[link].Remove(q.Customer, room)
+		return false
+	}
+}
+
+// turnAway tells those who waited that there is no room for them.
+func turnAway(items []fair.Item) {
+	for _, it := range items {
+		select {
+		case it.Load.(chan bool) <- false:
+		default:
+		}
+	}
+}
+
+// give gives a query's room on a link back, and to the next who waits. It is called with the lock.
+func (c *Core) give(link int) {
+	c.limits[link].Give()
+	now := c.plan.Clock.Now()
+	for c.queues[link].Len() > 0 && c.limits[link].Take() {
+		next, late, ok := c.queues[link].Pop(now)
+		turnAway(late)
+		if !ok {
+			c.limits[link].Give()
+			return
+		}
+		next.Load.(chan bool) <- true
+	}
+}
+
 // carry takes a query to another site and brings its answer.
 func (c *Core) carry(ctx context.Context, q node.Query, link int, declined node.Answer) (node.Answer, bool) {
 	text, err := encode(q)
@@ -262,7 +329,7 @@
 			Load:  &load{workload: c.names[q.Workload], customer: q.Customer, visited: visited(ctx), body: text, link: link}})
 	}
 	c.mu.Lock()
-	c.limits[link].Give()
+	c.give(link)
 	c.routes.Carried(q.Workload, link, ok && a.Final == balance.Declined)
 	c.mu.Unlock()
 	switch {
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -383,6 +384,52 @@
 	})
 }
 
+// Over a full way customers take turns, and who waits is told in a tenth of its time.
+func TestTakeTurns(t *testing.T) {
+	play(t, []string{"a", "b"}, func(w *world) {
+		far := link.Way{Delay: 150 * time.Millisecond}
+		w.links["a>b"].Set(far, far)
+		a := w.sites["a"]
+		a.core.Evacuate(true)
+		w.carried("a", "warm", "look")
+		time.Sleep(20 * time.Second) // the way's least delay is found anew
+		var mu sync.Mutex
+		served, asked := map[string]int{}, map[string]int{}
+		var all sync.WaitGroup
+		for i := range 400 {
+			for _, c := range []string{"greedy", "greedy", "greedy", "greedy", "meek"} {
+				all.Go(func() {
+					began := time.Now()
+					answer, ok := a.core.Serve(w.Context(), node.Query{ID: fmt.Sprintf("%s-%d-%d", c, i, rand.Int64()), Customer: c,
+						Until: a.node.Clock.Now() + 3e9, Text: []byte("t"), Parts: []node.Part{{Shard: 0, Weight: 0.5}, {Shard: 1, Weight: 0.5}}})
+					mu.Lock()
+					defer mu.Unlock()
+					asked[c]++
+					if took := time.Since(began); !ok || took > 3*time.Second {
+						w.Errorf("%v after %v", ok, took)
+					}
+					if answer.Final == balance.Whole {
+						served[c]++
+					}
+				})
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		all.Wait()
+		meek, greedy := float64(served["meek"])/float64(asked["meek"]), float64(served["greedy"])/float64(asked["greedy"])
+		w.Logf("of the meek one's %.2f were served, of the greedy one's %.2f", meek, greedy)
+		if meek < greedy || served["meek"] == 0 {
+			w.Errorf("of the meek one's %.2f were served, of the greedy one's %.2f", meek, greedy)
+		}
+		c := a.core
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.limits[0].InFlight() != 0 || c.queues[0].Len() != 0 {
+			w.Errorf("left: %d in flight, %d waiting", c.limits[0].InFlight(), c.queues[0].Len())
+		}
+	})
+}
+
 // Danger: a peer's answer with a part that was not asked for, or one twice, must not be passed on.
 func TestDecode(t *testing.T) {
 	q := node.Query{Parts: []node.Part{{Shard: 1}, {Shard: 2}}}
--- a/routes/limit.go
+++ b/routes/limit.go
@@ -9,7 +9,8 @@
 	swollen    = 1.5 // times the least way there and back, with slack: then queues stand on the link
 	slackTime  = 20e6
 	shrink     = 0.9
-	leastFor   = 30e9 // ns after which the least delay is found anew, for routes change
+	leastFor   = 10e9 // ns after which the least delay is found anew, for routes change
+	idleShare  = 4    // of a longer delay that an idle link's least moves by: no queue of this side's stands there
 )
 
 // Limit is how many queries may be in flight over one link: more while its delay stays near the least seen, fewer when it
@@ -64,6 +65,8 @@
 		}
 	}
 	switch {
+	case !lost && l.inFlight == 0:
+		l.least += max(delay-l.least, 0) / idleShare
 	case lost || float64(delay) > swollen*float64(l.least)+slackTime:
 		if now-l.shrunk > max(l.least, int64(slackTime)) {
 			l.most, l.shrunk = max(l.most*shrink, limitLeast), now
--- a/routes/spare_test.go
+++ b/routes/spare_test.go
@@ -58,7 +58,7 @@
 	if wide < 20 || l.Least() != 80e6 {
 		t.Errorf("at its least delay %d may be in flight, least %d", wide, l.Least())
 	}
-	for range 400 {
+	for range 150 {
 		turn(400e6, false)
 	}
 	if narrow := l.Most(); narrow > limitFirst {
