--- a/cmd/willowsill/demo.go
+++ b/cmd/willowsill/demo.go
@@ -1,3 +1,5 @@
+//go:build !platform
+
 package main
 
 import (
