--- a/gateway/door.go
+++ b/gateway/door.go
@@ -321,11 +321,7 @@
 func (p *pool) ping(ctx context.Context, address string) (willing string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, pingWait)
 	defer cancel()
-	scheme := "http://"
-	if p.client.TLSClientConfig != nil {
-		scheme = "https://"
-	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, scheme+address+pathPing, nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, p.url(address, pathPing), nil)
 	if err != nil {
 		return "", err
 	}
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -190,6 +190,14 @@
 	p.tell(e)
 }
 
+// url is a path at a gateway.
+func (p *pool) url(address, path string) string {
+	if p.client.TLSClientConfig != nil {
+		return "https://" + address + path
+	}
+	return "http://" + address + path
+}
+
 // carry sends the query and reads the answer.
 //
 // Danger: a query of which a byte has left may run there, whatever becomes of the connection. Only what never was
@@ -204,11 +212,7 @@
 	if left <= 0 {
 		return balance.ConnectFailed, "", context.DeadlineExceeded
 	}
-	scheme := "http://"
-	if p.client.TLSClientConfig != nil {
-		scheme = "https://"
-	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, scheme+address+"/"+l.workload, bytes.NewReader(l.body))
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, p.url(address, "/"+l.workload), bytes.NewReader(l.body))
 	if err != nil {
 		return balance.ConnectFailed, "", err
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -451,9 +451,7 @@
 		w.result.Wrong++
 	}
 	q.answered = true
-	delete(a.queries, q.handle)
-	// What is still out comes to an end through the module's cancels, which name the handle: keep it until then.
-	a.queries[q.handle] = q
+	// What is still out comes to an end through the module's cancels, which name the handle: it is kept until then.
 	w.at(w.now+2*w.Patience, func() { delete(a.queries, q.handle) })
 	if !q.counts {
 		return
--- a/standin/link/link.go
+++ b/standin/link/link.go
@@ -64,7 +64,7 @@
 func (l *Link) Over(to dial) dial {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		for _, back := range []bool{false, true} {
-			if err := l.cross(ctx, back, 0); err != nil {
+			if err := l.cross(ctx, back); err != nil {
 				return nil, err
 			}
 		}
@@ -199,7 +199,7 @@
 }
 
 // cross waits for one way of the link.
-func (l *Link) cross(ctx context.Context, back bool, _ int) error {
+func (l *Link) cross(ctx context.Context, back bool) error {
 	if !l.open(ctx, back) {
 		return ctx.Err()
 	}
--- a/standin/redis/redis.go
+++ b/standin/redis/redis.go
@@ -13,6 +13,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"willowsill/standin"
 )
 
 const (
@@ -54,27 +56,15 @@
 
 // Serve serves until the listener is closed, and returns when all connections have ended.
 func (s *Server) Serve(l net.Listener) error {
-	var all sync.WaitGroup
-	defer all.Wait()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			return err
+	return standin.Serve(l, func(ctx context.Context, conn net.Conn) {
+		defer conn.Close()
+		if s.present().Refuse {
+			return
 		}
-		all.Go(func() {
-			stop := context.AfterFunc(ctx, func() { conn.Close() })
-			defer stop()
-			defer conn.Close()
-			if s.present().Refuse {
-				return
-			}
-			s.hold(conn, true)
-			defer s.hold(conn, false)
-			s.connection(ctx, conn)
-		})
-	}
+		s.hold(conn, true)
+		defer s.hold(conn, false)
+		s.connection(ctx, conn)
+	})
 }
 
 func (s *Server) hold(conn net.Conn, is bool) {
--- a/standin/replica.go
+++ b/standin/replica.go
@@ -20,7 +20,11 @@
 }
 
 // Serve serves until the listener is closed, and returns when all connections have ended.
-func (r *Replica) Serve(l net.Listener) error {
+func (r *Replica) Serve(l net.Listener) error { return Serve(l, r.connection) }
+
+// Serve hands each connection of a listener to a goroutine of its own until the listener is closed, ends them then, and
+// returns when all have.
+func Serve(l net.Listener, connection func(context.Context, net.Conn)) error {
 	var all sync.WaitGroup
 	defer all.Wait()
 	ctx, cancel := context.WithCancel(context.Background())
@@ -33,7 +37,7 @@
 		all.Go(func() {
 			stop := context.AfterFunc(ctx, func() { conn.Close() })
 			defer stop()
-			r.connection(ctx, conn)
+			connection(ctx, conn)
 		})
 	}
 }
--- a/store/count.go
+++ b/store/count.go
@@ -19,7 +19,7 @@
 }
 
 // show keeps the decider's figures.
-func (c *Count) show(f commons.Figures, _ commons.Reply) {
+func (c *Count) show(f commons.Figures) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.figures = f
--- a/store/store.go
+++ b/store/store.go
@@ -214,7 +214,7 @@
 	for _, e := range k.common.Events() {
 		k.log.Warn(e.Text, zap.Stringer("state", e.State), zap.String("of", e.Name))
 	}
-	k.count.show(k.common.Figures(now), reply)
+	k.count.show(k.common.Figures(now))
 }
 
 // The keys, behind the prefix.
