--- a/commons/record_test.go
+++ b/commons/record_test.go
@@ -80,10 +80,11 @@
 	many := Record{Incarnation: 1}.Append(nil)
 	many = many[:len(many)-sumBytes]
 	for range findingMost + 1 {
-		many = protowire.AppendBytes(protowire.AppendTag(many, fieldFinding, protowire.BytesType), nil)
+		one := protowire.AppendVarint(protowire.AppendTag(nil, fieldVerdict, protowire.VarintType), uint64(FoundWell))
+		many = protowire.AppendBytes(protowire.AppendTag(many, fieldFinding, protowire.BytesType), one)
 	}
-	if _, err := Decode(summed(many)); err == nil && len(many) > 0 {
-		t.Log("findings without a verdict are passed over")
+	if _, err := Decode(summed(many)); err != errField {
+		t.Errorf("more findings than a record has: %v", err)
 	}
 	if _, err := Decode(summed(Record{Sequence: 1}.Append(nil)[:3])); err == nil {
 		t.Error("a record without an incarnation was read")
