Gateway: a link's own purse of queries and bytes, revenue by workload, certificates by site

Cause: tokens of several workloads together could cross a link over its limit within a second; what a query weighs was guessed and never measured; all workloads counted alike, for no key of the script told their revenue; and a door's certificate was good for any site.

--- a/cmd/willowsill/ways.go
+++ b/cmd/willowsill/ways.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"reflect"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -64,7 +65,13 @@
 		return nil, nil, fmt.Errorf("%s: site: %w", o.File, err)
 	}
 	plan := gateway.Plan{Clock: clock, Own: o.Site.Name, Deployment: start.Deployment, Terms: start.Terms, Local: own,
-		Dial: dial, Secure: outside, Log: log}
+		Dial: dial, Secure: outside, Log: log, Revenue: o.Site.Revenue, HTTP2: o.Site.HTTP2,
+		Policy: routes.Policy(max(slices.Index(routes.Policies, o.Site.Policy), 0))}
+	for name := range o.Site.Revenue {
+		if _, known := start.Workload[name]; !known {
+			return nil, nil, fmt.Errorf(`%s: site: key "revenue": %q is no workload of the deployment`, o.File, name)
+		}
+	}
 	var names []string
 	for _, l := range o.Links {
 		names = append(names, l.To)
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -38,6 +38,8 @@
 	Deployment deployment.Deployment
 	Terms      deployment.Terms
 	Revenue    map[string]float64 // by workload; 1 where not stated
+	Policy     routes.Policy
+	HTTP2      bool // queries to one gateway share a connection
 	Sites      []Site
 	Local      front.Core // the own site's
 	Dial       replica.Dial
@@ -59,6 +61,7 @@
 	furtherOf  = 0.1      // of what is carried may be carried again,
 	furtherAny = 3        // and so many,
 	furtherIn  = 10 * 1e9 // ns, within
+	headBytes  = 700      // of the heads of a query and its answer, with TLS around them
 	servesOf   = 0.25     // of its goal that a workload takes at a site, until that is known
 )
 
@@ -118,7 +121,7 @@
 		c.names[row] = name
 	}
 	now := p.Clock.Now()
-	t := routes.Terms{Site: p.Own, Interval: int64(interval)}
+	t := routes.Terms{Policy: p.Policy, Site: p.Own, Interval: int64(interval)}
 	for row, w := range p.Deployment.Workloads {
 		revenue, stated := p.Revenue[c.names[row]]
 		if !stated {
@@ -148,7 +151,7 @@
 	c.hop = node.New(node.Plan{Clock: p.Clock, Deployment: d, Terms: p.Terms, Known: known,
 		Budget: sockets.NewBudget(tripsMost), Count: counters.New(d.Workload), Log: p.Log, Ask: func() {}, Dial: p.Dial,
 		Carry: func(tell func(any), now func() int64) node.Carrier {
-			pool := newPool(p.Dial, p.Secure, tripsMost, tell, now)
+			pool := c.pool(tripsMost, tell, now)
 			pool.from, pool.way, pool.told = p.Own, c.way, c.told
 			return pool
 		}})
@@ -161,6 +164,17 @@
 	return c, nil
 }
 
+// pool makes a pool for the gateways of all sites.
+func (c *Core) pool(most int, tell func(any), now func() int64) *pool {
+	site := map[string]string{}
+	for _, s := range c.plan.Sites {
+		for _, address := range s.Gateways {
+			site[address] = s.Site
+		}
+	}
+	return newPool(c.plan.Dial, c.plan.Secure, site, c.plan.HTTP2, most, tell, now)
+}
+
 // Close ends the ways; no query may be under way any more.
 func (c *Core) Close() {
 	c.cancel()
@@ -214,7 +228,8 @@
 // answered as it ended here.
 func (c *Core) Serve(ctx context.Context, q node.Query) (node.Answer, bool) {
 	declined := node.Answer{Final: balance.Declined}
-	if c.stays(q) {
+	asked := c.stays(ctx, q)
+	if asked {
 		a, ok := c.plan.Local.Serve(ctx, q)
 		c.mu.Lock()
 		c.spare.Ended(c.plan.Clock.Now(), q.Workload, len(visited(ctx)) == 0, ok && a.Final == balance.Declined)
@@ -224,7 +239,7 @@
 		}
 		declined = a
 	}
-	link := c.leaves(ctx, q)
+	link := c.leaves(ctx, q, asked)
 	if link < 0 {
 		c.count.Stayed.Add(1)
 		return declined, true
@@ -233,15 +248,15 @@
 }
 
 // stays tells whether the own site is asked for a query.
-func (c *Core) stays(q node.Query) bool {
+func (c *Core) stays(ctx context.Context, q node.Query) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	share := c.routes.Local(c.plan.Clock.Now())
-	return share >= 1 || share > 0 && float64(xxhash.Sum64String(q.ID)%1000) < 1000*share
+	mark := float64(xxhash.Sum64String(q.ID)%1000) / 1000
+	return c.routes.Stays(c.plan.Clock.Now(), mark, len(visited(ctx)) > 0)
 }
 
 // leaves takes a way for a query, or tells -1.
-func (c *Core) leaves(ctx context.Context, q node.Query) int {
+func (c *Core) leaves(ctx context.Context, q node.Query, asked bool) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.plan.Clock.Now()
@@ -249,14 +264,17 @@
 	if len(came) == 0 { // the own clients'
 		c.routes.Missed(q.Workload)
 	}
-	link := c.routes.Route(now, routes.Query{Workload: q.Workload, Left: q.Until - now, Visited: came})
-	if link < 0 || c.limits[link].Take() {
-		return link
-	}
-	if !c.waits(ctx, now, q, link) {
+	link := c.routes.Route(now, routes.Query{Workload: q.Workload, Left: q.Until - now, Visited: came, Declined: asked})
+	switch {
+	case link < 0:
 		return -1
+	case c.plan.Policy != routes.Planned:
+		c.limits[link].Must()
+		return link
+	case c.limits[link].Take() || c.waits(ctx, now, q, link):
+		return link
 	}
-	return link
+	return -1
 }
 
 // waits has a query wait for room on a link, for a tenth of its time at most; it is called and returns with the lock. False
@@ -331,6 +349,9 @@
 	c.mu.Lock()
 	c.give(link)
 	c.routes.Carried(q.Workload, link, ok && a.Final == balance.Declined)
+	if len(a.Values) == 1 {
+		c.routes.Weighed(c.plan.Clock.Now(), q.Workload, link, float64(headBytes+len(text)+len(a.Values[0].Value)))
+	}
 	c.mu.Unlock()
 	switch {
 	case err != nil || !ok:
@@ -385,7 +406,7 @@
 // Danger: a connection that was cut says nothing, and TCP waits for minutes. Each ping goes on a connection of its own
 // pool, has a second, and three without an answer close the way.
 func (c *Core) pings(ctx context.Context, link int, s Site) {
-	p := newPool(c.plan.Dial, c.plan.Secure, 1, nil, nil)
+	p := c.pool(1, nil, nil)
 	defer p.client.CloseIdleConnections()
 	tick := time.NewTicker(pingEach)
 	defer tick.Stop()
--- a/gateway/door.go
+++ b/gateway/door.go
@@ -242,8 +242,8 @@
 	CertFile, KeyFile, CAFile string
 }
 
-// Secure makes the settings of both directions: TLS 1.3, each side with a certificate of the same authority that is for a
-// site's gateway.
+// Secure makes what both directions demand: TLS 1.3, each side with a certificate of the same authority. Whose gateway it
+// is for is asked by the door for callers, and by forSite for doors.
 func (p Papers) Secure() (server, client *tls.Config, err error) {
 	if _, err := p.own(); err != nil {
 		return nil, nil, err
@@ -251,7 +251,7 @@
 	if _, err := p.authority(); err != nil {
 		return nil, nil, err
 	}
-	server = &tls.Config{MinVersion: tls.VersionTLS13,
+	server = &tls.Config{MinVersion: tls.VersionTLS13, NextProtos: forms,
 		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
 			own, err := p.own()
 			if err != nil {
@@ -261,7 +261,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &tls.Config{MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{own},
+			return &tls.Config{MinVersion: tls.VersionTLS13, NextProtos: forms, Certificates: []tls.Certificate{own},
 				ClientAuth: tls.RequireAndVerifyClientCert, ClientCAs: pool}, nil
 		}}
 	client = &tls.Config{MinVersion: tls.VersionTLS13,
@@ -287,16 +287,36 @@
 				KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth}}); err != nil {
 				return err
 			}
-			for _, name := range s.PeerCertificates[0].DNSNames {
-				if strings.HasSuffix(name, certName) {
-					return nil
-				}
-			}
-			return fmt.Errorf("the certificate is for %q, no site's gateway", s.PeerCertificates[0].DNSNames)
+			return nil
 		}}
 	return server, client, nil
 }
 
+// forms are what a door speaks; a caller chooses.
+var forms = []string{"h2", "http/1.1"}
+
+// forSite is what a caller of one site's gateways demands of them.
+//
+// Danger: with any site's certificate good for any address, one site could take the queries of another.
+func forSite(secure *tls.Config, site string, http2 bool) *tls.Config {
+	one := secure.Clone()
+	if one.NextProtos = forms[1:]; http2 {
+		one.NextProtos = forms
+	}
+	one.VerifyConnection = func(s tls.ConnectionState) error {
+		if secure.VerifyConnection != nil {
+			if err := secure.VerifyConnection(s); err != nil {
+				return err
+			}
+		}
+		if names := s.PeerCertificates[0].DNSNames; !slices.Contains(names, site+certName) {
+			return fmt.Errorf("the certificate is for %q, and not for a gateway of site %q", names, site)
+		}
+		return nil
+	}
+	return one
+}
+
 func (p Papers) own() (tls.Certificate, error) {
 	c, err := tls.LoadX509KeyPair(p.CertFile, p.KeyFile)
 	if err != nil {
--- a/gateway/door_test.go
+++ b/gateway/door_test.go
@@ -73,7 +73,8 @@
 		"caller unknown":     {good, issue(t, ours, "2140", "z.gateway", later), "403"},
 		"caller no gateway":  {good, issue(t, ours, "2228", "a", later), "403"},
 		"door expired":       {issue(t, ours, "2302", "b.gateway", before), issue(t, ours, "2352", "a.gateway", later), "expired"},
-		"door is no gateway": {issue(t, ours, "2438", "www.b", later), issue(t, ours, "2483", "a.gateway", later), "no site's gateway"},
+		"door is no gateway": {issue(t, ours, "2438", "www.b", later), issue(t, ours, "2483", "a.gateway", later), "not for a gateway of site"},
+		"door of a third":    {issue(t, ours, "2440", "c.gateway", later), issue(t, ours, "2484", "a.gateway", later), `not for a gateway of site "b"`},
 		"door of others":     {issue(t, theirs, "2534", "b.gateway", later), issue(t, ours, "2630", "a.gateway", later), "unknown authority"},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -82,7 +83,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			p := newPool((&net.Dialer{}).DialContext, secure, 1, nil, nil)
+			p := newPool((&net.Dialer{}).DialContext, secure, map[string]string{address: "b"}, false, 1, nil, nil)
 			defer p.client.CloseIdleConnections()
 			_, err = p.ping(t.Context(), address)
 			if c.want == "" && err != nil || c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want)) {
@@ -101,7 +102,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := newPool((&net.Dialer{}).DialContext, secure, 1, nil, nil)
+	p := newPool((&net.Dialer{}).DialContext, secure, map[string]string{address: "b"}, false, 1, nil, nil)
 	defer p.client.CloseIdleConnections()
 	if _, err := p.ping(t.Context(), address); err == nil {
 		t.Error("an unknown site was let in")
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -50,6 +50,7 @@
 
 type world struct {
 	*testing.T
+	policy  routes.Policy
 	network *pipes.Network
 	sites   map[string]*site
 	links   map[string]*link.Link // FROM>TO
@@ -69,9 +70,14 @@
 var theTerms = deployment.Terms{MostHeld: 100, Streams: 32, ConnectWithin: 500e6, IdleAfter: 15e9, LongestCutOff: 3e9}
 
 // play plays sites, each with a way to all others, in a bubble of its own time.
-func play(t *testing.T, names []string, do func(*world)) {
+func play(t *testing.T, names []string, do func(*world)) { playBy(t, routes.Planned, names, do) }
+
+func playBy(t *testing.T, p routes.Policy, names []string, do func(*world)) {
 	synctest.Test(t, func(t *testing.T) {
-		w := &world{T: t, network: &pipes.Network{}, sites: map[string]*site{}, links: map[string]*link.Link{}}
+		if p == nowhere {
+			p = routes.Planned
+		}
+		w := &world{T: t, policy: p, network: &pipes.Network{}, sites: map[string]*site{}, links: map[string]*link.Link{}}
 		for _, from := range names {
 			for _, to := range names {
 				w.links[from+">"+to] = &link.Link{}
@@ -151,7 +157,7 @@
 		<-watched
 		lists.Close()
 	})
-	p := Plan{Clock: s.node.Clock, Own: name, Deployment: d, Terms: theTerms, Local: s.node, Log: zap.NewNop()}
+	p := Plan{Clock: s.node.Clock, Own: name, Deployment: d, Terms: theTerms, Local: s.node, Policy: w.policy, Log: zap.NewNop()}
 	for _, other := range names {
 		if other != name {
 			p.Sites = append(p.Sites, Site{Link: routes.Link{Site: other, Queries: 200, Bytes: 1e7, Cost: 0.01},
--- a/gateway/long_test.go
+++ b/gateway/long_test.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -12,46 +11,22 @@
 	"time"
 
 	"willowsill/balance"
+	"willowsill/front"
 	"willowsill/node"
+	"willowsill/routes"
 	"willowsill/standin/link"
 )
 
 var long = flag.Bool("long", false, "play half an hour of two sites, and three baselines; else a few minutes of the gateway alone")
 
-// policy is how a query is served in a run: by the gateway, or by a baseline.
-type policy string
+// nowhere is the policy of a run without a gateway.
+const nowhere routes.Policy = 255
 
-const (
-	byRoutes policy = "gateway"
-	nowhere  policy = "no gateway"
-	all      policy = "all that is declined"
-	half     policy = "half and half"
-)
-
-// serve serves one query by a policy. The baselines use the same way, core and module.
-func (p policy) serve(ctx context.Context, s *site, q node.Query, coin bool) (node.Answer, bool) {
-	carry := func(declined node.Answer) (node.Answer, bool) {
-		s.core.mu.Lock()
-		s.core.limits[0].Take() // carry gives its room back
-		s.core.mu.Unlock()
-		return s.core.carry(ctx, q, 0, declined)
-	}
-	switch p {
-	case nowhere:
-		return s.node.Serve(ctx, q)
-	case all:
-		a, ok := s.node.Serve(ctx, q)
-		if !ok || a.Final != balance.Declined {
-			return a, ok
-		}
-		return carry(a)
-	case half:
-		if coin {
-			return carry(node.Answer{Final: balance.Declined})
-		}
-		return s.node.Serve(ctx, q)
+func named(p routes.Policy) string {
+	if p == nowhere {
+		return "no gateway"
 	}
-	return s.core.Serve(ctx, q)
+	return [...]string{"gateway", "all that is declined", "half and half"}[p]
 }
 
 // tally is what came of the queries of one phase.
@@ -60,8 +35,8 @@
 func (t tally) share() float64 { return float64(t.goal) / float64(max(t.asked, 1)) }
 
 // halfHour plays two sites of which one is dark in the middle, and returns what came of each phase: before, dark, after.
-func halfHour(t *testing.T, p policy, whole time.Duration) (phases [3]tally, most int, carried int64) {
-	play(t, []string{"a", "b"}, func(w *world) {
+func halfHour(t *testing.T, p routes.Policy, whole time.Duration) (phases [3]tally, most int, carried int64) {
+	playBy(t, p, []string{"a", "b"}, func(w *world) {
 		far := link.Way{Delay: 80 * time.Millisecond, Jitter: 10 * time.Millisecond, Loss: 0.01, Stall: 200 * time.Millisecond}
 		w.links["a>b"].Set(far, far)
 		w.links["b>a"].Set(far, far)
@@ -87,7 +62,7 @@
 			under.Go(func() {
 				for i := 0; time.Since(began) < whole; i++ {
 					time.Sleep(time.Duration(chance.ExpFloat64() * 1e9 / 20))
-					coin, workload, number := chance.IntN(2) == 0, chance.IntN(3), phase()
+					workload, number := chance.IntN(3), phase()
 					if name == "a" {
 						s.mu.Lock()
 						s.silent = number == 1
@@ -96,9 +71,13 @@
 					under.Go(func() {
 						asked := time.Now()
 						patience := 3 * time.Second
-						a, ok := p.serve(w.Context(), s, node.Query{ID: fmt.Sprint(name, i), Workload: workload,
+						var core front.Core = s.core
+						if p == nowhere {
+							core = s.node
+						}
+						a, ok := core.Serve(w.Context(), node.Query{ID: fmt.Sprint(name, i), Workload: workload,
 							Until: s.node.Clock.Now() + int64(patience), Text: []byte("t"),
-							Parts: []node.Part{{Shard: 0, Weight: 0.5}, {Shard: 1, Weight: 0.5}}}, coin)
+							Parts: []node.Part{{Shard: 0, Weight: 0.5}, {Shard: 1, Weight: 0.5}}})
 						took := time.Since(asked)
 						mu.Lock()
 						defer mu.Unlock()
@@ -151,32 +130,32 @@
 // TestHalfHour plays two sites with 80 ms of way each and a loss of 1%, one of them dark in the middle: no query is lost,
 // and the gateway serves more than without. With -long it is half an hour, against three baselines.
 func TestHalfHour(t *testing.T) {
-	whole, policies := 3*time.Minute, []policy{byRoutes, nowhere}
+	whole, policies := 3*time.Minute, []routes.Policy{routes.Planned, nowhere}
 	if *long {
-		whole, policies = 30*time.Minute, []policy{byRoutes, nowhere, all, half}
+		whole, policies = 30*time.Minute, []routes.Policy{routes.Planned, nowhere, routes.Everything, routes.Halves}
 	}
 	table := tabwriter.NewWriter(os.Stdout, 0, 0, 1, ' ', 0)
 	fmt.Fprintln(table, "| policy\t| phase\t| asked\t| within goal\t| late\t| declined\t| failed\t| lost\t|")
-	shares := map[policy][3]tally{}
+	shares := map[routes.Policy][3]tally{}
 	for _, p := range policies {
 		phases, most, carried := halfHour(t, p, whole)
 		shares[p] = phases
 		for i, row := range phases {
-			fmt.Fprintf(table, "| %s\t| %s\t| %d\t| %.4f\t| %d\t| %d\t| %d\t| %d\t|\n", p, []string{"before", "dark", "after"}[i],
+			fmt.Fprintf(table, "| %s\t| %s\t| %d\t| %.4f\t| %d\t| %d\t| %d\t| %d\t|\n", named(p), []string{"before", "dark", "after"}[i],
 				row.asked, row.share(), row.late, row.declined, row.failed, row.lost)
 			if row.lost > 0 {
-				t.Errorf("%s: %d queries lost", p, row.lost)
+				t.Errorf("%s: %d queries lost", named(p), row.lost)
 			}
 		}
-		t.Logf("%s: %d carried, at most %d in flight", p, carried, most)
+		t.Logf("%s: %d carried, at most %d in flight", named(p), carried, most)
 	}
 	if testing.Verbose() {
 		table.Flush()
 	}
-	if with, without := shares[byRoutes][1].share(), shares[nowhere][1].share(); with < without+0.1 {
+	if with, without := shares[routes.Planned][1].share(), shares[nowhere][1].share(); with < without+0.1 {
 		t.Errorf("while one site is dark %.3f are served within the goal, %.3f without a gateway", with, without)
 	}
-	if before, after := shares[byRoutes][0].share(), shares[byRoutes][2].share(); after < before-0.05 {
+	if before, after := shares[routes.Planned][0].share(), shares[routes.Planned][2].share(); after < before-0.05 {
 		t.Errorf("%.3f before and %.3f after", before, after)
 	}
 }
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -11,6 +11,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -35,7 +36,9 @@
 
 	answerMost = 8 << 20 // bytes of an answer
 	perGateway = 64      // idle connections kept to one gateway
-	milli      = int64(time.Millisecond)
+
+	handshakeWait = 5 * time.Second
+	milli         = int64(time.Millisecond)
 )
 
 // load is a query on its way to another site.
@@ -129,6 +132,7 @@
 	tell   func(any)
 	now    func() int64
 	client *http.Transport
+	secure bool
 	from   string                                // the own site
 	way    func(link int) int64                  // the least way there and back, ns
 	told   func(link int, l *load, rate float64) // a site said how many it takes
@@ -140,11 +144,29 @@
 	ending bool
 }
 
-// newPool makes a pool that reaches gateways by dial, with TLS where secure is not nil.
-func newPool(dial replica.Dial, secure *tls.Config, most int, tell func(any), now func() int64) *pool {
-	return &pool{tell: tell, now: now, out: map[*replica.Ticket]*trip{}, most: most,
-		client: &http.Transport{DialContext: dial, TLSClientConfig: secure, MaxIdleConnsPerHost: perGateway,
-			IdleConnTimeout: 30 * time.Second, TLSHandshakeTimeout: 5 * time.Second, DisableCompression: true}}
+// newPool makes a pool that reaches gateways by dial, with TLS where secure is not nil; site tells whose an address is.
+func newPool(dial replica.Dial, secure *tls.Config, site map[string]string, http2 bool, most int, tell func(any),
+	now func() int64) *pool {
+	p := &pool{tell: tell, now: now, out: map[*replica.Ticket]*trip{}, most: most, secure: secure != nil,
+		client: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: perGateway, IdleConnTimeout: 30 * time.Second,
+			DisableCompression: true, ForceAttemptHTTP2: http2}}
+	if secure != nil {
+		p.client.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, handshakeWait)
+			defer cancel()
+			plain, err := dial(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			c := tls.Client(plain, forSite(secure, site[address], http2))
+			if err := c.HandshakeContext(ctx); err != nil {
+				plain.Close()
+				return nil, err
+			}
+			return c, nil
+		}
+	}
+	return p
 }
 
 func (p *pool) Address(gateway int, dial string) {
@@ -192,7 +214,7 @@
 
 // url is a path at a gateway.
 func (p *pool) url(address, path string) string {
-	if p.client.TLSClientConfig != nil {
+	if p.secure {
 		return "https://" + address + path
 	}
 	return "http://" + address + path
--- a/operator/functions.go
+++ b/operator/functions.go
@@ -28,11 +28,12 @@
 	span // a time: "250ms"
 	size // bytes: "64MiB"
 	addresses
+	shares // numbers, by name
 )
 
 var kinds = [...]string{"a string", "a file's path", "an address HOST:PORT", "True or False", "a whole number",
 	"a number", `a time such as "250ms"`, `a size such as "64MiB"`,
-	"a list of addresses HOST:PORT"}
+	"a list of addresses HOST:PORT", "a dictionary of numbers by name"}
 
 // parameter is one key of a function. Least and most are in the value's own unit: ns, bytes or as written.
 type parameter struct {
@@ -40,6 +41,7 @@
 	kind        kind
 	unset       any // where it is left out; nil where it must be there
 	least, most float64
+	words       []string // that a text may be; nil for any
 	help        string
 }
 
@@ -64,7 +66,10 @@
 func (c call) truth(key string) bool     { return c.values[key].(bool) }
 func (c call) whole(key string) int64    { return c.values[key].(int64) }
 func (c call) number(key string) float64 { return c.values[key].(float64) }
-func (c call) list(key string) []string  { return c.values[key].([]string) }
+func (c call) shares(key string) map[string]float64 {
+	return c.values[key].(map[string]float64)
+}
+func (c call) list(key string) []string { return c.values[key].([]string) }
 
 // tried tells whether the script named the key, be it with a wrong value.
 func (c call) tried(named []starlark.Tuple, key string) bool {
@@ -134,9 +139,12 @@
 		{name: "ca_file", kind: file, help: "PEM, of the authority of all sites"},
 		{name: "remember", kind: file, unset: "", help: "where ids are kept over a planned restart"},
 		{name: "dark", kind: truth, unset: false, help: "nothing new is asked here; SIGHUP changes it"},
+		{name: "revenue", kind: shares, unset: map[string]float64{}, most: 1e9, help: "of a query served within its goal, by workload; else 1"},
+		{name: "policy", kind: text, unset: "plan", words: []string{"plan", "all", "half"}, help: "of what is carried; all but plan are baselines"},
+		{name: "http2", kind: truth, unset: false, help: "queries to one gateway share a connection"},
 	}, order: func(o *Orders, c call) error {
 		o.Site = &Site{c.text("name"), c.text("listen"), c.text("cert_file"), c.text("key_file"), c.text("ca_file"),
-			c.text("remember"), c.truth("dark")}
+			c.text("remember"), c.truth("dark"), c.shares("revenue"), c.text("policy"), c.truth("http2")}
 		return siteName(o.Site.Name, "name")
 	}},
 	"link": {name: "link", many: true, help: "is the way to another site", parameters: []*parameter{
@@ -206,6 +214,9 @@
 		if !isText {
 			return nil, wrong
 		}
+		if p.words != nil && !slices.Contains(p.words, s) {
+			return nil, fmt.Errorf("is %q, not one of %s", s, strings.Join(p.words, ", "))
+		}
 		return s, nil
 	case address:
 		if !isText {
@@ -229,6 +240,24 @@
 			all = append(all, s)
 		}
 		return all, nil
+	case shares:
+		d, ok := v.(*starlark.Dict)
+		if !ok {
+			return nil, wrong
+		}
+		all := map[string]float64{}
+		for _, pair := range d.Items() {
+			name, isText := starlark.AsString(pair[0])
+			x, isNumber := starlark.AsFloat(pair[1])
+			if !isText || !isNumber || math.IsNaN(x) {
+				return nil, fmt.Errorf("has %v: %v, not a number by name", pair[0], pair[1])
+			}
+			if err := p.within(x, pair[1].String()); err != nil {
+				return nil, fmt.Errorf("at %q %w", name, err)
+			}
+			all[name] = x
+		}
+		return all, nil
 	case truth:
 		b, ok := v.(starlark.Bool)
 		if !ok {
@@ -302,6 +331,12 @@
 		return "False"
 	case string:
 		return strconv.Quote(v)
+	case map[string]float64:
+		var all []string
+		for _, name := range slices.Sorted(maps.Keys(v)) {
+			all = append(all, fmt.Sprintf("%q: %s", name, p.written(v[name])))
+		}
+		return "{" + strings.Join(all, ", ") + "}"
 	case []string:
 		quoted := make([]string, len(v))
 		for i, s := range v {
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -61,9 +61,12 @@
 	Listen   string // HOST:PORT for other sites' gateways
 	CertFile string // of this site's gateway, as is KeyFile
 	KeyFile  string
-	CAFile   string // of the authority of all sites' certificates
-	Remember string // where ids are kept over a planned restart; empty for nowhere
-	Dark     bool   // nothing new is asked of this site's replicas
+	CAFile   string             // of the authority of all sites' certificates
+	Remember string             // where ids are kept over a planned restart; empty for nowhere
+	Dark     bool               // nothing new is asked of this site's replicas
+	Revenue  map[string]float64 // of a query served within its goal, by workload; 1 where it is not named
+	Policy   string             // of what is carried: "plan", or a baseline to measure it against
+	HTTP2    bool               // queries to one gateway share a connection
 }
 
 // Link is the way to another site.
--- a/routes/limit.go
+++ b/routes/limit.go
@@ -36,6 +36,9 @@
 	return true
 }
 
+// Must takes room for a query that goes whatever the limit says.
+func (l *Limit) Must() { l.inFlight++ }
+
 // Give gives room back.
 func (l *Limit) Give() { l.inFlight-- }
 
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -33,6 +33,7 @@
 	spareWays    = 2.0  // times the way there and back that a query must have left beyond the far site's time
 	leastRate    = 0.2  // queries a second: enough to find out whether a site takes any
 	firstRate    = 4.0  // queries a second that a site not tried yet is thought to take, and that a plan may begin with
+	weighSmooth  = 0.05 // of the newest query's bytes in its workload's mean
 	lossDiscount = 4.0  // a link that loses a share of its queries counts for so much less of its limit
 )
 
@@ -52,8 +53,22 @@
 	Cost    float64 // of one query carried, in revenue
 }
 
+// Policy is what routes go by.
+type Policy uint8
+
+// All but Planned are baselines to measure it against: they know no plan and no limit of a link.
+const (
+	Planned    Policy = iota
+	Everything        // all that the own site declines leaves
+	Halves            // half of the own queries leave before they are asked here, and no others
+)
+
+// Policies are the names of policies, in their order.
+var Policies = []string{"plan", "all", "half"}
+
 // Terms are what a site is told. Times in ns.
 type Terms struct {
+	Policy    Policy
 	Site      string
 	Workloads []Workload
 	Links     []Link
@@ -101,6 +116,7 @@
 	opinions [][]opinion // by workload, then link
 	plan     Plan
 	flows    [][]flow
+	purses   []purse // by link
 	decided  int64
 	dark     bool
 	since    int64 // it is dark, or light again, since then; 0 for always light
@@ -110,6 +126,9 @@
 func New(now int64, t Terms) *Routes {
 	r := &Routes{Terms: t, Solve: Simplex, excess: make([]float64, len(t.Workloads)), missed: make([]float64, len(t.Workloads)),
 		links: make([]Figures, len(t.Links)), decided: now}
+	for _, l := range t.Links {
+		r.purses = append(r.purses, newPurse(now, l))
+	}
 	r.plan.Local = 1
 	for range t.Workloads {
 		row := make([]opinion, len(t.Links))
@@ -135,6 +154,13 @@
 	}
 }
 
+// Weighed tells how many bytes a query took there and back. Its route had reckoned with what is known of its workload.
+func (r *Routes) Weighed(now int64, workload, link int, bytes float64) {
+	w := &r.Workloads[workload]
+	r.purses[link].settle(now, r.Links[link], bytes-w.Bytes)
+	w.Bytes += weighSmooth * (bytes - w.Bytes)
+}
+
 // Linked tells a link's figures.
 func (r *Routes) Linked(link int, f Figures) { r.links[link] = f }
 
@@ -162,6 +188,16 @@
 	return min(float64(now-r.since)/rampFor, 1)
 }
 
+// Stays tells whether the own site is asked for a query. Mark is the query's own number in [0, 1), came that it is another
+// site's.
+func (r *Routes) Stays(now int64, mark float64, came bool) bool {
+	share := r.Local(now)
+	if r.Policy == Halves && !came {
+		share = min(share, 0.5)
+	}
+	return mark < share
+}
+
 // Next is when Decide wants to be called again.
 func (r *Routes) Next() int64 { return r.decided + r.Interval }
 
@@ -311,6 +347,7 @@
 	Workload int
 	Left     int64    // of its client's time, ns
 	Visited  []string // sites that it came through, the own one left out
+	Declined bool     // the own site was asked, and declined it
 }
 
 // Route returns the link that a query goes over, or -1. The way with the most tokens in hand is taken, so a plan over
@@ -328,12 +365,22 @@
 			q.Left < int64(spareWays*float64(r.links[l].Delay))+r.Workloads[q.Workload].Serves {
 			continue
 		}
+		if r.Policy != Planned {
+			if r.Policy == Everything || !q.Declined {
+				return l
+			}
+			continue
+		}
+		if !r.purses[l].holds(now, link, r.Workloads[q.Workload].Bytes) {
+			continue
+		}
 		if f := r.fill(now, q.Workload, l); f.tokens >= most {
 			best, most = l, f.tokens
 		}
 	}
 	if best >= 0 {
 		r.flows[q.Workload][best].tokens--
+		r.purses[best].take(r.Workloads[q.Workload].Bytes)
 	}
 	return best
 }
