Gateway: customers take turns wherever room is short; locked keys; a history of ids checked

Change: Route names a way, Spend takes its room; what finds none waits in its customer's turn, dearest workload first. Papers are read by a certificate library, keys may be locked.

--- a/cmd/sites/hop.go
+++ b/cmd/sites/hop.go
@@ -15,6 +15,11 @@
 	"willowsill/standin/sites"
 )
 
+const (
+	warmUp = 12 * time.Second
+	pause  = 100 * time.Millisecond // of a client that has got no answer
+)
+
 // hop is one way of asking: at home, or over the link at a site that is left.
 type hop struct {
 	name  string
@@ -100,7 +105,10 @@
 	if err != nil {
 		return err
 	}
-	time.Sleep(3 * time.Second)
+	// The ways become known, and gateways that were not known before are asked little at first.
+	for until := time.Now().Add(warmUp); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		w.Ask(sites.Query{Site: "east", ID: fmt.Sprint("w", time.Now().UnixNano())})
+	}
 	var mu sync.Mutex
 	var took []time.Duration
 	var all sync.WaitGroup
@@ -116,6 +124,9 @@
 					took = append(took, d)
 				}
 				mu.Unlock()
+				if end != sites.In {
+					time.Sleep(pause)
+				}
 			}
 		})
 	}
--- a/cmd/willowsill/ways.go
+++ b/cmd/willowsill/ways.go
@@ -59,7 +59,8 @@
 	if o.Site == nil {
 		return own, &ways{orders: o, log: log}, nil
 	}
-	papers := gateway.Papers{CertFile: o.Site.CertFile, KeyFile: o.Site.KeyFile, CAFile: o.Site.CAFile}
+	papers := gateway.Papers{CertFile: o.Site.CertFile, KeyFile: o.Site.KeyFile, CAFile: o.Site.CAFile,
+		PasswordFile: o.Site.Lock}
 	atDoor, outside, err := papers.Secure()
 	if err != nil {
 		return nil, nil, fmt.Errorf("%s: site: %w", o.File, err)
@@ -105,7 +106,8 @@
 	}()
 	core.Evacuate(o.Site.Dark)
 	count.Gateway.Put(wayCount{figures, core})
-	log.Info("there are ways to other sites", zap.String("site", o.Site.Name), zap.Strings("to", names))
+	until, _ := papers.Until()
+	log.Info("there are ways to other sites", zap.String("site", o.Site.Name), zap.Strings("to", names), zap.Time("papers_until", until))
 	return core, w, nil
 }
 
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -50,8 +51,9 @@
 	interval   = time.Second
 	pingEach   = 500 * time.Millisecond
 	pingWait   = time.Second
-	pingMissed = 3        // one after the other, and a site's ways are not used
-	waitMost   = 64       // queries that wait for room on a link,
+	pingMissed = 3 // one after the other, and a site's ways are not used
+	lookEach   = 10 * time.Millisecond
+	waitMost   = 64       // queries of a workload that wait for room on a link,
 	waitOne    = 0.5      // this share of them of one customer at most,
 	waitShare  = 10       // and each for this part of its time at most
 	tripsMost  = 512      // queries on their way at a time
@@ -89,7 +91,9 @@
 	routes *routes.Routes
 	spare  *routes.Spare
 	limits []*routes.Limit
-	queues []*fair.Queue // of each link: what waits for room there
+	queues [][]*fair.Queue // of each link and workload: what waits for room there
+	looks  []bool          // of each link: it is looked at again soon for room
+	order  []int           // workloads, those worth most first
 	delays []figures
 
 	cancel context.CancelFunc
@@ -133,12 +137,17 @@
 	for i, s := range p.Sites {
 		t.Links = append(t.Links, s.Link)
 		c.limits = append(c.limits, routes.NewLimit(now))
-		c.queues = append(c.queues, fair.New(fair.Terms{Most: waitMost, MostOne: waitOne}))
+		var queues []*fair.Queue
+		for range p.Deployment.Workloads {
+			queues = append(queues, fair.New(fair.Terms{Most: waitMost, MostOne: waitOne}))
+		}
+		c.queues, c.looks = append(c.queues, queues), append(c.looks, false)
 		for _, address := range s.Gateways {
 			known.Entries = append(known.Entries, roster.Entry{Host: s.Site + "/" + address, Dial: address, Cell: i})
 		}
 	}
 	c.routes, c.spare = routes.New(now, t), routes.NewSpare(now)
+	c.order = c.routes.Order()
 	d := p.Deployment
 	d.Shards, d.Cells, d.Reach, d.PartsPerCall = len(p.Sites), len(p.Sites), 1, 1
 	d.MaxExecutions, d.Cancels, d.AsksForList = min(carryTwice, d.MaxExecutions), true, false
@@ -270,24 +279,38 @@
 	case c.plan.Policy != routes.Planned:
 		c.limits[link].Must()
 		return link
-	case c.limits[link].Take() || c.waits(ctx, now, q, link):
+	case c.queues[link][q.Workload].Len() == 0 && c.room(now, q.Workload, link) || c.waits(ctx, now, q, link):
 		return link
 	}
 	return -1
 }
 
+// room takes the room for one query on a link, if there is some; it is called with the lock.
+func (c *Core) room(now int64, workload, link int) bool {
+	if !c.limits[link].Take() {
+		return false
+	}
+	if !c.routes.Spend(now, workload, link) {
+		c.limits[link].Give()
+		return false
+	}
+	return true
+}
+
 // waits has a query wait for room on a link, for a tenth of its time at most; it is called and returns with the lock. False
 // means that it got none.
 //
-// Danger: at the limit one customer's crowd would take all the room that comes free; customers take turns.
+// Danger: one customer's crowd would take all the room of a plan, a purse or a limit as it comes free; customers take
+// turns wherever room is short.
 func (c *Core) waits(ctx context.Context, now int64, q node.Query, link int) bool {
 	room := make(chan bool, 1)
 	wait := (q.Until - now) / waitShare
-	dropped, taken := c.queues[link].Push(now, fair.Item{Customer: q.Customer, Until: now + wait, Load: room})
+	dropped, taken := c.queues[link][q.Workload].Push(now, fair.Item{Customer: q.Customer, Until: now + wait, Load: room})
 	turnAway(dropped)
 	if !taken {
 		return false
 	}
+	c.look(link)
 	c.mu.Unlock()
 	defer c.mu.Lock()
 	timer := time.NewTimer(time.Duration(wait))
@@ -304,7 +327,7 @@
 	case got := <-room: // it came at the last moment
 		return got
 	default:
-		c.queues[link].Remove(q.Customer, room)
+		c.queues[link][q.Workload].Remove(q.Customer, room)
 		return false
 	}
 }
@@ -322,18 +345,38 @@
 // give gives a query's room on a link back, and to the next who waits. It is called with the lock.
 func (c *Core) give(link int) {
 	c.limits[link].Give()
+	c.serve(link)
+}
+
+// serve gives what room there is on a link to those who wait, by turns of customers, first to what is worth most. It is
+// called with the lock.
+func (c *Core) serve(link int) {
 	now := c.plan.Clock.Now()
-	for c.queues[link].Len() > 0 && c.limits[link].Take() {
-		next, late, ok := c.queues[link].Pop(now)
-		turnAway(late)
-		if !ok {
-			c.limits[link].Give()
-			return
+	for _, w := range c.order {
+		q := c.queues[link][w]
+		turnAway(q.Late(now))
+		for q.Len() > 0 && c.room(now, w, link) {
+			next, _, _ := q.Pop(now)
+			next.Load.(chan bool) <- true
 		}
-		next.Load.(chan bool) <- true
 	}
 }
 
+// look has a link looked at again soon while somebody waits there: tokens come with time alone. It is called with the lock.
+func (c *Core) look(link int) {
+	if c.looks[link] || !slices.ContainsFunc(c.queues[link], func(q *fair.Queue) bool { return q.Len() > 0 }) {
+		return
+	}
+	c.looks[link] = true
+	time.AfterFunc(lookEach, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.looks[link] = false
+		c.serve(link)
+		c.look(link)
+	})
+}
+
 // carry takes a query to another site and brings its answer.
 func (c *Core) carry(ctx context.Context, q node.Query, link int, declined node.Answer) (node.Answer, bool) {
 	text, err := encode(q)
--- a/gateway/door.go
+++ b/gateway/door.go
@@ -16,6 +16,8 @@
 	"sync"
 	"time"
 
+	"go.step.sm/crypto/keyutil"
+	"go.step.sm/crypto/pemutil"
 	"go.uber.org/zap"
 
 	"willowsill/balance"
@@ -232,6 +234,7 @@
 // ones count without a restart and what is under way goes on.
 type Papers struct {
 	CertFile, KeyFile, CAFile string
+	PasswordFile              string // of the key; empty where the key is not locked
 }
 
 // Secure makes what both directions demand: TLS 1.3, each side with a certificate of the same authority. Whose gateway it
@@ -310,21 +313,49 @@
 }
 
 func (p Papers) own() (tls.Certificate, error) {
-	c, err := tls.LoadX509KeyPair(p.CertFile, p.KeyFile)
+	chain, err := pemutil.ReadCertificateBundle(p.CertFile)
 	if err != nil {
-		return c, fmt.Errorf("the site's certificate: %w", err)
+		return tls.Certificate{}, fmt.Errorf("the site's certificate: %w", err)
+	}
+	var how []pemutil.Options
+	if p.PasswordFile != "" {
+		how = append(how, pemutil.WithPasswordFile(p.PasswordFile))
+	}
+	key, err := pemutil.Read(p.KeyFile, how...)
+	if err != nil {
+		return tls.Certificate{}, fmt.Errorf("the site's key: %w", err)
+	}
+	if err := keyutil.VerifyPair(chain[0].PublicKey, key); err != nil {
+		return tls.Certificate{}, fmt.Errorf("%s is not the key of %s: %w", p.KeyFile, p.CertFile, err)
+	}
+	c := tls.Certificate{PrivateKey: key, Leaf: chain[0]}
+	for _, one := range chain {
+		c.Certificate = append(c.Certificate, one.Raw)
 	}
 	return c, nil
 }
 
+// Until is when the site's own certificate ends.
+func (p Papers) Until() (time.Time, error) {
+	c, err := p.own()
+	if err != nil {
+		return time.Time{}, err
+	}
+	return c.Leaf.NotAfter, nil
+}
+
 func (p Papers) authority() (*x509.CertPool, error) {
 	text, err := os.ReadFile(p.CAFile)
 	if err != nil {
 		return nil, fmt.Errorf("the authority: %w", err)
 	}
+	all, err := pemutil.ParseCertificateBundle(text)
+	if err != nil {
+		return nil, fmt.Errorf("the authority: %s: %w", p.CAFile, err)
+	}
 	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(text) {
-		return nil, fmt.Errorf("the authority: %s holds no certificate", p.CAFile)
+	for _, one := range all {
+		pool.AddCert(one)
 	}
 	return pool, nil
 }
--- a/gateway/door_test.go
+++ b/gateway/door_test.go
@@ -5,8 +5,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -34,7 +36,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return Papers{cert, key, a.File}
+	return Papers{CertFile: cert, KeyFile: key, CAFile: a.File}
 }
 
 // openDoor listens with a site's papers.
@@ -122,6 +124,50 @@
 	}
 }
 
+// A key may be locked; without its password, or with another's certificate, it is of no use, and no error shows it.
+func TestLockedKey(t *testing.T) {
+	a := newAuthority(t)
+	a.Lock = []byte("a password of some length")
+	p := issue(t, a, "locked", "a.gateway", time.Now().Add(time.Hour))
+	if _, _, err := p.Secure(); err == nil {
+		t.Error("a locked key opened by itself")
+	}
+	p.PasswordFile = filepath.Join(t.TempDir(), "password")
+	os.WriteFile(p.PasswordFile, a.Lock, 0o600)
+	if _, _, err := p.Secure(); err != nil {
+		t.Error(err)
+	}
+	other := issue(t, a, "other", "a.gateway", time.Now().Add(time.Hour))
+	p.CertFile = other.CertFile
+	if _, _, err := p.Secure(); err == nil || !strings.Contains(err.Error(), "is not the key of") {
+		t.Errorf("with another's certificate: %v", err)
+	}
+}
+
+// Whatever a peer's headers say, a query that has been here, or that names nobody, is not taken in, and nothing ends in a panic.
+func FuzzHeaders(f *testing.F) {
+	f.Add("a", "q1", "look", "1000")
+	f.Add("b,a", "", "pay", "-1")
+	f.Add("a,,a", "q\x00", "pay", "99999999999999999999")
+	f.Fuzz(func(t *testing.T, sites, id, workload, left string) {
+		in := false
+		d := &Door{Own: "b", Sites: []string{"a"}, Count: &Count{}, Log: zap.NewNop(), Clock: node.NewClock(), Deployment: theDeployment(),
+			Window: window.New(window.Terms{Most: 9, Bytes: 99, For: 1e9}),
+			Front:  http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { in = true })}
+		r := &http.Request{Method: "POST", URL: &url.URL{Path: "/" + workload}, Body: http.NoBody, Header: http.Header{
+			headerVisited: {sites}, "X-Trace-Id": {id}, "X-Expires-In-Ms": {left}, "X-Qos": {workload}}}
+		w := httptest.NewRecorder()
+		d.ServeHTTP(w, r)
+		all := strings.Split(sites, ",")
+		if in && (slices.Contains(all, "b") || len(all) > visitedMost) {
+			t.Errorf("%q was taken in", sites)
+		}
+		if !in && workload != "gateway/ping" && w.Header().Get(headerRan) != "0" {
+			t.Errorf("%q: %d, and nothing says that it never ran", sites, w.Code)
+		}
+	})
+}
+
 // What a peer sends is checked before it reaches the front.
 func TestCame(t *testing.T) {
 	d := &Door{Own: "b", Sites: []string{"a"}, Count: &Count{}, Log: zap.NewNop(), Front: http.HandlerFunc(
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"strings"
@@ -144,7 +143,11 @@
 	go lists.Serve(w.network.Listen("d-" + name + ":1"))
 	d, count := theDeployment(), counters.New(workloads)
 	watch := roster.NewWatch("d-"+name+":1", 1, 0, w.network.Dial, func(ctx context.Context, n roster.News) { s.node.News(ctx, n) })
-	s.node = node.New(node.Plan{Clock: node.NewClock(), Deployment: d, Terms: theTerms, Budget: sockets.NewBudget(256),
+	clock := node.NewClock()
+	if name == "b" { // Danger: a time of day on the wire would be an hour off; only time left may cross
+		clock = clock.Ahead(time.Hour)
+	}
+	s.node = node.New(node.Plan{Clock: clock, Deployment: d, Terms: theTerms, Budget: sockets.NewBudget(256),
 		Count: count, Log: zap.NewNop(), Ask: watch.Ask, Dial: w.network.Dial})
 	ctx, stop := context.WithCancel(w.Context())
 	watched := make(chan struct{})
@@ -288,6 +291,8 @@
 					w.Errorf("ended %v", ended)
 				}
 				ran := 0
+				b.mu.Lock()
+				defer b.mu.Unlock()
 				for id, times := range b.effects {
 					if strings.HasPrefix(id, "k") {
 						ran++
@@ -339,6 +344,8 @@
 			answers[1] != answers[0] || answers[2] != answers[0] {
 			w.Errorf("%q and %d %s", answers, status, text)
 		}
+		b.mu.Lock()
+		defer b.mu.Unlock()
 		if b.effects["p1.0"] != 1 || b.count.Joined.Load() != 2 || b.count.Repeated.Load() < 1 {
 			w.Errorf("ran %v, %d joined, %d repeated", b.effects, b.count.Joined.Load(), b.count.Repeated.Load())
 		}
@@ -390,7 +397,8 @@
 	})
 }
 
-// Over a full way customers take turns, and who waits is told in a tenth of its time.
+// Over a full way five customers, of whom one asks as much as sixteen, take turns, and who waits is told in a tenth of its
+// time.
 func TestTakeTurns(t *testing.T) {
 	play(t, []string{"a", "b"}, func(w *world) {
 		far := link.Way{Delay: 150 * time.Millisecond}
@@ -400,13 +408,17 @@
 		w.carried("a", "warm", "look")
 		time.Sleep(20 * time.Second) // the way's least delay is found anew
 		var mu sync.Mutex
-		served, asked := map[string]int{}, map[string]int{}
+		served, asked := map[string]float64{}, map[string]float64{}
 		var all sync.WaitGroup
 		for i := range 400 {
-			for _, c := range []string{"greedy", "greedy", "greedy", "greedy", "meek"} {
+			customers := []string{"m1", "m2", "m3", "m4"}
+			for range 16 {
+				customers = append(customers, "greedy")
+			}
+			for n, c := range customers {
 				all.Go(func() {
 					began := time.Now()
-					answer, ok := a.core.Serve(w.Context(), node.Query{ID: fmt.Sprintf("%s-%d-%d", c, i, rand.Int64()), Customer: c,
+					answer, ok := a.core.Serve(w.Context(), node.Query{ID: fmt.Sprintf("%s-%d-%d", c, i, n), Customer: c,
 						Until: a.node.Clock.Now() + 3e9, Text: []byte("t"), Parts: []node.Part{{Shard: 0, Weight: 0.5}, {Shard: 1, Weight: 0.5}}})
 					mu.Lock()
 					defer mu.Unlock()
@@ -422,16 +434,18 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 		all.Wait()
-		meek, greedy := float64(served["meek"])/float64(asked["meek"]), float64(served["greedy"])/float64(asked["greedy"])
-		w.Logf("of the meek one's %.2f were served, of the greedy one's %.2f", meek, greedy)
-		if meek < greedy || served["meek"] == 0 {
-			w.Errorf("of the meek one's %.2f were served, of the greedy one's %.2f", meek, greedy)
+		greedy := served["greedy"] / asked["greedy"]
+		for _, c := range []string{"m1", "m2", "m3", "m4"} {
+			if meek := served[c] / asked[c]; meek < 2*greedy || served[c] == 0 {
+				w.Errorf("of %s's %.2f were served, of the greedy one's %.2f", c, meek, greedy)
+			}
 		}
+		w.Logf("of the meek ones' %.2f were served, of the greedy one's %.2f", served["m1"]/asked["m1"], greedy)
 		c := a.core
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if c.limits[0].InFlight() != 0 || c.queues[0].Len() != 0 {
-			w.Errorf("left: %d in flight, %d waiting", c.limits[0].InFlight(), c.queues[0].Len())
+		if c.limits[0].InFlight() != 0 || c.queues[0][0].Len() != 0 {
+			w.Errorf("left: %d in flight, %d waiting", c.limits[0].InFlight(), c.queues[0][0].Len())
 		}
 	})
 }
--- /dev/null
+++ b/gateway/history_test.go
@@ -0,0 +1,142 @@
+package gateway
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"go.uber.org/zap"
+
+	"willowsill/balance"
+	"willowsill/deployment"
+	"willowsill/node"
+	"willowsill/window"
+)
+
+// asked is one call of a peer: an id, and the answer or none.
+type asked struct{ id, answer string }
+
+// oneAnswer is what peers may see of a door: the first answer to an id is its answer for ever; that it is not known, or not
+// taken in, may be told at any time.
+var oneAnswer = porcupine.Model{
+	Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+		byID := map[string][]porcupine.Operation{}
+		for _, o := range history {
+			byID[o.Input.(string)] = append(byID[o.Input.(string)], o)
+		}
+		var parts [][]porcupine.Operation
+		for _, part := range byID {
+			parts = append(parts, part)
+		}
+		return parts
+	},
+	Init: func() any { return "" },
+	Step: func(state, _, output any) (bool, any) {
+		was, got := state.(string), output.(string)
+		if got == "" || got == was {
+			return true, state
+		}
+		return was == "", got
+	},
+	Equal: func(a, b any) bool { return a == b },
+}
+
+// history plays peers that ask and repeat once-only queries at a door which is restarted again and again, and returns what
+// they saw. Restarts keep the ids or, as a crash without a disk, forget them.
+func history(t *testing.T, seed uint64, kept bool) []porcupine.Operation {
+	file := filepath.Join(t.TempDir(), "ids")
+	clock := node.NewClock()
+	var ran atomic.Int64
+	d := deployment.Deployment{Workload: map[string]int{"pay": 0},
+		Deployment: balance.Deployment{Workloads: []balance.Workload{{Effect: balance.OnceOnly}}}}
+	open := func() *Door {
+		door := &Door{Own: "b", Deployment: d, Clock: clock, Count: &Count{}, Log: zap.NewNop(),
+			Window: window.New(window.Terms{Most: 1000, Bytes: 1 << 20, For: 3600e9}),
+			Front: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				n := ran.Add(1)
+				if n%7 == 0 {
+					http.Error(w, "declined", http.StatusServiceUnavailable)
+					return
+				}
+				time.Sleep(time.Duration(n%5) * 100 * time.Microsecond)
+				fmt.Fprintf(w, "run %d", n)
+			})}
+		if kept {
+			if err := door.Load(file); err != nil {
+				t.Error(err)
+			}
+		}
+		return door
+	}
+	var at sync.RWMutex // held for reading by whoever is in: a planned restart lets them end
+	door := open()
+	var mu sync.Mutex
+	var all []porcupine.Operation
+	var peers sync.WaitGroup
+	for n := range 6 {
+		chance := rand.New(rand.NewPCG(seed, uint64(n)))
+		peers.Go(func() {
+			for range 150 {
+				id := fmt.Sprint("q", chance.IntN(40))
+				r := httptest.NewRequest("POST", "/pay", nil)
+				r.Header.Set(headerVisited, "a")
+				r.Header.Set("X-Trace-Id", id)
+				w := httptest.NewRecorder()
+				at.RLock()
+				began := clock.Now()
+				door.ServeHTTP(w, r)
+				ended := clock.Now()
+				at.RUnlock()
+				got := ""
+				if w.Code == http.StatusOK {
+					got = w.Body.String()
+				}
+				mu.Lock()
+				all = append(all, porcupine.Operation{ClientId: n, Input: id, Call: began, Output: got, Return: ended})
+				mu.Unlock()
+			}
+		})
+	}
+	stop, stopped := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(stopped)
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(5 * time.Millisecond):
+			}
+			at.Lock()
+			if kept {
+				if err := door.Save(file); err != nil {
+					t.Error(err)
+				}
+			}
+			door = open()
+			at.Unlock()
+		}
+	}()
+	peers.Wait()
+	close(stop)
+	<-stopped
+	return all
+}
+
+// Over any number of planned restarts peers see one answer to an id. Without what is kept they do not, so the check can fail.
+func TestHistory(t *testing.T) {
+	for seed := range uint64(5) {
+		if !porcupine.CheckOperations(oneAnswer, history(t, seed, true)) {
+			t.Errorf("seed %d: an id had two answers", seed)
+		}
+	}
+	if porcupine.CheckOperations(oneAnswer, history(t, 1, false)) {
+		t.Error("a door that forgets at each restart passed the check")
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -33,6 +33,9 @@
 // NewClock starts a clock.
 func NewClock() Clock { return Clock{time.Now().Add(-clockStart)} }
 
+// Ahead is a clock that shows so much more: two processes have no start in common.
+func (c Clock) Ahead(d time.Duration) Clock { return Clock{c.base.Add(-d)} }
+
 // Now is the present time.
 func (c Clock) Now() int64 { return int64(time.Since(c.base)) }
 
--- a/operator/functions.go
+++ b/operator/functions.go
@@ -136,6 +136,7 @@
 		{name: "listen", kind: address, help: "for other sites' gateways"},
 		{name: "cert_file", kind: file, help: "PEM, for NAME.gateway; read at each handshake"},
 		{name: "key_file", kind: file, help: "PEM"},
+		{name: "key_password_file", kind: file, unset: "", help: "where the key is locked"},
 		{name: "ca_file", kind: file, help: "PEM, of the authority of all sites"},
 		{name: "remember", kind: file, unset: "", help: "where ids are kept over a planned restart"},
 		{name: "dark", kind: truth, unset: false, help: "nothing new is asked here; SIGHUP changes it"},
@@ -143,7 +144,8 @@
 		{name: "policy", kind: text, unset: "plan", words: []string{"plan", "all", "half"}, help: "of what is carried; all but plan are baselines"},
 		{name: "http2", kind: truth, unset: false, help: "queries to one gateway share a connection"},
 	}, order: func(o *Orders, c call) error {
-		o.Site = &Site{c.text("name"), c.text("listen"), c.text("cert_file"), c.text("key_file"), c.text("ca_file"),
+		o.Site = &Site{c.text("name"), c.text("listen"), c.text("cert_file"), c.text("key_file"),
+			c.text("key_password_file"), c.text("ca_file"),
 			c.text("remember"), c.truth("dark"), c.shares("revenue"), c.text("policy"), c.truth("http2")}
 		return siteName(o.Site.Name, "name")
 	}},
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -61,6 +61,7 @@
 	Listen   string // HOST:PORT for other sites' gateways
 	CertFile string // of this site's gateway, as is KeyFile
 	KeyFile  string
+	Lock     string             // the file of the key's password; empty for none
 	CAFile   string             // of the authority of all sites' certificates
 	Remember string             // where ids are kept over a planned restart; empty for nowhere
 	Dark     bool               // nothing new is asked of this site's replicas
--- a/routes/routes.go
+++ b/routes/routes.go
@@ -424,41 +424,55 @@
 	Declined bool     // the own site was asked, and declined it
 }
 
-// Route returns the link that a query goes over, or -1. The way with the most tokens in hand is taken, so a plan over
-// several links is followed query by query.
+// Route returns the link that a query goes over once there is room, or -1. The way with the most tokens in hand is taken, so
+// a plan over several links is followed query by query. Spend takes the room.
 //
 // Danger: a query that goes round between sites uses every link and is served nowhere; one whose time is nearly up comes
 // back too late. Neither leaves.
 func (r *Routes) Route(now int64, q Query) int {
-	if len(q.Visited) >= hopsMost {
+	if len(q.Visited) >= hopsMost || r.Policy == Halves && q.Declined {
 		return -1
 	}
-	best, most := -1, 1.0
+	best, most := -1, 0.0
 	for l, link := range r.Links {
 		if link.Site == r.Site || slices.Contains(q.Visited, link.Site) || !r.links[l].Usable ||
 			q.Left < int64(spareWays*float64(r.links[l].Delay))+r.Workloads[q.Workload].Serves {
 			continue
 		}
 		if r.Policy != Planned {
-			if r.Policy == Everything || !q.Declined {
-				return l
-			}
-			continue
-		}
-		if !r.purses[l].holds(now, link, r.Workloads[q.Workload].Bytes) {
-			continue
+			return l
 		}
-		if f := r.fill(now, q.Workload, l); f.tokens >= most {
+		if f := r.fill(now, q.Workload, l); r.plan.Rates[q.Workload][l] > 0 && (best < 0 || f.tokens > most) {
 			best, most = l, f.tokens
 		}
 	}
-	if best >= 0 {
-		r.flows[q.Workload][best].tokens--
-		r.purses[best].take(r.Workloads[q.Workload].Bytes)
-	}
 	return best
 }
 
+// Spend takes the room for one query over a link, if its plan and the link's purse have it now.
+func (r *Routes) Spend(now int64, workload, link int) bool {
+	if r.Policy != Planned {
+		return true
+	}
+	f := r.fill(now, workload, link)
+	if f.tokens < 1 || !r.purses[link].holds(now, r.Links[link], r.Workloads[workload].Bytes) {
+		return false
+	}
+	f.tokens--
+	r.purses[link].take(r.Workloads[workload].Bytes)
+	return true
+}
+
+// Order are the workloads, those worth most first: so they get what room there is.
+func (r *Routes) Order() []int {
+	order := make([]int, len(r.Workloads))
+	for w := range order {
+		order[w] = w
+	}
+	slices.SortStableFunc(order, func(a, b int) int { return cmp.Compare(r.Workloads[b].Revenue, r.Workloads[a].Revenue) })
+	return order
+}
+
 // fill lets time pass over a route's tokens.
 func (r *Routes) fill(now int64, w, l int) *flow {
 	f, rate := &r.flows[w][l], r.plan.Rates[w][l]
--- a/routes/routes_test.go
+++ b/routes/routes_test.go
@@ -98,6 +98,14 @@
 	sent     [][]float64 // by interval, of each workload
 }
 
+// goes routes a query and spends its room; -1 for none.
+func (r *Routes) goes(now int64, q Query) int {
+	if l := r.Route(now, q); l >= 0 && r.Spend(now, q.Workload, l) {
+		return l
+	}
+	return -1
+}
+
 const slots = 200 // of an interval, one query of a workload in each at most
 
 // play has two sites route for each other for some intervals; change may change them in each.
@@ -128,7 +136,7 @@
 			for k := range slots { // through the interval
 				for w := range 2 {
 					if k*excess[w]/slots < (k+1)*excess[w]/slots &&
-						s.Route(now-second+int64(k)*second/slots, Query{Workload: w, Left: 2 * second}) == 0 {
+						s.goes(now-second+int64(k)*second/slots, Query{Workload: w, Left: 2 * second}) == 0 {
 						next[n][w]++
 					}
 				}
@@ -214,7 +222,7 @@
 		for w := range 2 {
 			for k := range 20 {
 				r.Missed(w)
-				if r.Route(now+int64(k)*second/20, Query{Workload: w, Left: 2 * second}) == 0 {
+				if r.goes(now+int64(k)*second/20, Query{Workload: w, Left: 2 * second}) == 0 {
 					r.Carried(w, 0, w == 1)
 					if i >= 60 {
 						sent[w]++
@@ -245,7 +253,7 @@
 		for range rapid.IntRange(1, 300).Draw(t, "turns") {
 			now += rapid.Int64Range(0, second/5).Draw(t, "later")
 			w := rapid.IntRange(0, 1).Draw(t, "workload")
-			if r.Route(now, Query{Workload: w, Left: 9 * second}) != 0 {
+			if r.goes(now, Query{Workload: w, Left: 9 * second}) != 0 {
 				continue
 			}
 			real := rapid.Float64Range(100, 50000).Draw(t, "real")
@@ -310,7 +318,7 @@
 				for range rapid.IntRange(0, 3).Draw(t, "hops") {
 					q.Visited = append(q.Visited, fmt.Sprint("s", rapid.IntRange(0, 3).Draw(t, "visited")))
 				}
-				l := r.Route(now, q)
+				l := r.goes(now, q)
 				if l < 0 {
 					continue
 				}
--- a/standin/papers/papers.go
+++ b/standin/papers/papers.go
@@ -2,52 +2,49 @@
 package papers
 
 import (
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
+	"crypto"
 	"crypto/x509"
 	"crypto/x509/pkix"
-	"encoding/pem"
 	"math/big"
-	"os"
 	"path/filepath"
 	"time"
+
+	"go.step.sm/crypto/keyutil"
+	"go.step.sm/crypto/pemutil"
+	"go.step.sm/crypto/x509util"
 )
 
 // Authority signs certificates and keeps all files in a folder of its own.
 type Authority struct {
 	File string // its own certificate
+	Lock []byte // the password that keys are locked with; empty for none
 	dir  string
 	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
+	key  crypto.Signer
 	next int64
 }
 
 // New makes an authority with a folder for its files.
 func New(dir string) (*Authority, error) {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	key, err := keyutil.GenerateDefaultSigner()
 	if err != nil {
 		return nil, err
 	}
 	form := &x509.Certificate{SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "sites"}, IsCA: true,
 		BasicConstraintsValid: true, NotBefore: time.Now().Add(-24 * time.Hour), NotAfter: time.Now().Add(24 * time.Hour),
 		KeyUsage: x509.KeyUsageCertSign}
-	der, err := x509.CreateCertificate(rand.Reader, form, form, &key.PublicKey, key)
-	if err != nil {
-		return nil, err
-	}
-	cert, err := x509.ParseCertificate(der)
+	cert, err := x509util.CreateCertificate(form, form, key.Public(), key)
 	if err != nil {
 		return nil, err
 	}
 	a := &Authority{File: filepath.Join(dir, "authority.pem"), dir: dir, cert: cert, key: key, next: 2}
-	return a, write(a.File, "CERTIFICATE", der)
+	return a, write(a.File, cert)
 }
 
-// Issue writes a certificate for a name, good until then, and its key, into NAME.pem and NAME.key of the folder; files
+// Issue writes a certificate for a name, good until then, and its key, into FILE.pem and FILE.key of the folder; files
 // that are there are replaced.
 func (a *Authority) Issue(file, name string, until time.Time) (cert, key string, err error) {
-	own, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	own, err := keyutil.GenerateDefaultSigner()
 	if err != nil {
 		return "", "", err
 	}
@@ -55,21 +52,22 @@
 		NotBefore: time.Now().Add(-12 * time.Hour), NotAfter: until,
 		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}}
 	a.next++
-	der, err := x509.CreateCertificate(rand.Reader, form, a.cert, &own.PublicKey, a.key)
-	if err != nil {
-		return "", "", err
-	}
-	text, err := x509.MarshalECPrivateKey(own)
+	signed, err := x509util.CreateCertificate(form, a.cert, own.Public(), a.key)
 	if err != nil {
 		return "", "", err
 	}
 	cert, key = filepath.Join(a.dir, file+".pem"), filepath.Join(a.dir, file+".key")
-	if err := write(cert, "CERTIFICATE", der); err != nil {
+	if err := write(cert, signed); err != nil {
 		return "", "", err
 	}
-	return cert, key, write(key, "EC PRIVATE KEY", text)
+	var how []pemutil.Options
+	if len(a.Lock) > 0 {
+		how = append(how, pemutil.WithPassword(a.Lock))
+	}
+	return cert, key, write(key, own, how...)
 }
 
-func write(file, kind string, der []byte) error {
-	return os.WriteFile(file, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600)
+func write(file string, what any, how ...pemutil.Options) error {
+	_, err := pemutil.Serialize(what, append(how, pemutil.ToFile(file, 0o600))...)
+	return err
 }
