Scripts of checked calls are read by a package of their own

Cause: experiments are to be scripts too, with the same checks, defaults and places of faults as the operator's file.

Change: script/ reads any table of functions; operator/ keeps only what its own file may say.

--- a/operator/operator.go
+++ b/operator/operator.go
@@ -1,32 +1,8 @@
 // Package operator reads the operator's own file, a Starlark script that switches on what the platform does not
-// ask for. It checks all that is said, gives defaults, and explains what holds in the end. It opens no file but the
-// script and those beside it that it loads, and starts nothing.
+// ask for: what a script may say, its defaults and its limits stand here.
 package operator
 
-import (
-	"cmp"
-	"errors"
-	"fmt"
-	"os"
-	"path/filepath"
-	"slices"
-	"strings"
-	"sync/atomic"
-	"time"
-
-	"github.com/agnivade/levenshtein"
-	"go.starlark.net/resolve"
-	"go.starlark.net/starlark"
-	"go.starlark.net/syntax"
-)
-
-const (
-	mostSteps  = 5_000_000       // of the script, in the interpreter's own count
-	mostTime   = 2 * time.Second // for the whole script
-	mostSize   = 1 << 20         // bytes of one file
-	mostFaults = 50              // that are told at once
-	farthest   = 3               // edits between a word and what may have been meant
-)
+import "willowsill/script"
 
 // Orders are what the operator asks for; what is nil is off.
 type Orders struct {
@@ -36,7 +12,7 @@
 	Site   *Site
 	Links  []Link
 
-	said []call // as the script said it, for Explain
+	said script.Said // for Explain
 }
 
 // Store is the shared store, and what is shared through it. Times in ns.
@@ -86,270 +62,31 @@
 	Burst    float64 // queries that may be saved up
 }
 
-// Fault is one thing that is wrong, where it stands.
-type Fault struct {
-	Where string // FILE:LINE:COLUMN, or the file
-	Text  string // names the key
-}
-
-func (f Fault) Error() string { return f.Where + ": " + f.Text }
-
 // Faults are all that is wrong with a script.
-type Faults []Fault
+type Faults = script.Faults
 
-func (f Faults) Error() string {
-	lines := make([]string, len(f))
-	for i, fault := range f {
-		lines[i] = fault.Error()
-	}
-	return strings.Join(lines, "\n")
-}
+// Line is one value that holds.
+type Line = script.Line
 
 // Read reads a script. The error is Faults, or says why there is no script to read.
 func Read(file string) (*Orders, error) {
-	r := &reader{orders: &Orders{File: file}, dir: filepath.Dir(file), loaded: map[string]*module{},
-		keys: map[string]map[string]syntax.Position{}, once: map[string]syntax.Position{}}
-	late := time.AfterFunc(mostTime, r.cancel)
-	defer late.Stop()
-	if _, err := r.run(filepath.Base(file)); err != nil {
-		if !errors.As(err, new(Fault)) {
-			return nil, err
-		}
-		r.faults = append(r.faults, err.(Fault))
-	}
-	r.together()
-	if len(r.faults) > 0 {
-		slices.SortStableFunc(r.faults, func(a, b Fault) int { return cmp.Compare(a.Where, b.Where) })
-		return nil, r.faults[:min(len(r.faults), mostFaults)]
-	}
-	return r.orders, nil
-}
-
-// module is one file that was loaded.
-type module struct {
-	globals starlark.StringDict
-	err     error
-}
-
-// reader is one reading of a script and of what it loads.
-type reader struct {
-	orders *Orders
-	dir    string
-	loaded map[string]*module // nil while it is being read
-	keys   map[string]map[string]syntax.Position
-	once   map[string]syntax.Position // functions that may be called once, where they were
-	faults Faults
-	thread atomic.Pointer[starlark.Thread] // that runs now
-	ended  atomic.Bool                     // its time is up
-	steps  uint64
-}
-
-func (r *reader) cancel() {
-	r.ended.Store(true)
-	if t := r.thread.Load(); t != nil {
-		t.Cancel("it takes longer than " + mostTime.String())
-	}
-}
-
-// run runs one file of the script's folder.
-//
-// Danger: a script that never ends, or that names files elsewhere, would hold up the start or read what it must not.
-func (r *reader) run(name string) (starlark.StringDict, error) {
-	path := filepath.Join(r.dir, name)
-	info, err := os.Stat(path)
-	if err != nil {
-		return nil, err
-	}
-	if info.Size() > mostSize {
-		return nil, Fault{path, fmt.Sprintf("has %d bytes, over %d", info.Size(), mostSize)}
-	}
-	text, err := os.ReadFile(path)
+	o := &Orders{File: file}
+	said, err := script.Read(file, functions, o, o.together)
 	if err != nil {
 		return nil, err
 	}
-	options := &syntax.FileOptions{TopLevelControl: true, Set: true}
-	tree, err := options.Parse(path, text, 0)
-	if err != nil {
-		return nil, asFault(path, err)
-	}
-	r.note(tree)
-	thread := &starlark.Thread{Name: name, Print: func(*starlark.Thread, string) {},
-		Load: func(t *starlark.Thread, beside string) (starlark.StringDict, error) { return r.load(beside) }}
-	if r.steps >= mostSteps || r.ended.Load() {
-		return nil, Fault{path, "the script is too long"}
-	}
-	thread.SetMaxExecutionSteps(mostSteps - r.steps)
-	outer := r.thread.Swap(thread)
-	defer func() {
-		r.thread.Store(outer)
-		r.steps += thread.ExecutionSteps()
-	}()
-	program, err := starlark.FileProgram(tree, func(name string) bool { _, ok := functions[name]; return ok })
-	if err != nil {
-		return nil, r.unknown(path, err)
-	}
-	globals, err := program.Init(thread, r.builtins())
-	if err != nil {
-		return nil, asFault(path, err)
-	}
-	globals.Freeze()
-	return globals, nil
+	o.said = said
+	return o, nil
 }
 
-// load brings in a file beside the script.
-func (r *reader) load(name string) (starlark.StringDict, error) {
-	if name != filepath.Base(name) || !strings.HasSuffix(name, ".star") {
-		return nil, fmt.Errorf("%q is no .star file beside the script", name)
-	}
-	m, known := r.loaded[name]
-	if known && m == nil {
-		return nil, fmt.Errorf("%q loads itself", name)
-	}
-	if !known {
-		r.loaded[name] = nil
-		m = &module{}
-		m.globals, m.err = r.run(name)
-		r.loaded[name] = m
-	}
-	return m.globals, m.err
-}
-
-// note keeps where the keys of each call stand, which the interpreter forgets.
-func (r *reader) note(tree *syntax.File) {
-	syntax.Walk(tree, func(n syntax.Node) bool {
-		if c, ok := n.(*syntax.CallExpr); ok {
-			at := map[string]syntax.Position{}
-			for _, a := range c.Args {
-				if b, ok := a.(*syntax.BinaryExpr); ok && b.Op == syntax.EQ {
-					if name, ok := b.X.(*syntax.Ident); ok {
-						at[name.Name] = name.NamePos
-					}
-				}
-			}
-			r.keys[c.Lparen.String()] = at
-		}
-		return true
-	})
-}
-
-// asFault gives an error of the interpreter its place.
-func asFault(path string, err error) error {
-	var own Fault
-	if errors.As(err, &own) {
-		return own
-	}
-	var wrong *starlark.EvalError
-	if errors.As(err, &wrong) {
-		for i := range wrong.CallStack {
-			if p := wrong.CallStack.At(i).Pos; p.Line > 0 {
-				return Fault{p.String(), wrong.Msg}
-			}
-		}
-		return Fault{path, wrong.Msg}
-	}
-	var form syntax.Error
-	if errors.As(err, &form) {
-		return Fault{form.Pos.String(), form.Msg}
-	}
-	return Fault{path, err.Error()}
-}
-
-// unknown tells all names that nobody defined; the last is the error that ends the reading.
-func (r *reader) unknown(path string, err error) error {
-	var all resolve.ErrorList
-	if !errors.As(err, &all) {
-		return asFault(path, err)
-	}
-	for _, e := range all {
-		text := e.Msg
-		if _, word, found := strings.Cut(e.Msg, "undefined: "); found {
-			text = fmt.Sprintf("%q is no function of this file", word)
-			if meant := nearest(word, functions.names()); meant != "" {
-				text += "; is " + meant + " meant?"
-			}
-		}
-		r.complain(e.Pos, "%s", text)
-	}
-	last := r.faults[len(r.faults)-1]
-	r.faults = r.faults[:len(r.faults)-1]
-	return last
-}
+// Explain tells all that holds, in the order of the script; what was left out is marked as default.
+func (o *Orders) Explain() []Line { return o.said.Explain() }
 
-// nearest is the word that was most likely meant, or empty.
-func nearest(word string, among []string) string {
-	best, at := farthest+1, ""
-	for _, s := range among {
-		if d := levenshtein.ComputeDistance(word, s); d < best {
-			best, at = d, s
-		}
-	}
-	return at
-}
+// Off names the functions that the script did not call.
+func (o *Orders) Off() []string { return functions.Off(o.said) }
 
-// complain keeps a fault and lets the script go on, so that all are told at once.
-func (r *reader) complain(at syntax.Position, format string, args ...any) {
-	r.faults = append(r.faults, Fault{at.String(), fmt.Sprintf(format, args...)})
-}
-
-// builtins are the functions that a script may call.
-func (r *reader) builtins() starlark.StringDict {
-	d := starlark.StringDict{}
-	for name, f := range functions {
-		d[name] = starlark.NewBuiltin(name, func(t *starlark.Thread, _ *starlark.Builtin, args starlark.Tuple,
-			named []starlark.Tuple) (starlark.Value, error) {
-			r.called(t.CallFrame(1).Pos, f, args, named)
-			return starlark.None, nil
-		})
-	}
-	return d
-}
+// Help describes a function and its keys; false where there is none of that name.
+func Help(name string) (string, bool) { return functions.Explain(name) }
 
-// called checks one call and carries out its order.
-func (r *reader) called(at syntax.Position, f *function, args starlark.Tuple, named []starlark.Tuple) {
-	before := len(r.faults)
-	if len(args) > 0 {
-		r.complain(at, "%s: its values are given by key", f.name)
-	}
-	if was, again := r.once[f.name]; again && !f.many {
-		r.complain(at, "%s is called a second time; first at %s", f.name, was)
-	}
-	r.once[f.name] = at
-	c := call{function: f, at: at, values: map[string]any{}, given: map[string]bool{}}
-	for _, pair := range named {
-		key := string(pair[0].(starlark.String))
-		where, found := r.keys[at.String()][key]
-		if !found {
-			where = at
-		}
-		p := f.parameter(key)
-		if p == nil {
-			hint := ""
-			if meant := nearest(key, f.keys()); meant != "" {
-				hint = "; is " + meant + " meant?"
-			}
-			r.complain(where, "%s: key %q is unknown%s", f.name, key, hint)
-			continue
-		}
-		v, err := p.read(pair[1])
-		if err != nil {
-			r.complain(where, "%s: key %q %v", f.name, key, err)
-			continue
-		}
-		c.values[key], c.given[key] = v, true
-	}
-	for _, p := range f.parameters {
-		if c.values[p.name] == nil {
-			if p.unset == nil && !c.tried(named, p.name) {
-				r.complain(at, "%s: key %q is missing", f.name, p.name)
-			}
-			c.values[p.name] = p.unset
-		}
-	}
-	if len(r.faults) > before {
-		return
-	}
-	r.orders.said = append(r.orders.said, c)
-	if err := f.order(r.orders, c); err != nil {
-		r.complain(at, "%s: %v", f.name, err)
-	}
-}
+// Names are the functions that a script may call.
+func Names() []string { return functions.Names() }
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -6,6 +6,8 @@
 	"path/filepath"
 	"strings"
 	"testing"
+
+	"willowsill/script"
 )
 
 // beside writes files into one folder and returns the path of the first.
@@ -88,7 +90,7 @@
 		"word":      {"shared_stone()\nopen('x')", `a.star:1:1: "shared_stone" is no function of this file; is shared_store meant?`},
 		"no store":  {`quota(customer = "a", rate = 1)`, "nothing keeps it"},
 		"positions": {`shared_store("127.0.0.1:1")`, "given by key"},
-		"long":      {strings.Repeat("#", mostSize+1), "over"},
+		"long":      {strings.Repeat("#", script.MostSize+1), "over"},
 		"user":      {`shared_store(address = "h:1", user = "u")`, `"password_file"`},
 		"prefix":    {`shared_store(address = "h:1", prefix = "a*")`, `"prefix"`},
 		"deadline":  {`shared_store(address = "h:1", deadline = "1s")`, `"deadline" is longer`},
@@ -113,15 +115,6 @@
 	}
 }
 
-func TestSize(t *testing.T) {
-	for s, want := range map[string]int64{"64MiB": 64 << 20, "3B": 3, "1GiB": 1 << 30, "5": -1, "-1KiB": -1, "xMiB": -1} {
-		n, err := bytes(s)
-		if want < 0 && err == nil || want >= 0 && n != want {
-			t.Errorf("%s is %d, %v", s, n, err)
-		}
-	}
-}
-
 // The scripts that come with the program are right, and the platform's switches nothing on.
 func TestOwnScripts(t *testing.T) {
 	all, _ := filepath.Glob("../examples/*.star")
