Emulator: fleets in virtual time on all cores, a rules checker, textbook rivals

Cause: claims on routing and failure need sizes that no machine holds in sockets, and anybody must be able to play them again.

Change: emulator/agenda orders events by a calendar; emulator plays the true module against models of clients, replicas, network and list, its entities dealt into sectors that run apart for as long as a way takes; emulator/checker keeps books of its own on the six rules; emulator/rivals are the baselines.

--- /dev/null
+++ b/emulator/agenda/agenda_test.go
@@ -0,0 +1,72 @@
+package agenda
+
+import (
+	"container/heap"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// Whatever is put in whenever, near or far or in the past, events come out in their order.
+func TestOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, seq := New(0), uint64(0)
+		var model []Event
+		now := int64(0)
+		for range rapid.IntRange(1, 200).Draw(t, "turns") {
+			if rapid.Bool().Draw(t, "push") {
+				seq++
+				e := Event{At: now + rapid.OneOf(rapid.Int64Range(0, 1000), rapid.Int64Range(0, 1e6), rapid.Int64Range(0, 1e9),
+					rapid.Int64Range(0, 1e12)).Draw(t, "in"), From: rapid.Int32Range(0, 3).Draw(t, "from"), Seq: seq}
+				a.Push(e)
+				model = append(model, e)
+				slices.SortFunc(model, Compare)
+				continue
+			}
+			before := now + rapid.Int64Range(0, 2e9).Draw(t, "before")
+			got, ok := a.Pop(before)
+			if want := len(model) > 0 && model[0].At < before; ok != want || ok && got != model[0] {
+				t.Fatalf("got %v %v of %v", got, ok, model)
+			}
+			if ok {
+				now = got.At
+				model = model[1:]
+			}
+			if a.Len() != len(model) {
+				t.Fatalf("%d wait, want %d", a.Len(), len(model))
+			}
+		}
+	})
+}
+
+// Each turn takes the next event out and puts one in for later, as a simulation does.
+func BenchmarkTurn(b *testing.B) {
+	const waiting = 100_000
+	later := func(chance *rand.Rand) int64 { return int64(chance.ExpFloat64() * 40e6) }
+	b.Run("calendar", func(b *testing.B) {
+		chance, a := rand.New(rand.NewPCG(1, 2)), New(0)
+		for i := range waiting {
+			a.Push(Event{At: later(chance), Seq: uint64(i)})
+		}
+		for i := 0; b.Loop(); i++ {
+			e, _ := a.Pop(never)
+			e.At += later(chance)
+			e.Seq = uint64(waiting + i)
+			a.Push(e)
+		}
+	})
+	b.Run("heap", func(b *testing.B) {
+		chance, q := rand.New(rand.NewPCG(1, 2)), byTime{}
+		for i := range waiting {
+			heap.Push(&q, Event{At: later(chance), Seq: uint64(i)})
+		}
+		for i := 0; b.Loop(); i++ {
+			e := heap.Pop(&q).(Event)
+			e.At += later(chance)
+			e.Seq = uint64(waiting + i)
+			heap.Push(&q, e)
+		}
+	})
+}
--- /dev/null
+++ b/emulator/checker/checker.go
@@ -0,0 +1,238 @@
+// Package checker watches what one aggregator and one replica do in a simulation and tells when a rule is broken. It keeps
+// books of its own and shares no code with what it watches.
+package checker
+
+import (
+	"fmt"
+	"strings"
+)
+
+// What an execution did, as its outcome says; the numbers are the checker's own.
+const (
+	Fulfilled = iota
+	NeverRan
+	MayHaveRan
+)
+
+// Effects of a workload.
+const (
+	Repeatable = iota
+	Tagged
+	OnceOnly
+)
+
+// Bounds are what the rules of a deployment state. Times in ns.
+type Bounds struct {
+	Window     int64   // for which repeats of a tagged part are recognised
+	Floor      float64 // least share of the weight for an answer
+	Need       float64 // share of the weight for a whole one
+	Executions int     // of one part
+	Budgeted   bool
+	Free       float64 // further executions,
+	Share      float64 // and so many for each query taken,
+	Span       int64   // within any such span
+}
+
+// Broken is a rule that was broken. Text ends with what was seen of the query or the replica, the first first.
+type Broken struct {
+	Rule int
+	At   int64
+	Who  string
+	Text string
+}
+
+func (b Broken) String() string {
+	return fmt.Sprintf("rule %d at %.6f s, %s: %s", b.Rule, float64(b.At)/1e9, b.Who, b.Text)
+}
+
+// Aggregator watches one aggregator.
+type Aggregator struct {
+	Bounds
+	Name    string
+	queries map[int32]*query
+	list    map[int]bool // replicas that may be sent to, as the list says
+	taken   []int64      // times of queries within the budget's span
+	further []int64      // and of further executions
+	Broken  []Broken
+}
+
+type query struct {
+	until  int64
+	effect int
+	weight []float64
+	runs   [][]run
+	ended  bool
+	seen   []string
+}
+
+type run struct {
+	sent  int64
+	over  bool
+	ended int
+}
+
+// NewAggregator makes a watch over one.
+func NewAggregator(name string, b Bounds) *Aggregator {
+	return &Aggregator{Bounds: b, Name: name, queries: map[int32]*query{}, list: map[int]bool{}}
+}
+
+func (a *Aggregator) breaks(rule int, now int64, q *query, format string, args ...any) {
+	text := fmt.Sprintf(format, args...)
+	if q != nil {
+		text += "; seen: " + strings.Join(q.seen, ", ")
+	}
+	a.Broken = append(a.Broken, Broken{rule, now, a.Name, text})
+}
+
+func (q *query) note(now int64, format string, args ...any) {
+	q.seen = append(q.seen, fmt.Sprintf("%.6f ", float64(now)/1e9)+fmt.Sprintf(format, args...))
+}
+
+// Listed tells whether the list now lets a replica be sent to.
+func (a *Aggregator) Listed(replica int, up bool) { a.list[replica] = up }
+
+// Taken tells of a query.
+func (a *Aggregator) Taken(now int64, number int32, patience int64, effect int, weights []float64) {
+	q := &query{until: now + patience, effect: effect, weight: weights, runs: make([][]run, len(weights))}
+	q.note(now, "taken")
+	a.queries[number] = q
+	a.taken = append(a.taken, now)
+}
+
+// Sent tells of an execution that leaves.
+func (a *Aggregator) Sent(now int64, number int32, part, replica int) {
+	q := a.queries[number]
+	if q == nil {
+		a.breaks(1, now, nil, "a part of query %d is sent after its end", number)
+		return
+	}
+	q.note(now, "part %d to replica %d", part, replica)
+	if q.ended || now > q.until {
+		a.breaks(1, now, q, "a send after the final answer or the client's time")
+	}
+	if !a.list[replica] {
+		a.breaks(3, now, q, "a send to replica %d, which drains or has gone", replica)
+	}
+	runs := q.runs[part]
+	for i, r := range runs {
+		switch {
+		case !r.over:
+			a.breaks(2, now, q, "part %d runs again before the outcome of execution %d", part, i)
+		case r.ended == MayHaveRan && q.effect == OnceOnly:
+			a.breaks(2, now, q, "once-only part %d runs again, and execution %d may have run", part, i)
+		case r.ended == MayHaveRan && q.effect == Tagged && now-r.sent > a.Window:
+			a.breaks(2, now, q, "tagged part %d runs again %d ms after execution %d", part, (now-r.sent)/1e6, i)
+		case r.ended == Fulfilled:
+			a.breaks(2, now, q, "part %d runs again after it was fulfilled", part)
+		}
+	}
+	if len(runs) >= a.Executions {
+		a.breaks(6, now, q, "execution %d of part %d", len(runs)+1, part)
+	}
+	if len(runs) > 0 && a.Budgeted {
+		a.taken, a.further = within(a.taken, now-a.Span), within(a.further, now-a.Span)
+		if a.further = append(a.further, now); float64(len(a.further)) > a.Free+a.Share*float64(len(a.taken)) {
+			a.breaks(6, now, q, "%d further executions for %d queries", len(a.further), len(a.taken))
+		}
+	}
+	q.runs[part] = append(runs, run{sent: now})
+}
+
+func within(times []int64, since int64) []int64 {
+	n := 0
+	for n < len(times) && times[n] < since {
+		n++
+	}
+	return times[n:]
+}
+
+// Outcome tells how an execution ended in truth.
+func (a *Aggregator) Outcome(now int64, number int32, part, execution, ended int) {
+	q := a.queries[number]
+	if q == nil || execution >= len(q.runs[part]) {
+		return
+	}
+	r := &q.runs[part][execution]
+	r.over, r.ended = true, ended
+	q.note(now, "execution %d of part %d %s", execution, part, [...]string{"fulfilled", "never ran", "may have run"}[ended])
+}
+
+// Answered tells of a final answer: with values, all that is needed or less, or none.
+func (a *Aggregator) Answered(now int64, number int32, values, whole bool) {
+	q := a.queries[number]
+	if q == nil {
+		a.breaks(1, now, nil, "query %d has a second answer", number)
+		return
+	}
+	q.note(now, "answered, values %v, whole %v", values, whole)
+	if q.ended {
+		a.breaks(1, now, q, "a second final answer")
+	}
+	if now > q.until {
+		a.breaks(1, now, q, "an answer after the client's time")
+	}
+	q.ended = true
+	share, total := 0.0, 0.0
+	for part, runs := range q.runs {
+		total += q.weight[part]
+		for _, r := range runs {
+			if r.over && r.ended == Fulfilled {
+				share += q.weight[part]
+				break
+			}
+		}
+	}
+	share /= total
+	const grain = 1e-9
+	if values && share < a.Floor-grain || whole && share < a.Need-grain {
+		a.breaks(5, now, q, "an answer with values %v, whole %v from %.3f of the weight", values, whole, share)
+	}
+}
+
+// Gone tells that a client's time is over; a query without its answer by then is lost. What was kept of it is forgotten later,
+// by Forget.
+func (a *Aggregator) Gone(now int64, number int32) {
+	if q := a.queries[number]; q != nil && !q.ended {
+		a.breaks(1, now, q, "no answer in the client's time")
+	}
+}
+
+// Forget drops a query of which nothing more can come.
+func (a *Aggregator) Forget(number int32) { delete(a.queries, number) }
+
+// Crashed tells that the aggregator died with all it held: its queries are nobody's fault.
+func (a *Aggregator) Crashed() { a.queries = map[int32]*query{} }
+
+// Replica watches what comes to one replica.
+type Replica struct {
+	Name   string
+	Broken []Broken
+	Cold   float64 // share of its capacity that a fresh one has
+	Ramp   int64
+	Times  float64 // its present capacity, that push a cold one over
+	Span   int64   // when kept up for so long
+	Full   float64 // executions a second that it can do when warm
+
+	began int64
+	came  []int64
+}
+
+// Started tells that it is fresh.
+func (r *Replica) Started(now int64) { r.began, r.came = now, r.came[:0] }
+
+// Came tells of an execution that arrives, and whether the replica falls over by it: more than so many times its present
+// capacity, within the span, while it is cold.
+func (r *Replica) Came(now int64) (falls bool) {
+	age := now - r.began
+	if r.began == 0 || age >= r.Ramp {
+		return false
+	}
+	r.came = append(within(r.came, now-r.Span), now)
+	capacity := r.Full * (r.Cold + (1-r.Cold)*float64(age)/float64(r.Ramp))
+	if float64(len(r.came)) <= max(r.Times*capacity*float64(r.Span)/1e9, 1) || age < r.Span {
+		return false
+	}
+	r.Broken = append(r.Broken, Broken{4, now, r.Name,
+		fmt.Sprintf("%d executions in %d ms, with room for %.1f a second: pushed over", len(r.came), r.Span/1e6, capacity)})
+	return true
+}
--- /dev/null
+++ b/emulator/emulator_test.go
@@ -0,0 +1,153 @@
+package emulator
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"willowsill/balance"
+	"willowsill/emulator/rivals"
+)
+
+const (
+	ms     = int64(1e6)
+	second = int64(1e9)
+)
+
+// small is a plan of a small fleet in which all goes well.
+func small(policy string, seed uint64) Plan {
+	return Plan{Policy: policy, Seed: seed, Span: 12 * second, From: 3 * second, Until: 11 * second, Aggregators: 6, Replicas: 24,
+		Holders: 4, Workers: 2, Work: 20 * ms, Spread: 0.4, Room: 40, Way: 500_000, ListDelay: second / 2, Tick: 5 * ms,
+		Executions: 3, Cancels: true, ColdShare: 0.2, ColdRamp: 3 * second, FallMultiple: 4, FallSpan: second,
+		Budgeted: true, Free: 5, Share: 0.2, BudgetSpan: 5 * second,
+		Loads: []Load{{Name: "look", Rate: 30, Parts: 3, Goal: 200 * ms, Patience: 800 * ms, Floor: 0.5, Revenue: 1},
+			{Name: "pay", Rate: 5, Parts: 2, Goal: 300 * ms, Patience: 900 * ms, Floor: 1, Revenue: 4, Effect: balance.OnceOnly}}}
+}
+
+var everything = []Fault{
+	{Kind: "hang", Replicas: []int{0}, From: 2 * second, Until: 8 * second},
+	{Kind: "slow", Replicas: []int{1}, From: 3 * second, Until: 9 * second, Times: 6},
+	{Kind: "errors", Replicas: []int{2}, From: 3 * second, Until: 7 * second},
+	{Kind: "restart", Replicas: []int{3, 9}, From: 4 * second, Until: 5 * second},
+	{Kind: "pause", Replicas: []int{4}, From: 2 * second, Until: 9 * second, Every: second, For: 300 * ms},
+	{Kind: "flap", Replicas: []int{5}, From: 2 * second, Until: 9 * second, Every: 2 * second, For: second},
+	{Kind: "silence", Replicas: []int{6}, From: 3 * second, Until: 6 * second},
+	{Kind: "drain", Replicas: []int{7}, From: 3 * second, Until: 6 * second},
+}
+
+func played(t *testing.T, p Plan, cores int) (*Result, string) {
+	t.Helper()
+	r, err := Run(p, cores)
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, _ := json.Marshal(r)
+	return r, string(text)
+}
+
+// One seed gives one run, on any number of cores, and another seed another.
+func TestSame(t *testing.T) {
+	for _, policy := range append([]string{"module"}, rivals.Names...) {
+		p := small(policy, 3)
+		p.Faults = everything
+		_, one := played(t, p, 1)
+		for _, cores := range []int{1, 3, 8} {
+			if _, other := played(t, p, cores); other != one {
+				t.Errorf("%s on %d cores: %s and %s", policy, cores, one, other)
+			}
+		}
+		p.Seed = 4
+		if _, other := played(t, p, 2); other == one {
+			t.Errorf("%s: another seed gave the same run", policy)
+		}
+	}
+}
+
+// The module keeps the rules under all faults together, and serves more than a random choice.
+func TestKeepsRules(t *testing.T) {
+	for seed := range uint64(4) {
+		p := small("module", seed)
+		p.Faults = everything
+		r, _ := played(t, p, Cores())
+		if r.Broken != "" {
+			t.Error(r.Broken)
+		}
+		p.Policy = "random"
+		p.Budgeted = false
+		other, _ := played(t, p, Cores())
+		t.Logf("seed %d: %.3f of %d, by random choice %.3f; %d events", seed, r.Share(), r.Asked, other.Share(), r.Events)
+		if r.Asked < 1000 || r.Share() <= other.Share() {
+			t.Errorf("%.3f of %d in goal, by random choice %.3f", r.Share(), r.Asked, other.Share())
+		}
+	}
+}
+
+// Danger: a checker that sees nothing would pass everything: a module that is broken on purpose is caught, by its rule.
+func TestBreaks(t *testing.T) {
+	rules := map[string]int{"drain ignored": 3, "budget off": 6, "second answer": 1, "runs before the outcome": 2, "whole from a part": 5}
+	for _, how := range Breaks {
+		p := small("module", 1)
+		p.Faults, p.Break = everything, how
+		if how == "budget off" {
+			p.Free, p.Share = 1, 0.01
+		}
+		r, _ := played(t, p, Cores())
+		if r.Rule != rules[how] || !strings.Contains(r.Broken, "aggregator") {
+			t.Errorf("%s: %q", how, r.Broken)
+		}
+	}
+}
+
+// Cold replicas that all are sent to at once are pushed over, and the checker tells. The module's guard does not do it.
+func TestCold(t *testing.T) {
+	p := small("least", 2)
+	p.Loads = p.Loads[:1]
+	p.Budgeted, p.FallMultiple, p.ColdShare, p.ColdRamp, p.FallSpan = false, 1.5, 0.05, 9*second, 300*ms
+	p.Faults = []Fault{{Kind: "restart", Replicas: []int{0, 6, 12}, From: 4 * second, Until: 5 * second}}
+	if r, _ := played(t, p, Cores()); r.Rule != 4 {
+		t.Errorf("by least in flight: %q", r.Broken)
+	}
+	p.Policy = "module"
+	if r, _ := played(t, p, Cores()); r.Broken != "" {
+		t.Errorf("the module: %s", r.Broken)
+	}
+}
+
+func TestCheck(t *testing.T) {
+	for name, change := range map[string]func(*Plan){
+		"groups":  func(p *Plan) { p.Replicas = 23 },
+		"parts":   func(p *Plan) { p.Loads[0].Parts = 7 },
+		"nobody":  func(p *Plan) { p.Loads = nil },
+		"stretch": func(p *Plan) { p.Until = p.Span + 1 },
+		"replica": func(p *Plan) { p.Faults = []Fault{{Kind: "hang", Replicas: []int{24}}} },
+		"way":     func(p *Plan) { p.Way = 0 },
+	} {
+		p := small("module", 1)
+		change(&p)
+		if _, err := Run(p, 1); err == nil {
+			t.Errorf("%s: nothing was said", name)
+		}
+	}
+}
+
+func BenchmarkRun(b *testing.B) {
+	for _, size := range []struct{ aggregators, replicas int }{{10, 100}, {100, 1000}} {
+		b.Run(fmt.Sprint(size.aggregators, "x", size.replicas), func(b *testing.B) {
+			p := small("module", 1)
+			p.Aggregators, p.Replicas, p.Holders = size.aggregators, size.replicas, 5
+			p.Span, p.From, p.Until = 6*second, second, 5*second
+			p.Loads = p.Loads[:1]
+			p.Loads[0].Rate = 100
+			events := int64(0)
+			for b.Loop() {
+				r, err := Run(p, Cores())
+				if err != nil || r.Broken != "" {
+					b.Fatal(err, r)
+				}
+				events += r.Events
+			}
+			b.ReportMetric(float64(events)/b.Elapsed().Seconds(), "events/s")
+		})
+	}
+}
--- /dev/null
+++ b/emulator/plan.go
@@ -0,0 +1,131 @@
+// Package emulator plays whole fleets in virtual time: many aggregators, each with the true decision module unchanged, against
+// models of clients, replicas, a network and a list. One seed gives one run, always the same, on any number of cores. It
+// measures; it is no part of what serves. What its models leave out stands in docs/emulator.md.
+package emulator
+
+import (
+	"errors"
+	"fmt"
+
+	"willowsill/balance"
+)
+
+// Plan is one run. Times in ns, from the run's start.
+type Plan struct {
+	Policy      string // "module", or one of rivals.Names
+	Seed        uint64
+	Span        int64 // clients ask for so long
+	From, Until int64 // what is asked in this stretch counts
+
+	Aggregators, Replicas int
+	Holders               int     // replicas of each shard
+	Workers               int     // parts that a replica works on at a time
+	Work                  int64   // that a part takes, the median
+	Spread                float64 // of that, the standard deviation of its logarithm
+	Tail                  float64 // share of parts with a heavy tail: a Pareto law
+	Unlike                float64 // of replicas' speed, the standard deviation of its logarithm
+	Room                  int     // parts that may wait at a replica; more are turned away
+	Way                   int64   // to a replica, and back: at least, with a quarter more in the mean
+	ListDelay             int64   // until the list tells of a change, up to twice
+	Tick                  int64
+
+	Executions   int
+	Cancels      bool
+	ColdShare    float64
+	ColdRamp     int64
+	FallMultiple float64
+	FallSpan     int64
+	Budgeted     bool
+	Free, Share  float64
+	BudgetSpan   int64
+	Uneven       float64 // of the aggregators' shares of the load, as a standard deviation of the logarithm
+
+	Loads  []Load
+	Faults []Fault
+	Break  string // a way that the module is broken on purpose; see Breaks
+}
+
+// Load is one kind of query.
+type Load struct {
+	Name     string
+	Rate     float64 // queries a second at each aggregator, in the mean
+	Parts    int     // each of another shard
+	Goal     int64
+	Patience int64
+	Effect   balance.Effect
+	Window   int64 // tagged: how long repeats are recognised
+	Floor    float64
+	Revenue  float64
+	Skew     float64 // of shards: the exponent of Zipf's law; 0 for all alike
+	Burst    float64 // times the rate,
+	Every    int64   // at the start of each such stretch, 0 for none,
+	For      int64   // for so long
+	Retry    float64 // share of declined queries that their clients ask again, when they are told to come back
+}
+
+// Fault is what befalls some replicas for a while.
+type Fault struct {
+	Kind        string // see Kinds
+	Replicas    []int
+	From, Until int64
+	Times       float64 // slow: how much
+	Every       int64   // flapping and pauses: the period
+	For         int64   // and how long of it it lasts
+}
+
+// Kinds are the faults there are.
+var Kinds = []string{
+	"hang",    // takes parts and says nothing
+	"slow",    // works so many times longer
+	"errors",  // answers with an error at once
+	"restart", // dies at the start of the fault and is back, cold, at its end
+	"pause",   // works on nothing for a stretch of each period, then goes on
+	"flap",    // hangs for a stretch of each period
+	"silence", // what it answers is lost on the way
+	"drain",   // is told to drain at the start, and is up again at the end
+}
+
+// Breaks are ways to break the module on purpose, each of which the checker must tell.
+var Breaks = []string{"drain ignored", "budget off", "second answer", "runs before the outcome", "whole from a part"}
+
+// Check tells what a plan cannot be.
+func (p *Plan) Check() error {
+	switch {
+	case p.Aggregators < 1 || p.Replicas < 1 || p.Holders < 1 || p.Replicas%p.Holders != 0:
+		return fmt.Errorf("%d aggregators, %d replicas in groups of %d: there must be some of each, and whole groups", p.Aggregators,
+			p.Replicas, p.Holders)
+	case len(p.Loads) == 0:
+		return errors.New("nobody asks")
+	case p.Way < 1000:
+		return errors.New("a way of less than a microsecond")
+	case p.Until > p.Span || p.From >= p.Until:
+		return errors.New("the stretch that counts is not within the span")
+	}
+	for _, l := range p.Loads {
+		if l.Parts < 1 || l.Parts > p.Shards() {
+			return fmt.Errorf("load %q has %d parts, and there are %d shards", l.Name, l.Parts, p.Shards())
+		}
+	}
+	for _, f := range p.Faults {
+		for _, r := range f.Replicas {
+			if r < 0 || r >= p.Replicas {
+				return fmt.Errorf("fault %q: there is no replica %d", f.Kind, r)
+			}
+		}
+	}
+	return nil
+}
+
+// Shards is how many there are.
+func (p *Plan) Shards() int { return p.Replicas / p.Holders }
+
+func (p *Plan) shardOf(replica int) int { return replica % p.Shards() }
+
+const origin = int64(1000e9) // virtual time starts here, so that replicas can have started before
+
+func (p *Plan) longest() (patience int64) {
+	for _, l := range p.Loads {
+		patience = max(patience, l.Patience)
+	}
+	return patience
+}
--- /dev/null
+++ b/emulator/run.go
@@ -0,0 +1,222 @@
+package emulator
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"willowsill/balance"
+	"willowsill/emulator/agenda"
+	"willowsill/emulator/checker"
+)
+
+// Result is what came of a run. All but Lines counts queries asked in the stretch that counts.
+type Result struct {
+	Asked      int       `json:"asked"`
+	InGoal     int       `json:"in_goal"`
+	Late       int       `json:"late"`
+	Partial    int       `json:"partial"`
+	Declined   int       `json:"declined"`
+	Forfeited  int       `json:"forfeited"`
+	Revenue    float64   `json:"revenue"` // earned within the goal,
+	Most       float64   `json:"most"`    // and asked for
+	Executions int       `json:"executions"`
+	Further    int       `json:"further"`
+	P50        int64     `json:"p50_ns"` // of answers with values
+	P99        int64     `json:"p99_ns"`
+	P999       int64     `json:"p999_ns"`
+	AtFaulty   int       `json:"at_faulty"` // executions at replicas while a fault holds there
+	Lines      []float64 `json:"lines"`     // share of the revenue, by second asked; 1 where nobody asked
+	Events     int64     `json:"events"`
+	Broken     string    `json:"broken,omitempty"` // the first broken rule
+	Rule       int       `json:"rule,omitempty"`
+}
+
+// Share is the share of the revenue earned within the goal.
+func (r *Result) Share() float64 { return r.Revenue / max(r.Most, 1e-9) }
+
+// tally counts for one aggregator.
+type tally struct {
+	Result
+	times    *hdrhistogram.Histogram
+	earned   []float64
+	possible []float64
+}
+
+func newTally(p *Plan) *tally {
+	seconds := int(p.Span/1e9) + 1
+	return &tally{times: hdrhistogram.New(1000, max(2*p.longest(), 2000), 3), earned: make([]float64, seconds),
+		possible: make([]float64, seconds)}
+}
+
+func (t *tally) asked(now int64, q *asked, l *Load) {
+	t.possible[min(int((now-origin)/1e9), len(t.possible)-1)] += l.Revenue
+	if q.counts {
+		t.Asked++
+		t.Most += l.Revenue
+	}
+}
+
+// ended books an answer. One that a client got by asking again earns nothing more: it was late for its first try.
+func (t *tally) ended(now int64, q *asked, l *Load, final balance.Final) {
+	took := now - q.at
+	inGoal := final == balance.Whole && took <= l.Goal && q.tries == 0
+	if inGoal {
+		t.earned[min(int((q.at-origin)/1e9), len(t.earned)-1)] += l.Revenue
+	}
+	if !q.counts {
+		return
+	}
+	if final == balance.Whole || final == balance.Partial {
+		t.times.RecordValue(took)
+	}
+	if q.tries > 0 {
+		return
+	}
+	switch {
+	case inGoal:
+		t.InGoal++
+		t.Revenue += l.Revenue
+	case final == balance.Whole:
+		t.Late++
+	case final == balance.Partial:
+		t.Partial++
+	case final == balance.Declined:
+		t.Declined++
+	default:
+		t.Forfeited++
+	}
+}
+
+// Run plays a plan on so many cores; the result does not depend on them.
+func Run(p Plan, cores int) (*Result, error) {
+	if err := p.Check(); err != nil {
+		return nil, err
+	}
+	w := &world{Plan: &p}
+	for i := range w.sectors {
+		w.sectors[i] = &sector{world: w, agenda: agenda.New(origin)}
+	}
+	place := func(n int) outlet { return outlet{sector: w.sectors[n%sectors], self: int32(n)} }
+	chance := func(n int, of uint64) *rand.Rand { return rand.New(rand.NewPCG(p.Seed, of<<32+uint64(n))) }
+	var whole []balance.Listing
+	for i := range p.Replicas {
+		r := &replica{outlet: place(p.Aggregators + i), Plan: &p, number: i, chance: chance(i, 1), under: map[int]bool{},
+			watch: &checker.Replica{Name: fmt.Sprint("replica ", i), Cold: p.ColdShare, Ramp: p.ColdRamp, Times: p.FallMultiple,
+				Span: p.FallSpan}}
+		r.speed = math.Exp(p.Unlike * r.chance.NormFloat64())
+		r.watch.Full = float64(p.Workers) * 1e9 / (float64(p.Work) * r.speed * math.Exp(p.Spread*p.Spread/2))
+		w.backs = append(w.backs, r)
+		whole = append(whole, balance.Listing{Replica: i, New: true, Cell: p.shardOf(i), Standing: balance.Up})
+	}
+	if p.Policy == "oracle" {
+		w.truths = make([]truth, p.Replicas)
+		for i, r := range w.backs {
+			w.truths[i] = r.truth(origin)
+		}
+	}
+	for i := range p.Aggregators {
+		a := &aggregator{outlet: place(i), Plan: &p, clients: chance(i, 2), network: chance(i, 3), queries: map[int32]*asked{},
+			news: make([]uint64, p.Replicas), tally: newTally(&p), zipf: make([]*zipf, len(p.Loads)),
+			watch: checker.NewAggregator(fmt.Sprint("aggregator ", i), p.bounds())}
+		a.share = math.Exp(p.Uneven*a.clients.NormFloat64() - p.Uneven*p.Uneven/2)
+		for r := range p.Replicas {
+			a.watch.Listed(r, true)
+		}
+		if p.Policy == "module" {
+			a.brain = newModule(origin, p.deployment(i), append([]balance.Listing(nil), whole...))
+		} else {
+			a.brain = newRival(&p, i, whole, func(r int) (int64, bool) { return w.truths[r].wait, w.truths[r].sound })
+		}
+		if p.Break != "" {
+			a.brain = &broken{brain: a.brain, how: p.Break}
+		}
+		w.aggs = append(w.aggs, a)
+	}
+	for i, a := range w.aggs {
+		w.entities = append(w.entities, a)
+		for n, l := range p.Loads {
+			if l.Skew > 0 {
+				w.aggs[i].zipf[n] = newZipf(p.Shards(), l.Skew)
+			}
+			a.come(origin, n)
+		}
+		a.moved(origin)
+	}
+	for _, r := range w.backs {
+		w.entities = append(w.entities, r)
+	}
+	for n, f := range p.Faults {
+		for _, number := range f.Replicas {
+			r := w.backs[number]
+			r.cause(origin, agenda.Event{At: origin + f.From, To: r.self, Kind: begins, Value: int64(n)})
+			r.cause(origin, agenda.Event{At: origin + f.Until, To: r.self, Kind: ends, Value: int64(n)})
+		}
+	}
+	w.run(origin+p.Span+3*p.longest(), cores)
+	return w.result(), nil
+}
+
+// result sums up all aggregators.
+func (w *world) result() *Result {
+	all := newTally(w.Plan)
+	for _, a := range w.aggs {
+		t := a.tally
+		all.Asked += t.Asked
+		all.InGoal += t.InGoal
+		all.Late += t.Late
+		all.Partial += t.Partial
+		all.Declined += t.Declined
+		all.Forfeited += t.Forfeited
+		all.Revenue += t.Revenue
+		all.Most += t.Most
+		all.Executions += t.Executions
+		all.Further += t.Further
+		all.times.Merge(t.times)
+		for i := range t.earned {
+			all.earned[i] += t.earned[i]
+			all.possible[i] += t.possible[i]
+		}
+	}
+	for _, r := range w.backs {
+		all.AtFaulty += r.met
+	}
+	r := &all.Result
+	r.P50, r.P99, r.P999 = all.times.ValueAtPercentile(50), all.times.ValueAtPercentile(99), all.times.ValueAtPercentile(99.9)
+	for i := range int(w.Span / 1e9) {
+		share := 1.0
+		if all.possible[i] > 0 {
+			share = all.earned[i] / all.possible[i]
+		}
+		r.Lines = append(r.Lines, share)
+	}
+	r.Events = w.events
+	if b := w.broken(); b != nil {
+		r.Broken, r.Rule = b.String(), b.Rule
+	}
+	return r
+}
+
+func (p *Plan) bounds() checker.Bounds {
+	b := checker.Bounds{Need: 1, Executions: p.Executions, Budgeted: p.Budgeted, Free: p.Free, Share: p.Share, Span: p.BudgetSpan}
+	b.Floor, b.Window = p.Loads[0].Floor, p.Loads[0].Window
+	return b
+}
+
+// deployment is what the module is told.
+func (p *Plan) deployment(number int) balance.Deployment {
+	d := balance.Deployment{Number: number, Aggregators: p.Aggregators, Seed: p.Seed*1_000_003 + uint64(number), Tick: p.Tick,
+		Shards: p.Shards(), Cells: p.Shards(), Reach: 1, PartsPerCall: 1, MaxExecutions: p.Executions, Cancels: p.Cancels,
+		MaxComeBack: 2e9, ColdShare: p.ColdShare, ColdRamp: p.ColdRamp, FallMultiple: p.FallMultiple, FallSpan: p.FallSpan,
+		Budgeted: p.Budgeted, FurtherFree: p.Free, FurtherShare: p.Share, FurtherSpan: p.BudgetSpan}
+	if p.Break == "budget off" {
+		d.Budgeted = false
+	}
+	for _, l := range p.Loads {
+		d.Workloads = append(d.Workloads, balance.Workload{LatencyGoal: l.Goal, LateShare: 0.3, Floor: l.Floor, Need: 1,
+			PartialShare: 0.9, Effect: l.Effect, RepeatWindow: l.Window})
+	}
+	return d
+}
