--- /dev/null
+++ b/cmd/willowlab/experiments.go
@@ -0,0 +1,236 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+	"github.com/vbauerster/mpb/v8"
+	"github.com/vbauerster/mpb/v8/decor"
+
+	"willowsill/experiment"
+	"willowsill/script"
+)
+
+// errRule ends a run in which a rule was broken.
+var errRule = errors.New("a rule was broken")
+
+// code is the exit code of an error: 2 for a script that is wrong, 3 for a broken rule.
+func code(err error) int {
+	var faults script.Faults
+	switch {
+	case errors.As(err, &faults):
+		return 2
+	case errors.Is(err, errRule):
+		return 3
+	}
+	return 1
+}
+
+func running() *cobra.Command {
+	var seeds int
+	var asJSON, quiet bool
+	var results string
+	c := &cobra.Command{
+		Use:     "run FILE...",
+		Short:   "Play experiments and print what came of them",
+		Example: "  willowlab run experiments/hang.star\n  willowlab run experiments/*.star --seeds 20 --results results/lab",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, files []string) error {
+			var tables []*experiment.Table
+			broken := false
+			for _, file := range files {
+				e, err := experiment.Read(file)
+				if err != nil {
+					return err
+				}
+				if seeds > 0 {
+					e.Seeds = seeds
+				}
+				t, err := play(e, quiet || asJSON)
+				if err != nil {
+					return fmt.Errorf("%s: %w", file, err)
+				}
+				tables = append(tables, t)
+				for _, r := range t.Rows {
+					broken = broken || len(r.Broken) > 0
+				}
+				if !asJSON {
+					write(c.OutOrStdout(), t)
+				}
+				if results != "" {
+					if err := keep(t, results); err != nil {
+						return err
+					}
+				}
+			}
+			if asJSON {
+				if err := writeJSON(c.OutOrStdout(), tables); err != nil {
+					return err
+				}
+			}
+			if broken {
+				return errRule
+			}
+			return nil
+		},
+	}
+	c.Flags().IntVar(&seeds, "seeds", 0, "runs of each variant, in place of the script's")
+	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	c.Flags().BoolVar(&quiet, "quiet", false, "no progress")
+	c.Flags().StringVar(&results, "results", "", "a folder for a table and a chart of each experiment")
+	return c
+}
+
+// play plays an experiment with its progress on standard error.
+func play(e *experiment.Experiment, quiet bool) (*experiment.Table, error) {
+	if quiet {
+		return e.Play(nil)
+	}
+	bars := mpb.New(mpb.WithOutput(os.Stderr), mpb.WithWidth(50))
+	bar := bars.AddBar(int64(e.Seeds*len(e.Variants)), mpb.BarRemoveOnComplete(),
+		mpb.PrependDecorators(decor.Name(e.Name+" "), decor.CountersNoUnit("%d of %d")),
+		mpb.AppendDecorators(decor.Elapsed(decor.ET_STYLE_GO)))
+	t, err := e.Play(func() { bar.Increment() })
+	if err != nil {
+		bar.Abort(true)
+	}
+	bars.Wait()
+	return t, err
+}
+
+func write(out io.Writer, t *experiment.Table) {
+	fmt.Fprintf(out, "%s: %s (%d seeds, script %s)\n", t.Name, t.Question, t.Seeds, t.Hash)
+	w := tabwriter.NewWriter(out, 0, 0, 1, ' ', 0)
+	fmt.Fprintln(w, "| variant\t| within goal\t| against the first\t| 95%\t| verdict\t| late\t| declined\t| failed\t| executions a query\t| p50 ms\t| p99 ms\t|")
+	fmt.Fprintln(w, "|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|---\t|")
+	for _, r := range t.Rows {
+		fmt.Fprintf(w, "| %s\t| %.4f\t| %+.4f\t| %+.4f to %+.4f\t| %s\t| %.4f\t| %.4f\t| %.4f\t| %.2f\t| %.1f\t| %.1f\t|\n", r.Name, r.Mean,
+			r.Against, r.Low, r.High, r.Verdict, r.Late, r.Declined, r.Partial+r.Forfeited, r.Executions, float64(r.P50)/1e6,
+			float64(r.P99)/1e6)
+	}
+	w.Flush()
+	for _, r := range t.Rows {
+		for _, b := range r.Broken {
+			fmt.Fprintf(out, "%s: %s\n", r.Name, b)
+		}
+	}
+	fmt.Fprintln(out)
+}
+
+// keep writes an experiment's table and chart into a folder.
+func keep(t *experiment.Table, dir string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	file, err := os.Create(filepath.Join(dir, t.Name+".json"))
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(writeJSON(file, t), file.Close()); err != nil {
+		return err
+	}
+	chart, err := t.Chart()
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, t.Name+".svg"), chart, 0o644)
+}
+
+func writeJSON(out io.Writer, v any) error {
+	e := json.NewEncoder(out)
+	e.SetIndent("", " ")
+	return e.Encode(v)
+}
+
+// kept reads a table that was kept.
+func kept(file string) (*experiment.Table, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, err
+	}
+	return experiment.Decode(text, file)
+}
+
+func checking() *cobra.Command {
+	return &cobra.Command{
+		Use: "check FILE...", Short: "Say all that is wrong with experiments", Example: "  willowlab check experiments/*.star",
+		Long: "check reads experiments as run would.\n\nWhat an experiment may call:\n\n" + strings.TrimSpace(experiment.Vocabulary()),
+		Args: cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, files []string) error {
+			for _, file := range files {
+				if _, err := experiment.Read(file); err != nil {
+					return err
+				}
+				fmt.Fprintln(c.OutOrStdout(), file, "is right")
+			}
+			return nil
+		},
+	}
+}
+
+func comparing() *cobra.Command {
+	return &cobra.Command{
+		Use: "compare A B", Short: "Hold two kept tables of one experiment against each other, seed by seed",
+		Example: "  willowlab compare before/hang.json after/hang.json", Args: cobra.ExactArgs(2),
+		RunE: func(c *cobra.Command, files []string) error {
+			a, err := kept(files[0])
+			if err != nil {
+				return err
+			}
+			b, err := kept(files[1])
+			if err != nil {
+				return err
+			}
+			rows, err := experiment.Compare(a, b)
+			if err != nil {
+				return err
+			}
+			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 1, ' ', 0)
+			fmt.Fprintln(w, "| variant\t| first\t| second\t| difference\t| 95%\t| verdict\t|")
+			for _, r := range rows {
+				fmt.Fprintf(w, "| %s\t| %.4f\t| %.4f\t| %+.4f\t| %+.4f to %+.4f\t| %s\t|\n", r.Name, r.Mean-r.Against, r.Mean, r.Against, r.Low,
+					r.High, r.Verdict)
+			}
+			return w.Flush()
+		},
+	}
+}
+
+func reporting() *cobra.Command {
+	var out string
+	c := &cobra.Command{
+		Use: "report DIR", Short: "Make one page of all tables in a folder", Example: "  willowlab report results/lab --out report.html",
+		Args: cobra.ExactArgs(1),
+		RunE: func(_ *cobra.Command, args []string) error {
+			files, _ := filepath.Glob(filepath.Join(args[0], "*.json"))
+			var tables []*experiment.Table
+			for _, file := range files {
+				t, err := kept(file)
+				if err != nil {
+					return err
+				}
+				tables = append(tables, t)
+			}
+			if len(tables) == 0 {
+				return fmt.Errorf("%s holds no tables", args[0])
+			}
+			file, err := os.Create(out)
+			if err != nil {
+				return err
+			}
+			return errors.Join(experiment.Report(file, tables), file.Close())
+		},
+	}
+	c.Flags().StringVar(&out, "out", "report.html", "the page")
+	return c
+}
+
+func since(began time.Time) float64 { return time.Since(began).Seconds() }
--- /dev/null
+++ b/cmd/willowlab/hunt.go
@@ -0,0 +1,198 @@
+package main
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"willowsill/emulator"
+	"willowsill/emulator/hunt"
+	"willowsill/experiment"
+)
+
+func hunting() *cobra.Command {
+	var t hunt.Terms
+	var seeds int
+	c := &cobra.Command{
+		Use:   "hunt FILE",
+		Short: "Look for the faults that harm an experiment's first variant most, or break a rule",
+		Long: "hunt plays the first variant with schedules of faults of its own, keeps the worst, changes it, and cuts what it has found\n" +
+			"down to what is needed. What it prints can stand in an experiment.",
+		Example: "  willowlab hunt experiments/calm.star --tries 200 --faults 3",
+		Args:    cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			e, err := experiment.Read(args[0])
+			if err != nil {
+				return err
+			}
+			t.Replicas, t.From, t.Until = e.Plan.Replicas, e.Plan.From, e.Plan.Until
+			best := hunt.Verdict{Share: math.Inf(1)}
+			text := ""
+			tried := 0
+			found := hunt.Search(t, func(faults []emulator.Fault) hunt.Verdict {
+				sum := hunt.Verdict{}
+				for seed := 1; seed <= seeds; seed++ {
+					p := e.Of(e.Variants[0], seed)
+					p.Faults = faults
+					r, err := emulator.Run(p, runtime.GOMAXPROCS(0))
+					if err != nil {
+						panic(err) // the search made a schedule that no plan can have
+					}
+					if sum.Share += r.Share() / float64(seeds); r.Rule > 0 {
+						sum.Rule, text = r.Rule, r.Broken
+						break
+					}
+				}
+				if tried++; sum.Rule > 0 || sum.Share < best.Share {
+					best = sum
+					fmt.Fprintf(os.Stderr, "after %d: %.4f\n", tried, best.Share)
+				}
+				return sum
+			})
+			out := c.OutOrStdout()
+			fmt.Fprintf(out, "# %s, %d schedules tried, hunt seed %d: share %.4f\n", e.Name, found.Tried, t.Seed, found.Verdict.Share)
+			for _, f := range found.Faults {
+				fmt.Fprintf(out, "fault(kind = %q, replicas = %s, at = %q, until = %q, times = %.3g, every = %q, bad_for = %q)\n", f.Kind,
+					strings.ReplaceAll(fmt.Sprint(f.Replicas), " ", ", "), time.Duration(f.From), time.Duration(f.Until), f.Times,
+					time.Duration(f.Every), time.Duration(f.For))
+			}
+			if found.Verdict.Rule > 0 {
+				fmt.Fprintln(out, "#", text)
+				return errRule
+			}
+			return nil
+		},
+	}
+	c.Flags().Uint64Var(&t.Seed, "seed", 1, "of the search")
+	c.Flags().IntVar(&t.Tries, "tries", 100, "schedules that are tried")
+	c.Flags().IntVar(&t.Faults, "faults", 3, "of a schedule at most")
+	c.Flags().IntVar(&t.Most, "most", 4, "replicas that one fault may befall")
+	c.Flags().IntVar(&seeds, "runs", 2, "of each schedule, with other seeds")
+	c.Flags().StringSliceVar(&t.Kinds, "kinds", nil, "of faults; all if none are named")
+	c.PreRunE = func(*cobra.Command, []string) error {
+		for _, k := range t.Kinds {
+			if !slices.Contains(emulator.Kinds, k) {
+				return fmt.Errorf("--kinds: %q is none of %s", k, strings.Join(emulator.Kinds, ", "))
+			}
+		}
+		if t.Tries < 1 || t.Faults < 1 || t.Most < 1 || seeds < 1 {
+			return fmt.Errorf("--tries, --faults, --most and --runs are 1 at least")
+		}
+		return nil
+	}
+	return c
+}
+
+func replaying() *cobra.Command {
+	var from, until time.Duration
+	var seed int
+	var variant, who string
+	c := &cobra.Command{
+		Use:   "replay FILE",
+		Short: "Print the decisions of one run in a stretch of time, each with what its pick goes by",
+		Example: "  willowlab replay experiments/hang.star --seed 3 --from 12s --to 12.1s\n" +
+			"  willowlab replay experiments/hang.star --from 12s --to 13s --who 'aggregator 4'",
+		Args: cobra.ExactArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			e, err := experiment.Read(args[0])
+			if err != nil {
+				return err
+			}
+			v := e.Variants[0]
+			if variant != "" {
+				i := slices.IndexFunc(e.Variants, func(v experiment.Variant) bool { return v.Name == variant })
+				if i < 0 {
+					return fmt.Errorf("there is no variant %q", variant)
+				}
+				v = e.Variants[i]
+			}
+			p := e.Of(v, seed)
+			p.Trace = func(at int64, of, what string) {
+				if at >= int64(from) && at < int64(until) && (who == "" || who == of) {
+					fmt.Fprintf(c.OutOrStdout(), "%10.6f %s: %s\n", float64(at)/1e9, of, what)
+				}
+			}
+			r, err := emulator.Run(p, 1)
+			if err == nil && r.Rule > 0 {
+				fmt.Fprintln(c.OutOrStdout(), r.Broken)
+				return errRule
+			}
+			return err
+		},
+	}
+	c.Flags().DurationVar(&from, "from", 0, "of the run's time")
+	c.Flags().DurationVar(&until, "to", time.Hour, "of the run's time")
+	c.Flags().IntVar(&seed, "seed", 1, "of the run")
+	c.Flags().StringVar(&variant, "variant", "", "by name; else the first")
+	c.Flags().StringVar(&who, "who", "", "one aggregator alone")
+	return c
+}
+
+func growing() *cobra.Command {
+	var span time.Duration
+	var cores int
+	c := &cobra.Command{
+		Use:     "growth",
+		Short:   "How fast the emulator plays fleets of growing size, and in how much memory",
+		Example: "  willowlab growth --span 10s --cores 4",
+		Args:    cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			w := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 1, ' ', 0)
+			fmt.Fprintf(w, "%v of virtual time, 100 queries a second at each aggregator, 3 parts each, %d cores\n", span, cores)
+			fmt.Fprintln(w, "| aggregators\t| replicas\t| queries a second\t| events\t| events a second\t| times real time\t| heap MB\t|")
+			for _, n := range []int{1, 10, 100, 1000} {
+				p := emulator.Plan{Policy: "module", Seed: 1, Span: int64(span), Until: int64(span), Aggregators: n, Replicas: 10 * n,
+					Holders: 5, Workers: 2, Work: 20e6, Spread: 0.4, Way: 500e3, ListDelay: 1e9, Tick: 5e6, Executions: 3, Cancels: true,
+					ColdShare: 0.2, ColdRamp: 9e9, FallMultiple: 4, FallSpan: 1e9,
+					Loads: []emulator.Load{{Name: "look", Rate: 100, Parts: min(3, 2*n), Goal: 200e6, Patience: 1e9, Floor: 1, Revenue: 1}}}
+				if n == 1000 { // a tenth of the load for each: as many queries as before from ten times as many
+					p.Loads[0].Rate, p.Replicas = 10, 1000
+				}
+				began := time.Now()
+				peak, stop := heapPeak()
+				r, err := emulator.Run(p, cores)
+				stop()
+				if err != nil {
+					return err
+				}
+				took := since(began)
+				fmt.Fprintf(w, "| %d\t| %d\t| %.0f\t| %d\t| %.0f\t| %.1f\t| %.0f\t|\n", n, p.Replicas, p.Loads[0].Rate*float64(n), r.Events,
+					float64(r.Events)/took, span.Seconds()/took, float64(*peak)/1e6)
+			}
+			return w.Flush()
+		},
+	}
+	c.Flags().DurationVar(&span, "span", 10*time.Second, "of virtual time")
+	c.Flags().IntVar(&cores, "cores", emulator.Cores(), "that are used")
+	return c
+}
+
+// heapPeak watches the heap until stop is called.
+func heapPeak() (peak *uint64, stop func()) {
+	peak = new(uint64)
+	end, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			var m runtime.MemStats
+			runtime.ReadMemStats(&m)
+			*peak = max(*peak, m.HeapInuse)
+			select {
+			case <-end:
+				return
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	}()
+	return peak, func() {
+		close(end)
+		<-ended
+	}
+}
--- a/emulator/aggregator.go
+++ b/emulator/aggregator.go
@@ -1,8 +1,10 @@
 package emulator
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
+	"strings"
 
 	"willowsill/balance"
 	"willowsill/emulator/agenda"
@@ -73,6 +75,7 @@
 			a.news[e.Query] = e.Seq
 			up := balance.Standing(e.Result) == balance.Up
 			a.watch.Listed(int(e.Query), up)
+			a.trace(now, "the list has replica %d %s", e.Query, [...]string{"up", "draining", "gone"}[e.Result])
 			a.brain.list(now, balance.Listing{Replica: int(e.Query), Cell: a.shardOf(int(e.Query)),
 				Standing: balance.Standing(e.Result), Started: e.Value})
 			a.moved(now)
@@ -131,6 +134,7 @@
 		a.tally.asked(now, q, l)
 	}
 	a.brain.take(now, number, load, l, shards, q.weights)
+	a.trace(now, "query %d taken: %s, shards %v", number, l.Name, shards)
 	a.cause(now, agenda.Event{At: now + l.Patience + 1, To: a.self, Kind: gone, Query: number})
 	a.cause(now, agenda.Event{At: now + 3*l.Patience, To: a.self, Kind: forgets, Query: number})
 	a.moved(now)
@@ -152,6 +156,13 @@
 	return all
 }
 
+// trace tells who asked for it what happens here.
+func (a *aggregator) trace(now int64, format string, args ...any) {
+	if a.Trace != nil {
+		a.Trace(now-origin, fmt.Sprint("aggregator ", a.self), fmt.Sprintf(format, args...))
+	}
+}
+
 func (a *aggregator) outcome(now int64, number int32, part, execution int, result balance.Result) {
 	q := a.queries[number]
 	if q == nil || execution >= len(q.parts[part]) || q.parts[part][execution].over {
@@ -171,6 +182,8 @@
 		ended = checker.NeverRan
 	}
 	a.watch.Outcome(now, number, part, execution, ended)
+	a.trace(now, "query %d part %d execution %d at replica %d: %s after %.3f ms", number, part, execution, x.to, results[result],
+		float64(now-x.sent)/1e6)
 	a.brain.outcome(now, number, part, execution, result, now-x.sent)
 	a.moved(now)
 }
@@ -186,6 +199,10 @@
 		a.watch.Sent(now, s.query, s.part, s.replica)
 		number := len(q.parts[s.part])
 		q.parts[s.part] = append(q.parts[s.part], execution{to: s.replica, sent: now})
+		if a.Trace != nil {
+			a.trace(now, "query %d part %d execution %d to replica %d, cut off in %.1f ms; own parts in flight at its holders: %s", s.query,
+				s.part, number, s.replica, float64(s.cutAt-now)/1e6, a.inFlight(s.replica))
+		}
 		if q.counts {
 			if a.tally.Executions++; number > 0 {
 				a.tally.Further++
@@ -215,6 +232,7 @@
 		return
 	}
 	q.ended = true
+	a.trace(now, "query %d ends %s after %.3f ms", e.query, finals[e.final], float64(now-q.at)/1e6)
 	l := &a.Loads[q.load]
 	if e.final == balance.Declined && e.comeBack > 0 && q.tries < 3 && a.clients.Float64() < l.Retry {
 		wait := e.comeBack + int64(a.clients.Float64()*float64(e.comeBack)/10)
@@ -223,6 +241,31 @@
 	a.tally.ended(now, q, l, e.final)
 }
 
+var (
+	results = [...]string{"fulfilled", "an error", "turned away", "timed out", "no connection", "reset", "cancelled", "never left"}
+	finals  = [...]string{"whole", "partial", "declined", "forfeited"}
+)
+
+// inFlight tells how many own parts are out at each holder of a replica's shard: what the module's pick goes by, and a reader
+// wants to see beside it.
+func (a *aggregator) inFlight(replica int) string {
+	count := map[int]int{}
+	for _, q := range a.queries {
+		for _, runs := range q.parts {
+			for _, x := range runs {
+				if !x.over {
+					count[x.to]++
+				}
+			}
+		}
+	}
+	var all []string
+	for r := a.shardOf(replica); r < a.Replicas; r += a.Plan.Shards() {
+		all = append(all, fmt.Sprintf("%d has %d", r, count[r]))
+	}
+	return strings.Join(all, ", ")
+}
+
 // zipf draws numbers by Zipf's law.
 type zipf struct{ sums []float64 }
 
--- a/emulator/plan.go
+++ b/emulator/plan.go
@@ -42,7 +42,8 @@
 
 	Loads  []Load
 	Faults []Fault
-	Break  string // a way that the module is broken on purpose; see Breaks
+	Trace  func(at int64, who, what string) // told of each decision and outcome, in its order on one core; nil for nobody
+	Break  string                           // a way that the module is broken on purpose; see Breaks
 }
 
 // Load is one kind of query.
--- /dev/null
+++ b/experiment/play.go
@@ -0,0 +1,173 @@
+package experiment
+
+import (
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"sync"
+
+	"gonum.org/v1/gonum/stat"
+
+	"willowsill/emulator"
+)
+
+// Table is what came of an experiment, as it is kept.
+type Table struct {
+	Form     int    `json:"form"`
+	Name     string `json:"name"`
+	Question string `json:"question"`
+	Hash     string `json:"script"`
+	Seeds    int    `json:"seeds"`
+	Span     int64  `json:"span_ns"`
+	From     int64  `json:"count_from_ns"`
+	Until    int64  `json:"count_until_ns"`
+	Faults   []Span `json:"faults"`
+	Rows     []Row  `json:"variants"`
+}
+
+// Span is a stretch that a fault takes.
+type Span struct {
+	Kind        string
+	From, Until int64
+}
+
+// Row is one variant over all seeds. Shares are of the revenue within the goal.
+type Row struct {
+	Name       string    `json:"name"`
+	Shares     []float64 `json:"shares"` // by seed
+	Mean       float64   `json:"mean"`
+	Against    float64   `json:"against_first"` // the mean of what each seed has more than the first variant's same seed
+	Low        float64   `json:"low"`           // of that, with 95% confidence,
+	High       float64   `json:"high"`
+	Verdict    string    `json:"verdict"`
+	Late       float64   `json:"late"` // of 1 asked, as are the next three
+	Partial    float64   `json:"partial"`
+	Declined   float64   `json:"declined"`
+	Forfeited  float64   `json:"forfeited"`
+	Executions float64   `json:"executions_a_query"`
+	Further    float64   `json:"further_a_query"`
+	AtFaulty   float64   `json:"at_faulty"`
+	P50        int64     `json:"p50_ns"` // medians over the seeds
+	P99        int64     `json:"p99_ns"`
+	P999       int64     `json:"p999_ns"`
+	Lines      []float64 `json:"lines"`  // share by second, the mean over seeds
+	Broken     []string  `json:"broken"` // rules, with their seeds
+	Events     int64     `json:"events"`
+}
+
+const form = 1
+
+// Play plays all variants with all seeds, as many runs at a time as there are cores; each is told to step as it ends.
+// Danger: the order in which runs end is the machine's; what is made of them goes by variant and seed alone.
+func (e *Experiment) Play(step func()) (*Table, error) {
+	t := &Table{Form: form, Name: e.Name, Question: e.Question, Hash: e.Hash, Seeds: e.Seeds, Span: e.Plan.Span, From: e.Plan.From,
+		Until: e.Plan.Until}
+	for _, f := range e.Plan.Faults {
+		t.Faults = append(t.Faults, Span{f.Kind, f.From, f.Until})
+	}
+	runs := make([][]*emulator.Result, len(e.Variants))
+	errs := make([][]error, len(e.Variants))
+	free := make(chan struct{}, runtime.GOMAXPROCS(0))
+	cores := max(1, runtime.GOMAXPROCS(0)/(len(e.Variants)*e.Seeds))
+	var all sync.WaitGroup
+	for v := range e.Variants {
+		runs[v], errs[v] = make([]*emulator.Result, e.Seeds), make([]error, e.Seeds)
+		for seed := range e.Seeds {
+			all.Go(func() {
+				free <- struct{}{}
+				defer func() { <-free }()
+				runs[v][seed], errs[v][seed] = emulator.Run(e.Of(e.Variants[v], seed+1), cores)
+				if step != nil {
+					step()
+				}
+			})
+		}
+	}
+	all.Wait()
+	for v, variant := range e.Variants {
+		for _, err := range errs[v] {
+			if err != nil {
+				return nil, err
+			}
+		}
+		t.Rows = append(t.Rows, sum(variant.Name, runs[v], runs[0]))
+	}
+	return t, nil
+}
+
+// sum makes a row of a variant's runs, held against the first one's.
+func sum(name string, runs, first []*emulator.Result) Row {
+	r := Row{Name: name, Broken: []string{}}
+	n := float64(len(runs))
+	var p50, p99, p999 []int64
+	var more []float64
+	for seed, one := range runs {
+		r.Shares = append(r.Shares, one.Share())
+		more = append(more, one.Share()-first[seed].Share())
+		asked := max(float64(one.Asked), 1) * n
+		r.Late += float64(one.Late) / asked
+		r.Partial += float64(one.Partial) / asked
+		r.Declined += float64(one.Declined) / asked
+		r.Forfeited += float64(one.Forfeited) / asked
+		r.Executions += float64(one.Executions) / asked
+		r.Further += float64(one.Further) / asked
+		r.AtFaulty += float64(one.AtFaulty) / n
+		p50, p99, p999 = append(p50, one.P50), append(p99, one.P99), append(p999, one.P999)
+		r.Events += one.Events
+		if r.Lines == nil {
+			r.Lines = make([]float64, len(one.Lines))
+		}
+		for i, x := range one.Lines {
+			r.Lines[i] += x / n
+		}
+		if one.Broken != "" {
+			r.Broken = append(r.Broken, one.Broken)
+		}
+	}
+	r.Mean = stat.Mean(r.Shares, nil)
+	r.Against = stat.Mean(more, nil)
+	r.Low, r.High = Interval(more)
+	switch {
+	case len(r.Broken) > 0:
+		r.Verdict = "a rule is broken"
+	case &runs[0] == &first[0]:
+		r.Verdict = "the one held against"
+	default:
+		r.Verdict = verdict(r.Low, r.High)
+	}
+	for _, p := range []struct {
+		of []int64
+		to *int64
+	}{{p50, &r.P50}, {p99, &r.P99}, {p999, &r.P999}} {
+		slices.Sort(p.of)
+		*p.to = p.of[len(p.of)/2]
+	}
+	return r
+}
+
+// verdict is what may be said of a difference that lies between these.
+func verdict(low, high float64) string {
+	switch {
+	case low > 0:
+		return "more"
+	case high < 0:
+		return "less"
+	}
+	return "not told apart"
+}
+
+const resamples = 4000
+
+// Interval is where the mean of what these were drawn from lies, with 95% confidence, by drawing from them again and again
+// (the bootstrap). It is the same for the same numbers.
+func Interval(x []float64) (low, high float64) {
+	chance := rand.New(rand.NewPCG(1, uint64(len(x))))
+	means := make([]float64, resamples)
+	for i := range means {
+		for range x {
+			means[i] += x[chance.IntN(len(x))] / float64(len(x))
+		}
+	}
+	slices.Sort(means)
+	return stat.Quantile(0.025, stat.Empirical, means, nil), stat.Quantile(0.975, stat.Empirical, means, nil)
+}
--- /dev/null
+++ b/experiments/burst.star
@@ -0,0 +1,11 @@
+# Five times the load for one second of every eight: more than the fleet can do.
+experiment(name = "burst", question = "What is left of the revenue in bursts beyond the fleet's means?", seeds = 10)
+fleet(aggregators = 10, replicas = 40, holders = 4)
+queries(name = "cheap", rate = 20, parts = 4, goal = "250ms", patience = "1500ms", burst = 5, every = "8s", burst_for = "1s", retry = 0.5)
+queries(name = "dear", rate = 2, parts = 4, goal = "250ms", patience = "1500ms", revenue = 10)
+variant(name = "module")
+variant(name = "random", policy = "random")
+variant(name = "least in flight", policy = "least")
+variant(name = "better of two", policy = "two")
+variant(name = "fading mean", policy = "ewma")
+variant(name = "oracle", policy = "oracle")
--- /dev/null
+++ b/experiments/drain.star
@@ -0,0 +1,11 @@
+# A third of all replicas are told to drain, and come back.
+experiment(name = "drain", question = "Are drains kept, and what do they cost?", seeds = 10)
+fleet(aggregators = 10, replicas = 40, holders = 4)
+queries(rate = 20, parts = 4, goal = "250ms", patience = "1500ms")
+fault(kind = "drain", replicas = range(0, 13), at = "12s", until = "22s")
+variant(name = "module")
+variant(name = "random", policy = "random")
+variant(name = "least in flight", policy = "least")
+variant(name = "better of two", policy = "two")
+variant(name = "fading mean", policy = "ewma")
+variant(name = "oracle", policy = "oracle")
--- /dev/null
+++ b/experiments/errors.star
@@ -0,0 +1,11 @@
+# One replica answers with an error at once, and so looks idle to who counts what is in flight.
+experiment(name = "errors", question = "Does a replica that fails fast draw all queries to itself?", seeds = 10)
+fleet(aggregators = 10, replicas = 40, holders = 4)
+queries(rate = 20, parts = 4, goal = "250ms", patience = "1500ms")
+fault(kind = "errors", replicas = [0], at = "12s", until = "32s")
+variant(name = "module")
+variant(name = "random", policy = "random")
+variant(name = "least in flight", policy = "least")
+variant(name = "better of two", policy = "two")
+variant(name = "fading mean", policy = "ewma")
+variant(name = "oracle", policy = "oracle")
--- /dev/null
+++ b/experiments/flap.star
@@ -0,0 +1,11 @@
+# One replica hangs two seconds of every four.
+experiment(name = "flap", question = "What does a replica cost that is sound by turns?", seeds = 10)
+fleet(aggregators = 10, replicas = 40, holders = 4)
+queries(rate = 20, parts = 4, goal = "250ms", patience = "1500ms")
+fault(kind = "flap", replicas = [0], at = "12s", until = "32s", every = "4s", bad_for = "2s")
+variant(name = "module")
+variant(name = "random", policy = "random")
+variant(name = "least in flight", policy = "least")
+variant(name = "better of two", policy = "two")
+variant(name = "fading mean", policy = "ewma")
+variant(name = "oracle", policy = "oracle")
--- /dev/null
+++ b/experiments/full-hang.star
@@ -0,0 +1,11 @@
+# A hundred aggregators, a thousand replicas, ten thousand queries a second: ten replicas hang, each met by an aggregator every few seconds.
+experiment(name = "full-hang", question = "What do hanging replicas cost where each aggregator meets them seldom?", seeds = 3, span = "34s", count_until = "33s")
+fleet(aggregators = 100, replicas = 1000, holders = 5)
+queries(rate = 40, parts = 4, goal = "250ms", patience = "1500ms")
+fault(kind = "hang", replicas = range(0, 10), at = "12s", until = "32s")
+variant(name = "module")
+variant(name = "random", policy = "random")
+variant(name = "least in flight", policy = "least")
+variant(name = "better of two", policy = "two")
+variant(name = "fading mean", policy = "ewma")
+variant(name = "oracle", policy = "oracle")
--- /dev/null
+++ b/experiments/full-restart.star
@@ -0,0 +1,11 @@
+# The same at full size when a fifth of all replicas restart at once.
+experiment(name = "full-restart", question = "Who pushes cold replicas over at full size?", seeds = 3, span = "34s", count_until = "33s")
+fleet(aggregators = 100, replicas = 1000, holders = 5, cold_share = 0.1)
+queries(rate = 40, parts = 4, goal = "250ms", patience = "1500ms")
+fault(kind = "restart", replicas = range(0, 200), at = "12s", until = "15s")
+variant(name = "module")
+variant(name = "random", policy = "random")
+variant(name = "least in flight", policy = "least")
+variant(name = "better of two", policy = "two")
+variant(name = "fading mean", policy = "ewma")
+variant(name = "oracle", policy = "oracle")
--- /dev/null
+++ b/experiments/full-slow.star
@@ -0,0 +1,11 @@
+# The same at full size with ten replicas five times slower.
+experiment(name = "full-slow", question = "What do slow replicas cost where each aggregator meets them seldom?", seeds = 3, span = "34s", count_until = "33s")
+fleet(aggregators = 100, replicas = 1000, holders = 5)
+queries(rate = 40, parts = 4, goal = "250ms", patience = "1500ms")
+fault(kind = "slow", replicas = range(0, 10), at = "12s", until = "32s", times = 5)
+variant(name = "module")
+variant(name = "random", policy = "random")
+variant(name = "least in flight", policy = "least")
+variant(name = "better of two", policy = "two")
+variant(name = "fading mean", policy = "ewma")
+variant(name = "oracle", policy = "oracle")
--- /dev/null
+++ b/experiments/hang.star
@@ -0,0 +1,13 @@
+# One replica takes parts and says nothing.
+experiment(name = "hang", question = "What does a replica that hangs cost, by who decides?", seeds = 10)
+fleet(aggregators = 10, replicas = 40, holders = 4)
+queries(rate = 20, parts = 4, goal = "250ms", patience = "1500ms")
+fault(kind = "hang", replicas = [0], at = "12s", until = "32s")
+variant(name = "module")
+variant(name = "module, nothing hangs", calm = True)
+variant(name = "random", policy = "random")
+variant(name = "by turns", policy = "turns")
+variant(name = "least in flight", policy = "least")
+variant(name = "better of two", policy = "two")
+variant(name = "fading mean", policy = "ewma")
+variant(name = "oracle", policy = "oracle")
--- /dev/null
+++ b/experiments/once.star
@@ -0,0 +1,12 @@
+# Once-only queries while replicas hang and fail: what may have run must not run again.
+experiment(name = "once", question = "What is lost where nothing may be tried twice?", seeds = 10)
+fleet(aggregators = 10, replicas = 40, holders = 4)
+queries(name = "pay", rate = 20, parts = 2, goal = "250ms", patience = "1500ms", effect = "once_only")
+fault(kind = "hang", replicas = [0], at = "12s", until = "32s")
+fault(kind = "errors", replicas = [5], at = "12s", until = "32s")
+variant(name = "module")
+variant(name = "random", policy = "random")
+variant(name = "least in flight", policy = "least")
+variant(name = "better of two", policy = "two")
+variant(name = "fading mean", policy = "ewma")
+variant(name = "oracle", policy = "oracle")
--- /dev/null
+++ b/experiments/overload.star
@@ -0,0 +1,10 @@
+# A load of 1.4 times what the fleet can do, for ten seconds, with clients who ask again.
+experiment(name = "overload", question = "Does an overload end when its cause does?", seeds = 10)
+fleet(aggregators = 10, replicas = 20, holders = 4, room = 60)
+queries(rate = 17, parts = 4, goal = "250ms", patience = "1500ms", burst = 2.4, every = "40s", burst_for = "20s", retry = 0.8)
+variant(name = "module")
+variant(name = "random", policy = "random")
+variant(name = "least in flight", policy = "least")
+variant(name = "better of two", policy = "two")
+variant(name = "fading mean", policy = "ewma")
+variant(name = "oracle", policy = "oracle")
--- /dev/null
+++ b/experiments/pause.star
@@ -0,0 +1,12 @@
+# All replicas stand still for 300 ms of every 2 s, as for garbage collection, five by five.
+experiment(name = "pause", question = "What do pauses cost?", seeds = 10)
+fleet(aggregators = 10, replicas = 40, holders = 4)
+queries(rate = 20, parts = 4, goal = "250ms", patience = "1500ms")
+fault(kind = "pause", replicas = range(0, 10), at = "12s", until = "32s", every = "2s", bad_for = "300ms")
+fault(kind = "pause", replicas = range(10, 20), at = "12.5s", until = "32s", every = "2s", bad_for = "300ms")
+variant(name = "module")
+variant(name = "random", policy = "random")
+variant(name = "least in flight", policy = "least")
+variant(name = "better of two", policy = "two")
+variant(name = "fading mean", policy = "ewma")
+variant(name = "oracle", policy = "oracle")
--- /dev/null
+++ b/experiments/restart.star
@@ -0,0 +1,11 @@
+# A quarter of all replicas restart at once and are cold.
+experiment(name = "restart", question = "Who pushes cold replicas over?", seeds = 10)
+fleet(aggregators = 20, replicas = 40, holders = 4, cold_share = 0.1)
+queries(rate = 16, parts = 4, goal = "250ms", patience = "1500ms")
+fault(kind = "restart", replicas = range(0, 10), at = "12s", until = "14s")
+variant(name = "module")
+variant(name = "random", policy = "random")
+variant(name = "least in flight", policy = "least")
+variant(name = "better of two", policy = "two")
+variant(name = "fading mean", policy = "ewma")
+variant(name = "oracle", policy = "oracle")
--- /dev/null
+++ b/experiments/silence.star
@@ -0,0 +1,11 @@
+# What one replica answers is lost on the way: the parts ran.
+experiment(name = "silence", question = "What does a link cost that is cut one way?", seeds = 10)
+fleet(aggregators = 10, replicas = 40, holders = 4)
+queries(rate = 20, parts = 4, goal = "250ms", patience = "1500ms")
+fault(kind = "silence", replicas = [0], at = "12s", until = "32s")
+variant(name = "module")
+variant(name = "random", policy = "random")
+variant(name = "least in flight", policy = "least")
+variant(name = "better of two", policy = "two")
+variant(name = "fading mean", policy = "ewma")
+variant(name = "oracle", policy = "oracle")
--- /dev/null
+++ b/experiments/skew.star
@@ -0,0 +1,10 @@
+# Shards are asked by Zipf's law: the holders of the first are busy, the others idle.
+experiment(name = "skew", question = "What do hot shards cost?", seeds = 10)
+fleet(aggregators = 10, replicas = 40, holders = 4)
+queries(rate = 16, parts = 2, goal = "250ms", patience = "1500ms", skew = 1.0)
+variant(name = "module")
+variant(name = "random", policy = "random")
+variant(name = "least in flight", policy = "least")
+variant(name = "better of two", policy = "two")
+variant(name = "fading mean", policy = "ewma")
+variant(name = "oracle", policy = "oracle")
--- /dev/null
+++ b/experiments/unlike.star
@@ -0,0 +1,10 @@
+# Replicas are of unlike speeds and parts have a heavy tail; aggregators have unlike shares of the load.
+experiment(name = "unlike", question = "What do unlike machines and heavy tails cost?", seeds = 10)
+fleet(aggregators = 10, replicas = 40, holders = 4, unlike = 0.5, uneven = 0.7, tail = 0.05)
+queries(rate = 20, parts = 4, goal = "250ms", patience = "1500ms")
+variant(name = "module")
+variant(name = "random", policy = "random")
+variant(name = "least in flight", policy = "least")
+variant(name = "better of two", policy = "two")
+variant(name = "fading mean", policy = "ewma")
+variant(name = "oracle", policy = "oracle")
--- /dev/null
+++ b/load/load.go
@@ -0,0 +1,212 @@
+// Package load asks queries of a running aggregator over HTTP, at a steady rate or by a fixed number of clients, and looks for
+// the rate at which the goal breaks. Times are counted from when a query was due, so that a slow aggregator cannot hide behind
+// clients that wait for it.
+package load
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Target is whom to ask what.
+type Target struct {
+	URL      string // of the aggregator
+	Workload string
+	Shards   []int // each query asks all of them, with equal weights
+	Text     string
+	Patience time.Duration
+	Goal     time.Duration
+}
+
+// Outcome is what came of one stretch.
+type Outcome struct {
+	Rate     float64       `json:"rate"` // queries a second that were due, 0 for a fixed number of clients
+	Asked    int64         `json:"asked"`
+	InGoal   int64         `json:"in_goal"`
+	Late     int64         `json:"late"`
+	Declined int64         `json:"declined"`
+	Failed   int64         `json:"failed"` // an error, or no answer in time
+	Served   float64       `json:"served_a_second"`
+	P50      time.Duration `json:"p50_ns"` // of answers
+	P99      time.Duration `json:"p99_ns"`
+	P999     time.Duration `json:"p999_ns"`
+}
+
+// Share is the share within the goal.
+func (o *Outcome) Share() float64 { return float64(o.InGoal) / float64(max(o.Asked, 1)) }
+
+// Clients asks.
+type Clients struct {
+	Target
+	client *http.Client
+	body   []byte
+	number uint64
+	name   string
+	mu     sync.Mutex
+	now    *stretch
+}
+
+type stretch struct {
+	Outcome
+	times *hdrhistogram.Histogram
+}
+
+// New makes clients; Close ends them.
+func New(t Target) (*Clients, error) {
+	if len(t.Shards) == 0 || t.Patience <= 0 {
+		return nil, errors.New("a query needs a shard and some time")
+	}
+	var b bytes.Buffer
+	b.WriteString(`{"segments":[`)
+	for i, s := range t.Shards {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		fmt.Fprintf(&b, `{"segment":%d,"boost":%g}`, s, 1/float64(len(t.Shards)))
+	}
+	fmt.Fprintf(&b, `],"text":%q}`, t.Text)
+	return &Clients{Target: t, body: b.Bytes(), name: strconv.FormatUint(rand.Uint64(), 36),
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4096, IdleConnTimeout: 1500 * time.Millisecond}}}, nil
+}
+
+// Close gives the connections back.
+func (c *Clients) Close() { c.client.CloseIdleConnections() }
+
+func (c *Clients) begin(rate float64) *stretch {
+	s := &stretch{Outcome: Outcome{Rate: rate}, times: hdrhistogram.New(1000, max(int64(3*c.Patience), 1_000_000), 3)}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = s
+	return s
+}
+
+// Open asks so many queries a second, by chance, whether answers come or not.
+func (c *Clients) Open(ctx context.Context, rate float64, span time.Duration, seed uint64) *Outcome {
+	s := c.begin(rate)
+	chance := rand.New(rand.NewPCG(seed, 1))
+	var all sync.WaitGroup
+	began := time.Now()
+	for due := began; ctx.Err() == nil; {
+		due = due.Add(time.Duration(chance.ExpFloat64() * 1e9 / rate))
+		if due.Sub(began) >= span {
+			break
+		}
+		time.Sleep(time.Until(due))
+		all.Go(func() { c.ask(ctx, s, due) })
+	}
+	all.Wait()
+	return s.over(time.Since(began))
+}
+
+// Closed has so many clients ask, each its next query when the last is answered.
+func (c *Clients) Closed(ctx context.Context, clients int, span time.Duration) *Outcome {
+	s := c.begin(0)
+	var all sync.WaitGroup
+	began := time.Now()
+	for range clients {
+		all.Go(func() {
+			for ctx.Err() == nil && time.Since(began) < span {
+				if !c.ask(ctx, s, time.Now()) {
+					time.Sleep(10 * time.Millisecond) // an aggregator that declines at once is not to be asked in a circle
+				}
+			}
+		})
+	}
+	all.Wait()
+	return s.over(time.Since(began))
+}
+
+func (s *stretch) over(took time.Duration) *Outcome {
+	s.Served = float64(s.InGoal+s.Late) / took.Seconds()
+	s.P50 = time.Duration(s.times.ValueAtPercentile(50))
+	s.P99 = time.Duration(s.times.ValueAtPercentile(99))
+	s.P999 = time.Duration(s.times.ValueAtPercentile(99.9))
+	return &s.Outcome
+}
+
+// ask asks one query that was due at a time; false where there was no answer with values.
+func (c *Clients) ask(ctx context.Context, s *stretch, due time.Time) bool {
+	c.mu.Lock()
+	c.number++
+	id := fmt.Sprint(c.name, "-", c.number)
+	s.Asked++
+	c.mu.Unlock()
+	status := c.post(ctx, id, due)
+	took := time.Since(due)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case status == http.StatusOK:
+		s.times.RecordValue(int64(took))
+		if took <= c.Goal {
+			s.InGoal++
+		} else {
+			s.Late++
+		}
+		return true
+	case status == http.StatusServiceUnavailable:
+		s.Declined++
+	default:
+		s.Failed++
+	}
+	return false
+}
+
+func (c *Clients) post(ctx context.Context, id string, due time.Time) int {
+	left := c.Patience - time.Since(due)
+	if left < time.Millisecond {
+		return 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, left+50*time.Millisecond)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, c.URL+"/"+c.Workload, bytes.NewReader(c.body))
+	if err != nil {
+		return 0
+	}
+	r.Header.Set("X-Qos", c.Workload)
+	r.Header.Set("X-Trace-Id", id)
+	r.Header.Set("X-Expires-In-Ms", strconv.FormatInt(left.Milliseconds(), 10))
+	a, err := c.client.Do(r)
+	if err != nil {
+		return 0
+	}
+	defer a.Body.Close()
+	if _, err := io.Copy(io.Discard, a.Body); err != nil {
+		return 0
+	}
+	return a.StatusCode
+}
+
+// Steps asks at growing rates until the share within the goal falls under what is wanted, then halves its way to where it
+// breaks; ask plays one rate.
+func Steps(first, factor float64, most int, wanted float64, ask func(rate float64) *Outcome) (all []*Outcome, best float64) {
+	low, high := 0.0, 0.0
+	for rate, n := first, 0; n < most; n++ {
+		o := ask(rate)
+		all = append(all, o)
+		if o.Share() >= wanted {
+			low = rate
+		} else {
+			high = rate
+		}
+		switch {
+		case high == 0:
+			rate *= factor
+		case high-low < high/20:
+			return all, low
+		default:
+			rate = (low + high) / 2
+		}
+	}
+	return all, low
+}
--- a/script/values.go
+++ b/script/values.go
@@ -29,11 +29,12 @@
 	Size // bytes: "64MiB"
 	Addresses
 	Shares // numbers, by name
+	Wholes // a list of whole numbers
 )
 
 var kinds = [...]string{"a string", "a file's path", "an address HOST:PORT", "True or False", "a whole number",
 	"a number", `a time such as "250ms"`, `a size such as "64MiB"`,
-	"a list of addresses HOST:PORT", "a dictionary of numbers by name"}
+	"a list of addresses HOST:PORT", "a dictionary of numbers by name", "a list of whole numbers"}
 
 // Parameter is one key of a function. Least and most are in the value's own unit: ns, bytes or as written.
 type Parameter struct {
@@ -82,6 +83,7 @@
 func (c Call) Shares(key string) map[string]float64 {
 	return c.values[key].(map[string]float64)
 }
+func (c Call) Wholes(key string) []int  { return c.values[key].([]int) }
 func (c Call) List(key string) []string { return c.values[key].([]string) }
 
 // tried tells whether the script named the key, be it with a wrong value.
@@ -147,6 +149,23 @@
 			all = append(all, s)
 		}
 		return all, nil
+	case Wholes:
+		list, ok := v.(starlark.Iterable)
+		if _, isText := v.(starlark.String); !ok || isText {
+			return nil, wrong
+		}
+		all := []int{}
+		for one := range starlark.Elements(list) {
+			n, err := starlark.AsInt32(one)
+			if _, isInt := one.(starlark.Int); !isInt || err != nil {
+				return nil, fmt.Errorf("has %v, no whole number", one)
+			}
+			if err := p.within(float64(n), strconv.Itoa(n)); err != nil {
+				return nil, fmt.Errorf("has one that %w", err)
+			}
+			all = append(all, n)
+		}
+		return all, nil
 	case Shares:
 		d, ok := v.(*starlark.Dict)
 		if !ok {
@@ -244,6 +263,12 @@
 			all = append(all, fmt.Sprintf("%q: %s", name, p.written(v[name])))
 		}
 		return "{" + strings.Join(all, ", ") + "}"
+	case []int:
+		var all []string
+		for _, n := range v {
+			all = append(all, strconv.Itoa(n))
+		}
+		return "[" + strings.Join(all, ", ") + "]"
 	case []string:
 		quoted := make([]string, len(v))
 		for i, s := range v {
