Experiments have short twins with exact expectations; sockets get the emulator's very queries

Cause: nothing held the standing experiments to what they came to, and a query that was asked again drew from the stream of new ones, so a policy changed what came.

--- a/emulator/aggregator.go
+++ b/emulator/aggregator.go
@@ -24,6 +24,7 @@
 	at      int64
 	ended   bool
 	tries   int
+	shards  []int
 	parts   [][]execution
 	weights []float64
 }
@@ -38,8 +39,9 @@
 	brain    brain
 	watch    *checker.Aggregator
 	queries  map[int32]*asked
-	last     int64 // the last round
-	due      int64 // the next, 0 for none
+	repeats  map[int32][]int // the shards of queries that will be asked again
+	last     int64           // the last round
+	due      int64           // the next, 0 for none
 	next     int32
 	news     []uint64 // by replica: the newest that the list told
 	tally    *Tally
@@ -123,10 +125,12 @@
 	case cuts:
 		a.outcome(now, e.Query, int(e.Part), int(e.Number), balance.TimedOut)
 	case asks:
+		shards := a.arrivals[e.Part].Shards()
 		a.come(e.Value, int(e.Part))
-		a.take(now, e.Value, int(e.Part), 0)
+		a.take(now, e.Value, int(e.Part), 0, shards)
 	case again:
-		a.take(now, e.Value, int(e.Part), int(e.Number))
+		a.take(now, e.Value, int(e.Part), int(e.Number), a.repeats[e.Query])
+		delete(a.repeats, e.Query)
 	case forgets:
 		a.watch.Forget(e.Query)
 		a.brain.forget(e.Query)
@@ -166,9 +170,8 @@
 }
 
 // take takes a query in that was asked at a time: now, or before a freeze.
-func (a *aggregator) take(now, at int64, load, tries int) {
+func (a *aggregator) take(now, at int64, load, tries int, shards []int) {
 	l := &a.Loads[load]
-	shards := a.arrivals[load].Shards()
 	if tries == 0 {
 		a.tally.Ask(at-origin, load)
 	}
@@ -182,7 +185,7 @@
 	}
 	a.next++
 	number, left := a.next, at+l.Patience-now
-	q := &asked{load: load, at: at, tries: tries, parts: make([][]execution, l.Parts)}
+	q := &asked{load: load, at: at, tries: tries, shards: shards, parts: make([][]execution, l.Parts)}
 	for range shards {
 		q.weights = append(q.weights, 1/float64(l.Parts))
 	}
@@ -271,7 +274,8 @@
 	l := &a.Loads[q.load]
 	if e.final == balance.Declined && e.comeBack > 0 && q.tries < 3 && a.clients.Float64() < l.Retry {
 		wait := e.comeBack + int64(a.clients.Float64()*float64(e.comeBack)/10)
-		a.cause(now, agenda.Event{At: now + wait, To: a.self, Kind: again, Value: now + wait, Part: int16(q.load), Number: int16(q.tries + 1)})
+		a.repeats[e.query] = q.shards
+		a.cause(now, agenda.Event{At: now + wait, To: a.self, Kind: again, Query: e.query, Value: now + wait, Part: int16(q.load), Number: int16(q.tries + 1)})
 	}
 	a.tally.End(q.at-origin, now-origin, q.load, q.tries, e.final)
 }
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -171,7 +171,7 @@
 		}
 	}
 	for i := range p.Aggregators {
-		a := &aggregator{outlet: place(i), Plan: &p, clients: chance(i, 2), network: chance(i, 3), queries: map[int32]*asked{},
+		a := &aggregator{outlet: place(i), Plan: &p, clients: chance(i, 2), network: chance(i, 3), queries: map[int32]*asked{}, repeats: map[int32][]int{},
 			news: make([]uint64, p.Replicas), tally: NewTally(&p),
 			watch: checker.NewAggregator(fmt.Sprint("aggregator ", i), p.bounds())}
 		for n := range p.Loads {
--- /dev/null
+++ b/experiment/experiment_test.go
@@ -0,0 +1,185 @@
+package experiment
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"willowsill/emulator"
+)
+
+var update = flag.Bool("update", false, "write what the twins come to now as what is expected")
+
+// small is an experiment cut down: fewer of all, a shorter span, faults at the same share of it.
+func small(e *Experiment) {
+	p := &e.Plan
+	e.Seeds = 1
+	shrink := float64(8*second) / float64(p.Span)
+	at := func(t int64) int64 { return int64(float64(t) * shrink) }
+	if big := p.Aggregators > 20; big {
+		p.Aggregators, p.Replicas = 10, 10*p.Holders
+	}
+	p.Span, p.From, p.Until = at(p.Span), at(p.From), at(p.Until)
+	p.ColdRamp = min(p.ColdRamp, 3*second)
+	for i := range p.Faults {
+		f := &p.Faults[i]
+		f.From, f.Until = at(f.From), at(f.Until)
+		var there []int
+		for _, r := range f.Replicas {
+			if r < p.Replicas/3 {
+				there = append(there, r)
+			}
+		}
+		f.Replicas = there
+	}
+	for i := range p.Loads {
+		p.Loads[i].Every, p.Loads[i].For = at(p.Loads[i].Every), at(p.Loads[i].For)
+	}
+}
+
+// Short twins of all standing experiments come to what is expected, to the last query.
+func TestTwins(t *testing.T) {
+	files, _ := filepath.Glob("../experiments/*.star")
+	if len(files) < 12 {
+		t.Fatalf("%d experiments", len(files))
+	}
+	var got strings.Builder
+	for _, file := range files {
+		e, err := Read(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want := strings.TrimSuffix(filepath.Base(file), ".star"); e.Name != want {
+			t.Errorf("%s calls itself %q", file, e.Name)
+		}
+		small(e)
+		for _, v := range e.Variants {
+			r, err := emulator.Run(e.Of(v, 1), emulator.Cores())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r.Broken != "" && v.True {
+				t.Errorf("%s, %s: %s", e.Name, v.Name, r.Broken)
+			}
+			fmt.Fprintf(&got, "%s, %s: %d of %d in goal, %d late, %d declined, %d executions, rule %d\n", e.Name, v.Name, r.InGoal, r.Asked, r.Late,
+				r.Declined, r.Executions, r.Rule)
+		}
+	}
+	const file = "testdata/twins.txt"
+	if *update {
+		if err := os.WriteFile(file, []byte(got.String()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	lines := strings.Split(got.String(), "\n")
+	for i, line := range strings.Split(string(want), "\n") {
+		if i >= len(lines) || lines[i] != line {
+			t.Errorf("expected %q, came to %q", line, lines[min(i, len(lines)-1)])
+		}
+	}
+}
+
+func read(t *testing.T, text string) (*Experiment, error) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "a.star")
+	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return Read(file)
+}
+
+const good = `experiment(name = "a", question = "b?", span = "6s", count_from = "1s", count_until = "5s", seeds = 3)
+fleet(aggregators = 2, replicas = 8, holders = 4)
+queries(rate = 20, parts = 2)
+variant(name = "module")
+variant(name = "random", policy = "random")
+`
+
+// All that is wrong is told with its place.
+func TestFaults(t *testing.T) {
+	for name, c := range map[string][2]string{
+		"no variant":   {strings.Split(good, "variant")[0], "variant is missing"},
+		"policy":       {good + `variant(name = "x", policy = "best")`, `:6:21: variant: key "policy" is "best", not one of`},
+		"twice":        {good + `variant(name = "random")`, `a variant "random" already`},
+		"replicas":     {good + `fault(kind = "hang", replicas = ["x"], at = "1s", until = "2s")`, `key "replicas" has`},
+		"no replica":   {good + `fault(kind = "hang", replicas = [8], at = "1s", until = "2s")`, "there is no replica 8"},
+		"no end":       {good + `fault(kind = "hang", replicas = [1], at = "2s", until = "1s")`, `"until" is not after`},
+		"parts":        {strings.Replace(good, "parts = 2", "parts = 3", 1), "3 parts, and there are 2 shards"},
+		"goal":         {strings.Replace(good, "parts = 2", `parts = 2, goal = "2s"`, 1), `"goal" is longer`},
+		"burst":        {strings.Replace(good, "parts = 2", `parts = 2, every = "1s", burst_for = "2s"`, 1), `"burst_for" is longer`},
+		"whole groups": {strings.Replace(good, "replicas = 8", "replicas = 9", 1), "whole groups"},
+		"stretch":      {strings.Replace(good, `"5s"`, `"7s"`, 1), "not within the span"},
+	} {
+		if _, err := read(t, c[0]); err == nil || !strings.Contains(err.Error(), c[1]) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
+
+// Tables are the same each time, say what may be said, and are kept and compared whole.
+func TestTable(t *testing.T) {
+	var texts [2]string
+	var table *Table
+	for i := range texts {
+		e, err := read(t, good+`fault(kind = "hang", replicas = [0], at = "1s", until = "5s")`)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if table, err = e.Play(Emulated(), nil); err != nil {
+			t.Fatal(err)
+		}
+		text, _ := json.Marshal(table)
+		texts[i] = string(text)
+	}
+	if texts[0] != texts[1] {
+		t.Errorf("%s and %s", texts[0], texts[1])
+	}
+	if v := table.Rows[1].Verdict; v != "less" || table.Rows[0].Mean <= table.Rows[1].Mean {
+		t.Errorf("random choice is told %q: %+v", v, table.Rows)
+	}
+	back, err := Decode([]byte(texts[0]), "x")
+	if err != nil {
+		t.Fatal(err)
+	}
+	rows, err := Compare(back, table)
+	if err != nil || len(rows) != 2 || rows[1].Against != 0 || rows[1].Verdict != "not told apart" {
+		t.Errorf("%+v %v", rows, err)
+	}
+	other := *table
+	other.Hash = "0"
+	if _, err := Compare(&other, table); err == nil {
+		t.Error("tables of other scripts were compared")
+	}
+	other = *table
+	other.Seeds++
+	if _, err := Compare(&other, table); err == nil {
+		t.Error("tables of other seeds were compared")
+	}
+	if _, err := Decode([]byte(`{"form":9}`), "x"); err == nil {
+		t.Error("a table of another form was read")
+	}
+	var page bytes.Buffer
+	if err := Report(&page, []*Table{table}); err != nil || strings.Count(page.String(), "<svg") != 1 ||
+		!strings.Contains(page.String(), "random") {
+		t.Errorf("%v: %.300s", err, page.String())
+	}
+}
+
+// The interval holds the mean nine times of ten at least, and is a point where there is no chance.
+func TestInterval(t *testing.T) {
+	if low, high := Interval([]float64{2, 2, 2}); low != 2 || high != 2 {
+		t.Errorf("%v to %v", low, high)
+	}
+	if low, high := Interval([]float64{-1, 1, -1, 1, -1, 1}); low >= 0 || high <= 0 {
+		t.Errorf("%v to %v", low, high)
+	}
+}
--- /dev/null
+++ b/load/load_test.go
@@ -0,0 +1,76 @@
+package load
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+func clients(t *testing.T, serve http.HandlerFunc) *Clients {
+	t.Helper()
+	server := httptest.NewServer(serve)
+	t.Cleanup(server.Close)
+	c, err := New(Target{URL: server.URL, Workload: "look", Shards: []int{0, 1}, Patience: time.Second, Goal: 100 * time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+// Each answer is booked by what it says.
+func TestOutcomes(t *testing.T) {
+	var n atomic.Int64
+	c := clients(t, func(w http.ResponseWriter, r *http.Request) {
+		switch n.Add(1) % 4 {
+		case 0:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case 1:
+			w.WriteHeader(http.StatusInternalServerError)
+		case 2:
+			time.Sleep(150 * time.Millisecond)
+		}
+	})
+	o := c.Open(t.Context(), 80, time.Second, 1)
+	if sum := o.InGoal + o.Late + o.Declined + o.Failed; sum != o.Asked || o.Asked < 40 || o.InGoal < 8 || o.Late < 8 || o.Declined < 8 || o.Failed < 8 {
+		t.Errorf("%+v", o)
+	}
+	if closed := c.Closed(t.Context(), 3, 300*time.Millisecond); closed.Asked < 6 || closed.Rate != 0 {
+		t.Errorf("%+v", closed)
+	}
+}
+
+// Danger: clients that wait for a server that stands still ask little meanwhile, and hide it. Times count from when a query was
+// due, so a stall of 300 ms is seen by all that were due in it.
+func TestStall(t *testing.T) {
+	began := time.Now()
+	c := clients(t, func(http.ResponseWriter, *http.Request) {
+		if since := time.Since(began); since > 300*time.Millisecond && since < 600*time.Millisecond {
+			time.Sleep(600*time.Millisecond - since)
+		}
+	})
+	began = time.Now()
+	o := c.Open(t.Context(), 200, time.Second, 1)
+	if o.P99 < 200*time.Millisecond || o.Late < 20 {
+		t.Errorf("%+v", o)
+	}
+}
+
+// Steps closes in on the rate at which the goal breaks.
+func TestSteps(t *testing.T) {
+	all, best := Steps(10, 2, 20, 0.9, func(rate float64) *Outcome {
+		o := &Outcome{Rate: rate, Asked: 100, InGoal: 100}
+		if rate > 137 {
+			o.InGoal = 50
+		}
+		return o
+	})
+	if best < 125 || best > 137 || len(all) > 12 {
+		t.Errorf("best %v after %d", best, len(all))
+	}
+	if _, best := Steps(10, 2, 5, 0.9, func(float64) *Outcome { return &Outcome{Asked: 1} }); best != 0 {
+		t.Errorf("nothing was within, and %v is told", best)
+	}
+}
