--- a/cmd/willowlab/experiments.go
+++ b/cmd/willowlab/experiments.go
@@ -9,7 +9,6 @@
 	"path/filepath"
 	"strings"
 	"text/tabwriter"
-	"time"
 
 	"github.com/spf13/cobra"
 	"github.com/vbauerster/mpb/v8"
@@ -243,5 +242,3 @@
 	c.Flags().StringVar(&out, "out", "report.html", "the page")
 	return c
 }
-
-func since(began time.Time) float64 { return time.Since(began).Seconds() }
--- a/experiment/report.go
+++ b/experiment/report.go
@@ -45,6 +45,38 @@
 	return svg(p)
 }
 
+// Size is how a fleet of a size was played.
+type Size struct {
+	Aggregators int
+	Events      float64 // a second of real time
+	Heap        float64 // bytes at the most
+}
+
+// Growth draws speed and memory against the size of the fleet, both on logarithmic scales, as SVG.
+func Growth(sizes []Size) ([]byte, error) {
+	p := plot.New()
+	p.Title.Text = "events a second, and heap in KB, by aggregators"
+	p.X.Scale, p.Y.Scale = plot.LogScale{}, plot.LogScale{}
+	p.X.Tick.Marker, p.Y.Tick.Marker = plot.LogTicks{Prec: -1}, plot.LogTicks{Prec: -1}
+	for i, of := range []struct {
+		name string
+		y    func(Size) float64
+	}{{"events a second", func(s Size) float64 { return s.Events }}, {"heap, KB", func(s Size) float64 { return s.Heap / 1e3 }}} {
+		points := make(plotter.XYs, len(sizes))
+		for n, s := range sizes {
+			points[n] = plotter.XY{X: float64(s.Aggregators), Y: of.y(s)}
+		}
+		line, dots, err := plotter.NewLinePoints(points)
+		if err != nil {
+			return nil, err
+		}
+		line.Color, dots.Color = plotutil.Color(i), plotutil.Color(i)
+		p.Add(line, dots)
+		p.Legend.Add(of.name, line)
+	}
+	return svg(p)
+}
+
 func svg(p *plot.Plot) ([]byte, error) {
 	w, err := p.WriterTo(18*vg.Centimeter, 9*vg.Centimeter, "svg")
 	if err != nil {
--- /dev/null
+++ b/experiments/store-restart.star
@@ -0,0 +1,13 @@
+# The same when a third of all replicas restart at once, for three seconds.
+experiment(name = "store-restart", question = "What does a shared store bring when a third restarts at once?", span = "34s", count_from = "8s", count_until = "28s", seeds = 10)
+fleet(aggregators = 100, replicas = 60, holders = 5, work = "40ms", spread = 0.35)
+queries(rate = 2, parts = 4, goal = "250ms", patience = "1500ms")
+fault(kind = "restart", replicas = list(range(0, 12)) + list(range(36, 48)), at = "8s", until = "11s")
+variant(name = "no store", store = "none")
+variant(name = "good", store = "good")
+variant(name = "2 s late", store = "late")
+variant(name = "flapping", store = "flapping")
+variant(name = "stale", store = "stale")
+variant(name = "one liar", store = "liar")
+variant(name = "vanished", store = "vanished")
+variant(name = "nothing befalls anybody", calm = True)
