--- a/cmd/willowlab/hunt.go
+++ b/cmd/willowlab/hunt.go
@@ -7,7 +7,6 @@
 	"runtime"
 	"slices"
 	"strings"
-	"text/tabwriter"
 	"time"
 
 	"github.com/spf13/cobra"
