Crossing: what a gateway decides query by query is a module without I/O

Cause: routes, limits, turns and pings were put together inside the gateway, behind its lock and its timers, where neither a property test nor the emulator could drive them.

Change: crossing/ decides, with Decide and Next as the other deciders have; gateway/core.go carries out.

--- a/gateway/core.go
+++ b/gateway/core.go
@@ -5,7 +5,6 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -15,8 +14,8 @@
 
 	"willowsill/balance"
 	"willowsill/counters"
+	"willowsill/crossing"
 	"willowsill/deployment"
-	"willowsill/fair"
 	"willowsill/front"
 	"willowsill/node"
 	"willowsill/replica"
@@ -51,13 +50,7 @@
 	interval   = time.Second
 	pingEach   = 500 * time.Millisecond
 	pingWait   = time.Second
-	pingMissed = 3 // one after the other, and a site's ways are not used
-	lookEach   = 10 * time.Millisecond
-	waitMost   = 64       // queries of a workload that wait for room on a link,
-	waitOne    = 0.5      // this share of them of one customer at most,
-	waitShare  = 10       // and each for this part of its time at most
 	tripsMost  = 512      // queries on their way at a time
-	smooth     = 0.2      // of the newest delay in the mean
 	carryTwice = 2        // gateways of a site that one query may be sent to
 	furtherOf  = 0.1      // of what is carried may be carried again,
 	furtherAny = 3        // and so many,
@@ -87,27 +80,14 @@
 	hop   *node.Node
 	count *Count
 
-	mu     sync.Mutex // guards the deciders, which are asked for no longer than a few µs
-	routes *routes.Routes
-	spare  *routes.Spare
-	limits []*routes.Limit
-	queues [][]*fair.Queue // of each link and workload: what waits for room there
-	looks  []bool          // of each link: it is looked at again soon for room
-	order  []int           // workloads, those worth most first
-	delays []figures
+	mu       sync.Mutex // guards crossing, which is asked for no longer than a few µs
+	crossing *crossing.Crossing
+	look     *time.Timer // for the next time that it wants to be asked
 
 	cancel context.CancelFunc
 	ended  sync.WaitGroup
 }
 
-type figures struct {
-	mean   float64 // there and back, ns
-	missed int
-	sent   float64
-	lost   float64
-	known  bool
-}
-
 // New starts the way to other sites.
 func New(p Plan, count *Count) (*Core, error) {
 	if len(p.Sites) == 0 {
@@ -118,8 +98,7 @@
 			return nil, err
 		}
 	}
-	c := &Core{plan: p, count: count, names: make([]string, len(p.Deployment.Workloads)),
-		delays: make([]figures, len(p.Sites))}
+	c := &Core{plan: p, count: count, names: make([]string, len(p.Deployment.Workloads))}
 	for name, row := range p.Deployment.Workload {
 		c.names[row] = name
 	}
@@ -136,18 +115,11 @@
 	var known roster.News
 	for i, s := range p.Sites {
 		t.Links = append(t.Links, s.Link)
-		c.limits = append(c.limits, routes.NewLimit(now))
-		var queues []*fair.Queue
-		for range p.Deployment.Workloads {
-			queues = append(queues, fair.New(fair.Terms{Most: waitMost, MostOne: waitOne}))
-		}
-		c.queues, c.looks = append(c.queues, queues), append(c.looks, false)
 		for _, address := range s.Gateways {
 			known.Entries = append(known.Entries, roster.Entry{Host: s.Site + "/" + address, Dial: address, Cell: i})
 		}
 	}
-	c.routes, c.spare = routes.New(now, t), routes.NewSpare(now)
-	c.order = c.routes.Order()
+	c.crossing = crossing.New(now, t)
 	d := p.Deployment
 	d.Shards, d.Cells, d.Reach, d.PartsPerCall = len(p.Sites), len(p.Sites), 1, 1
 	d.MaxExecutions, d.Cancels, d.AsksForList = min(carryTwice, d.MaxExecutions), true, false
@@ -165,7 +137,11 @@
 		}})
 	ctx, cancel := context.WithCancel(context.Background())
 	c.cancel = cancel
-	c.ended.Go(func() { c.plans(ctx) })
+	c.look = time.AfterFunc(interval, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.decide()
+	})
 	for i, s := range p.Sites {
 		c.ended.Go(func() { c.pings(ctx, i, s) })
 	}
@@ -187,6 +163,10 @@
 func (c *Core) Close() {
 	c.cancel()
 	c.ended.Wait()
+	c.mu.Lock()
+	c.look.Stop()
+	c.look = nil
+	c.mu.Unlock()
 	c.hop.Close()
 }
 
@@ -197,29 +177,46 @@
 func (c *Core) way(link int) int64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.limits[link].Least()
+	return c.crossing.Least(link)
 }
 
 // told takes in how many queries a second another site would take.
 func (c *Core) told(link int, rate float64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.routes.Willing(c.plan.Clock.Now(), link, rate)
+	c.crossing.Told(c.plan.Clock.Now(), link, rate)
 }
 
 // Willing is how many more queries a second this site would take from others.
 func (c *Core) Willing() float64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := c.plan.Clock.Now()
-	return c.spare.Rate(now) * c.routes.Local(now)
+	return c.crossing.Willing(c.plan.Clock.Now())
 }
 
 // Evacuate leaves the own site, or takes it up again over a ramp.
 func (c *Core) Evacuate(dark bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.routes.Evacuate(c.plan.Clock.Now(), dark)
+	c.crossing.Evacuate(c.plan.Clock.Now(), dark)
+}
+
+// decide asks what is to be done now, carries it out, and has itself called again in time. It is called with the lock.
+func (c *Core) decide() {
+	now := c.plan.Clock.Now()
+	r := c.crossing.Decide(now)
+	for _, g := range r.Going {
+		g.Load.(chan bool) <- true // it has room for the one word that a query gets
+	}
+	for _, load := range r.Turned {
+		load.(chan bool) <- false
+	}
+	if r.Plan != nil && r.Plan.Greedy {
+		c.plan.Log.Info("the ways were planned simply, for the solver gave no answer")
+	}
+	if c.look != nil {
+		c.look.Reset(time.Duration(max(c.crossing.Next()-now, 0)))
+	}
 }
 
 // visitedKey is the key of the sites that a query came through, in its context.
@@ -240,7 +237,7 @@
 	if asked {
 		a, ok := c.plan.Local.Serve(ctx, q)
 		c.mu.Lock()
-		c.spare.Ended(c.plan.Clock.Now(), len(visited(ctx)) == 0, ok && a.Final == balance.Declined)
+		c.crossing.Ended(c.plan.Clock.Now(), len(visited(ctx)) == 0, ok && a.Final == balance.Declined)
 		c.mu.Unlock()
 		if !ok || a.Final != balance.Declined {
 			return a, ok
@@ -260,121 +257,37 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	mark := float64(xxhash.Sum64String(q.ID)%1000) / 1000
-	return c.routes.Stays(c.plan.Clock.Now(), mark, len(visited(ctx)) > 0)
+	return c.crossing.Stays(c.plan.Clock.Now(), mark, len(visited(ctx)) > 0)
 }
 
-// leaves takes a way for a query, or tells -1.
+// leaves takes a way for a query, or tells -1. It waits as long as it is told to.
 func (c *Core) leaves(ctx context.Context, q node.Query, asked bool) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := c.plan.Clock.Now()
-	came := visited(ctx)
-	if len(came) == 0 { // the own clients'
-		c.routes.Missed(q.Workload)
-	}
-	link := c.routes.Route(now, routes.Query{Workload: q.Workload, Left: q.Until - now, Visited: came, Declined: asked})
-	switch {
-	case link < 0:
-		return -1
-	case c.plan.Policy != routes.Planned:
-		c.limits[link].Must()
-		return link
-	case c.queues[link][q.Workload].Len() == 0 && c.room(now, q.Workload, link) || c.waits(ctx, now, q, link):
-		return link
-	}
-	return -1
-}
-
-// room takes the room for one query on a link, if there is some; it is called with the lock.
-func (c *Core) room(now int64, workload, link int) bool {
-	if !c.limits[link].Take() {
-		return false
-	}
-	if !c.routes.Spend(now, workload, link) {
-		c.limits[link].Give()
-		return false
-	}
-	return true
-}
-
-// waits has a query wait for room on a link, for a tenth of its time at most; it is called and returns with the lock. False
-// means that it got none.
-//
-// Danger: one customer's crowd would take all the room of a plan, a purse or a limit as it comes free; customers take
-// turns wherever room is short.
-func (c *Core) waits(ctx context.Context, now int64, q node.Query, link int) bool {
 	room := make(chan bool, 1)
-	wait := (q.Until - now) / waitShare
-	dropped, taken := c.queues[link][q.Workload].Push(now, fair.Item{Customer: q.Customer, Until: now + wait, Load: room})
-	turnAway(dropped)
-	if !taken {
-		return false
+	leaving := crossing.Query{Customer: q.Customer, Load: room,
+		Query: routes.Query{Workload: q.Workload, Left: q.Until - now, Visited: visited(ctx), Declined: asked}}
+	link, waits := c.crossing.Leave(now, leaving)
+	c.decide()
+	if !waits {
+		return link
 	}
-	c.look(link)
 	c.mu.Unlock()
-	defer c.mu.Lock()
-	timer := time.NewTimer(time.Duration(wait))
-	defer timer.Stop()
+	got := false
 	select {
-	case got := <-room:
-		return got
-	case <-timer.C:
+	case got = <-room:
+		c.mu.Lock()
 	case <-ctx.Done():
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	select {
-	case got := <-room: // it came at the last moment
-		return got
-	default:
-		c.queues[link][q.Workload].Remove(q.Customer, room)
-		return false
-	}
-}
-
-// turnAway tells those who waited that there is no room for them.
-func turnAway(items []fair.Item) {
-	for _, it := range items {
-		select {
-		case it.Load.(chan bool) <- false:
-		default:
+		c.mu.Lock()
+		if !c.crossing.Withdraw(leaving, link) { // it was told at the last moment
+			got = <-room
 		}
 	}
-}
-
-// give gives a query's room on a link back, and to the next who waits. It is called with the lock.
-func (c *Core) give(link int) {
-	c.limits[link].Give()
-	c.serve(link)
-}
-
-// serve gives what room there is on a link to those who wait, by turns of customers, first to what is worth most. It is
-// called with the lock.
-func (c *Core) serve(link int) {
-	now := c.plan.Clock.Now()
-	for _, w := range c.order {
-		q := c.queues[link][w]
-		turnAway(q.Late(now))
-		for q.Len() > 0 && c.room(now, w, link) {
-			next, _, _ := q.Pop(now)
-			next.Load.(chan bool) <- true
-		}
+	if !got {
+		return -1
 	}
-}
-
-// look has a link looked at again soon while somebody waits there: tokens come with time alone. It is called with the lock.
-func (c *Core) look(link int) {
-	if c.looks[link] || !slices.ContainsFunc(c.queues[link], func(q *fair.Queue) bool { return q.Len() > 0 }) {
-		return
-	}
-	c.looks[link] = true
-	time.AfterFunc(lookEach, func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		c.looks[link] = false
-		c.serve(link)
-		c.look(link)
-	})
+	return link
 }
 
 // carry takes a query to another site and brings its answer.
@@ -389,11 +302,12 @@
 			Load:  &load{workload: c.names[q.Workload], customer: q.Customer, visited: visited(ctx), body: text, link: link}})
 	}
 	c.mu.Lock()
-	c.give(link)
-	c.routes.Carried(q.Workload, link, ok && a.Final == balance.Declined)
+	bytes := 0.0
 	if len(a.Values) == 1 {
-		c.routes.Weighed(c.plan.Clock.Now(), q.Workload, link, float64(headBytes+len(text)+len(a.Values[0].Value)))
+		bytes = float64(headBytes + len(text) + len(a.Values[0].Value))
 	}
+	c.crossing.Returned(c.plan.Clock.Now(), q.Workload, link, ok && a.Final == balance.Declined, bytes)
+	c.decide()
 	c.mu.Unlock()
 	switch {
 	case err != nil || !ok:
@@ -416,33 +330,6 @@
 	return answer, true
 }
 
-// plans makes a new plan at each interval.
-func (c *Core) plans(ctx context.Context) {
-	tick := time.NewTicker(interval)
-	defer tick.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-tick.C:
-		}
-		c.mu.Lock()
-		for i := range c.delays {
-			f := &c.delays[i]
-			loss := 0.0
-			if f.sent > 0 {
-				loss = f.lost / f.sent
-			}
-			c.routes.Linked(i, routes.Figures{Delay: int64(f.mean), Loss: loss, Usable: f.known && f.missed < pingMissed})
-		}
-		plan := c.routes.Decide(c.plan.Clock.Now())
-		c.mu.Unlock()
-		if plan.Greedy {
-			c.plan.Log.Info("the ways were planned simply, for the solver gave no answer")
-		}
-	}
-}
-
 // pings measures the way to a site, and finds out within seconds when it is cut.
 //
 // Danger: a connection that was cut says nothing, and TCP waits for minutes. Each ping goes on a connection of its own
@@ -457,26 +344,15 @@
 		willing, err := p.ping(ctx, s.Gateways[n%len(s.Gateways)])
 		now := c.plan.Clock.Now()
 		c.mu.Lock()
-		f := &c.delays[link]
-		f.sent, f.lost = f.sent*0.95+1, f.lost*0.95
 		if err != nil {
-			f.missed++
-			f.lost++
 			p.client.CloseIdleConnections()
-		} else {
-			if !f.known {
-				f.mean = float64(now - began)
-			}
-			f.known, f.missed = true, 0
-			f.mean += smooth * (float64(now-began) - f.mean)
 		}
-		c.limits[link].Delay(now, now-began, err != nil)
+		cut := c.crossing.Pinged(now, link, now-began, err != nil)
 		if rate, e := strconv.ParseFloat(willing, 64); e == nil && rate >= 0 {
-			c.routes.Willing(now, link, rate)
+			c.crossing.Told(now, link, rate)
 		}
-		missed := f.missed
 		c.mu.Unlock()
-		if missed == pingMissed {
+		if cut {
 			c.plan.Log.Warn("the way to a site is cut", zap.String("site", s.Site), zap.Error(err))
 		}
 		select {
@@ -492,10 +368,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	all := map[string]any{}
-	for i, s := range c.plan.Sites {
-		f := c.delays[i]
-		all[s.Site] = map[string]any{"usable": f.known && f.missed < pingMissed, "delay_ns": int64(f.mean),
-			"least_ns": c.limits[i].Least(), "limit": c.limits[i].Most(), "in_flight": c.limits[i].InFlight()}
+	for i, w := range c.crossing.Ways() {
+		all[c.plan.Sites[i].Site] = map[string]any{"usable": w.Usable, "delay_ns": w.Delay, "least_ns": w.Least, "limit": w.Limit,
+			"in_flight": w.InFlight}
 	}
 	return all
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -444,8 +444,8 @@
 		c := a.core
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		if c.limits[0].InFlight() != 0 || c.queues[0][0].Len() != 0 {
-			w.Errorf("left: %d in flight, %d waiting", c.limits[0].InFlight(), c.queues[0][0].Len())
+		if !c.crossing.InOrder() {
+			w.Errorf("left: %+v, %d waiting", c.crossing.Ways(), c.crossing.Waiting())
 		}
 	})
 }
--- a/gateway/long_test.go
+++ b/gateway/long_test.go
@@ -100,7 +100,7 @@
 						}
 						if name == "a" {
 							s.core.mu.Lock()
-							most = max(most, s.core.limits[0].InFlight())
+							most = max(most, s.core.crossing.Ways()[0].InFlight)
 							s.core.mu.Unlock()
 						}
 					})
