--- a/emulator/aggregator.go
+++ b/emulator/aggregator.go
@@ -20,13 +20,21 @@
 
 // asked is a query that an aggregator holds.
 type asked struct {
-	load    int
-	at      int64
-	ended   bool
-	tries   int
-	shards  []int
-	parts   [][]execution
-	weights []float64
+	load   int
+	at     int64
+	ended  bool
+	tries  int
+	shards []int
+
+	came       []int // sites that it came through
+	from       int32 // the aggregator that carried it here,
+	fromNumber int32 // by its number
+	fromRun    int16
+	carriedIn  bool
+	carried    bool // to another site,
+	link       int  // over this
+	parts      [][]execution
+	weights    []float64
 }
 
 // aggregator is one with its brain, and with the clients that ask it.
@@ -47,6 +55,7 @@
 	tally    *Tally
 	world    *world
 	member   *member           // nil without a store
+	gate     *gate             // nil without other sites
 	list     []balance.Listing // as it was told last
 	down     bool
 	frozen   int64 // it does nothing until then, 0 for not
@@ -68,11 +77,17 @@
 		a.brain = newRival(a.Plan, int(a.self), a.list, func(r int) (int64, bool) { return (*truths)[r].wait, (*truths)[r].sound })
 	}
 	a.join(now)
+	a.openGate(now)
 	if a.Break != "" {
 		a.brain = &broken{brain: a.brain, how: a.Break}
 	}
 }
 
+// listing is what it was told last of a replica of its site.
+func (a *aggregator) listing(replica int) *balance.Listing {
+	return &a.list[replica-a.siteOf(int(a.self))*a.perSite()]
+}
+
 // turn has a fault of its own begin or end.
 func (a *aggregator) turn(now int64, number int, begins bool) {
 	f := a.Faults[number]
@@ -85,7 +100,7 @@
 				a.tally.End(q.at-origin, now-origin, q.load, q.tries, balance.Forfeited)
 			}
 		}
-		a.queries = map[int32]*asked{}
+		a.queries, a.gate = map[int32]*asked{}, nil
 		a.watch.Crashed()
 		a.trace(now, "dies")
 	case f.Kind == "crash":
@@ -111,8 +126,7 @@
 		return
 	}
 	if a.frozen > now { // whatever comes waits, in its order, until it goes on
-		a.seq++
-		e.At, e.Seq, e.From = a.frozen, a.seq, a.self
+		e.At = a.frozen
 		a.sector.agenda.Push(e)
 		return
 	}
@@ -133,17 +147,20 @@
 	case again:
 		a.take(now, e.Value, int(e.Part), int(e.Number), a.repeats[e.Query])
 		delete(a.repeats, e.Query)
+	case pings, pinged, pingBack, looks, hops, comes, goesBack, tripLate:
+		a.meetsGate(now, e)
 	case shares, storeTells, storeLate:
 		a.meets(now, e)
 	case forgets:
 		a.watch.Forget(e.Query)
 		a.brain.forget(e.Query)
 		delete(a.queries, e.Query)
+		a.gateForgets(e.Query)
 	case listed:
 		if e.Seq > a.news[e.Query] {
 			a.news[e.Query] = e.Seq
 			l := balance.Listing{Replica: int(e.Query), Cell: a.shardOf(int(e.Query)), Standing: balance.Standing(e.Result), Started: e.Value}
-			a.list[l.Replica] = l
+			*a.listing(l.Replica) = l
 			if a.down {
 				return
 			}
@@ -187,18 +204,31 @@
 		a.tally.End(at-origin, now-origin, load, tries, balance.Forfeited)
 		return
 	}
+	a.hold(now, &asked{load: load, at: at, tries: tries, shards: shards}, at+l.Patience-now)
+}
+
+// hold has a query that was taken in served here, or elsewhere.
+func (a *aggregator) hold(now int64, q *asked, left int64) {
 	a.next++
-	number, left := a.next, at+l.Patience-now
-	q := &asked{load: load, at: at, tries: tries, shards: shards, parts: make([][]execution, l.Parts)}
-	for range shards {
-		q.weights = append(q.weights, 1/float64(l.Parts))
+	number := a.next
+	l := &a.Loads[q.load]
+	q.parts = make([][]execution, len(q.shards))
+	for range q.shards {
+		q.weights = append(q.weights, 1/float64(len(q.shards)))
 	}
 	a.queries[number] = q
 	a.watch.Taken(now, number, left, int(l.Effect), q.weights)
-	a.brain.take(now, number, load, left, a.over(now, load), shards, q.weights)
-	a.trace(now, "query %d taken: %s, shards %v", number, l.Name, shards)
 	a.cause(now, agenda.Event{At: now + left + 1, To: a.self, Kind: gone, Query: number})
 	a.cause(now, agenda.Event{At: now + 3*l.Patience, To: a.self, Kind: forgets, Query: number})
+	mark := float64(uint32(number)*2654435761%1000) / 1000
+	if a.gate != nil && !a.gate.crossing.Stays(now, mark, q.carriedIn) {
+		if !a.goesElsewhere(now, number, q, false) {
+			a.final(now, ending{query: number, final: balance.Declined, comeBack: 1e9})
+		}
+		return
+	}
+	a.brain.take(now, number, q.load, left, !q.carriedIn && a.over(now, q.load), q.shards, q.weights)
+	a.trace(now, "query %d taken: %s, shards %v", number, l.Name, q.shards)
 	a.moved(now)
 }
 
@@ -267,23 +297,52 @@
 	}
 }
 
+// answer is what the own module ends a query with. What it declines may go elsewhere first.
 func (a *aggregator) answer(now int64, e ending) {
-	a.watch.Answered(now, e.query, e.final == balance.Whole || e.final == balance.Partial, e.final == balance.Whole)
 	q := a.queries[e.query]
+	if q != nil && !q.ended && a.gate != nil {
+		a.gate.crossing.Ended(now, !q.carriedIn, e.final == balance.Declined)
+		if e.final == balance.Declined && a.goesElsewhere(now, e.query, q, true) {
+			return
+		}
+	}
+	a.final(now, e)
+}
+
+// final gives a query its one answer.
+func (a *aggregator) final(now int64, e ending) {
+	q := a.queries[e.query]
+	if q != nil && q.carried {
+		a.watch.Elsewhere(e.query)
+	}
+	a.watch.Answered(now, e.query, e.final == balance.Whole || e.final == balance.Partial, e.final == balance.Whole)
 	if q == nil || q.ended {
 		return
 	}
 	q.ended = true
 	a.trace(now, "query %d ends %s after %.3f ms", e.query, finals[e.final], float64(now-q.at)/1e6)
+	if q.carriedIn {
+		a.tellGate(now, int(q.from), agenda.Event{Kind: goesBack, Query: q.fromNumber, Number: q.fromRun,
+			Load: carriedBack{final: e.final, willing: a.willing(now), comeBack: e.comeBack}})
+		return
+	}
 	l := &a.Loads[q.load]
 	if e.final == balance.Declined && e.comeBack > 0 && q.tries < 3 && a.clients.Float64() < l.Retry {
 		wait := e.comeBack + int64(a.clients.Float64()*float64(e.comeBack)/10)
 		a.repeats[e.query] = q.shards
-		a.cause(now, agenda.Event{At: now + wait, To: a.self, Kind: again, Query: e.query, Value: now + wait, Part: int16(q.load), Number: int16(q.tries + 1)})
+		a.cause(now, agenda.Event{At: now + wait, To: a.self, Kind: again, Query: e.query, Value: now + wait, Part: int16(q.load),
+			Number: int16(q.tries + 1)})
 	}
 	a.tally.End(q.at-origin, now-origin, q.load, q.tries, e.final)
 }
 
+func (a *aggregator) willing(now int64) float64 {
+	if a.gate == nil {
+		return 0
+	}
+	return a.gate.crossing.Willing(now)
+}
+
 var (
 	results = [...]string{"fulfilled", "an error", "turned away", "timed out", "no connection", "reset", "cancelled", "never left"}
 	finals  = [...]string{"whole", "partial", "declined", "forfeited"}
--- a/emulator/checker/checker.go
+++ b/emulator/checker/checker.go
@@ -85,6 +85,7 @@
 	weight []float64
 	runs   [][]run
 	ended  bool
+	away   bool // its answer comes from elsewhere
 	seen   []string
 }
 
@@ -252,11 +253,21 @@
 	}
 	share /= total
 	const grain = 1e-9
+	if q.away {
+		return
+	}
 	if values && share < a.Floor-grain || whole && share < a.Need-grain {
 		a.breaks(5, now, q, "an answer with values %v, whole %v from %.3f of the weight", values, whole, share)
 	}
 }
 
+// Elsewhere tells that a query's answer comes from another site, which has a watch of its own.
+func (a *Aggregator) Elsewhere(number int32) {
+	if q := a.queries[number]; q != nil {
+		q.away = true
+	}
+}
+
 // Gone tells that a client's time is over; a query without its answer by then is lost. What was kept of it is forgotten later,
 // by Forget.
 func (a *Aggregator) Gone(now int64, number int32) {
--- a/emulator/plan.go
+++ b/emulator/plan.go
@@ -41,6 +41,9 @@
 	BudgetSpan   int64
 	Uneven       float64 // of the aggregators' shares of the load, as a standard deviation of the logarithm
 
+	Sites  int    // that the fleet is dealt over, replicas in blocks, aggregators by turns; 0 or 1 for one
+	Link   Link   // between any two of them
+	Route  string // by what queries are carried: none, or one of routes.Policies
 	Store  string // how the shared store behaves, of Stores; empty for none
 	Loads  []Load
 	Faults []Fault
@@ -73,6 +76,7 @@
 	Kind        string // see Kinds
 	Replicas    []int
 	Aggregators []int // for faults of theirs
+	Sites       []int // cut: which
 	From, Until int64
 	Times       float64 // slow: how much
 	Every       int64   // flapping and pauses: the period
@@ -88,6 +92,7 @@
 	"pause",   // works on nothing for a stretch of each period, then goes on
 	"flap",    // hangs for a stretch of each period
 	"silence", // what it answers is lost on the way
+	"cut",     // the links of a site carry nothing, and nobody is told
 	"drain",   // is told to drain at the start, and is up again at the end
 }
 
@@ -107,6 +112,10 @@
 	case p.Aggregators < 1 || p.Replicas < 1 || p.Holders < 1 || p.Replicas%p.Holders != 0:
 		return fmt.Errorf("%d aggregators, %d replicas in groups of %d: there must be some of each, and whole groups", p.Aggregators,
 			p.Replicas, p.Holders)
+	case p.Replicas%(p.Holders*p.sites()) != 0 || p.Aggregators < p.sites():
+		return fmt.Errorf("%d aggregators and %d replicas in groups of %d cannot be dealt over %d sites", p.Aggregators, p.Replicas, p.Holders, p.Sites)
+	case p.sites() > 1 && p.Route != "none" && p.Route != "" && (p.Link.Way < p.Way || p.Link.Queries <= 0 || p.Link.Bytes <= 0):
+		return errors.New("a link is no faster than a way within a site, and carries something")
 	case len(p.Loads) == 0:
 		return errors.New("nobody asks")
 	case p.Way < 1000:
@@ -130,6 +139,11 @@
 				return fmt.Errorf("fault %q: there is no aggregator %d", f.Kind, a)
 			}
 		}
+		for _, site := range f.Sites {
+			if site < 0 || site >= p.sites() {
+				return fmt.Errorf("fault %q: there is no site %d", f.Kind, site)
+			}
+		}
 		if own := slices.Contains(OwnKinds, f.Kind); own && len(f.Replicas) > 0 || !own && len(f.Aggregators) > 0 {
 			return fmt.Errorf("fault %q is none of those that it is to befall", f.Kind)
 		}
@@ -138,9 +152,9 @@
 }
 
 // Shards is how many there are.
-func (p *Plan) Shards() int { return p.Replicas / p.Holders }
+func (p *Plan) Shards() int { return p.perSite() / p.Holders }
 
-func (p *Plan) shardOf(replica int) int { return replica % p.Shards() }
+func (p *Plan) shardOf(replica int) int { return replica % p.perSite() % p.Shards() }
 
 const origin = int64(1000e9) // virtual time starts here, so that replicas can have started before
 
--- a/emulator/replica.go
+++ b/emulator/replica.go
@@ -30,6 +30,14 @@
 	storeHears  // a round comes to the store
 	storeTells  // and back
 	storeLate   // it did not come back in time
+	pings       // the gateway's: pings are due,
+	pinged      // one comes,
+	pingBack    // and is back; Value is the link
+	looks       // crossing wants to be asked
+	hops        // a round of the hop is due
+	comes       // a query comes from another site
+	goesBack    // and its answer goes back
+	tripLate    // a trip's time is up
 	listed      // the list tells of a replica; Query is its number, Result its standing, Value its start
 )
 
@@ -231,6 +239,9 @@
 // tell has the list tell all aggregators of a change, each in its own time.
 func (r *replica) tell(now int64, standing balance.Standing) {
 	for a := range r.Aggregators {
+		if r.siteOf(a) != r.siteOfReplica(r.number) {
+			continue
+		}
 		at := now + r.ListDelay + r.chance.Int64N(r.ListDelay+1)
 		r.cause(now, agenda.Event{At: at, To: int32(a), Kind: listed, Query: int32(r.number), Result: uint8(standing), Value: r.began})
 	}
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"slices"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
@@ -195,7 +194,12 @@
 		for n := range p.Loads {
 			a.arrivals = append(a.arrivals, p.Arrivals(i, n))
 		}
-		a.list, a.world = slices.Clone(whole), w
+		for _, l := range whole {
+			if p.siteOfReplica(l.Replica) == p.siteOf(i) {
+				a.list = append(a.list, l)
+			}
+		}
+		a.world = w
 		a.wake(origin)
 		w.aggs = append(w.aggs, a)
 	}
--- a/emulator/stores.go
+++ b/emulator/stores.go
@@ -190,7 +190,7 @@
 	m := a.member
 	survey := commons.Survey{Findings: a.brain.(*module).aggregator.Findings(now, nil)}
 	for _, f := range survey.Findings {
-		survey.Keys = append(survey.Keys, commons.Key("s-"+strconv.Itoa(f.Replica), a.list[f.Replica].Started))
+		survey.Keys = append(survey.Keys, commons.Key("s-"+strconv.Itoa(f.Replica), a.listing(f.Replica).Started))
 	}
 	if m.purse != nil {
 		m.purse.Survey(now, &survey)
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -13,6 +13,7 @@
 	"willowsill/balance"
 	"willowsill/emulator"
 	"willowsill/emulator/rivals"
+	"willowsill/routes"
 	"willowsill/script"
 )
 
@@ -67,6 +68,7 @@
 		{Name: "aggregators", Kind: script.Whole, Unset: int64(10), Least: 1, Most: 5000, Help: "how many"},
 		{Name: "replicas", Kind: script.Whole, Unset: int64(40), Least: 1, Most: 20000, Help: "how many"},
 		{Name: "holders", Kind: script.Whole, Unset: int64(4), Least: 1, Most: 1000, Help: "replicas of each shard"},
+		{Name: "sites", Kind: script.Whole, Unset: int64(1), Least: 1, Most: 32, Help: "that all of it is dealt over"},
 		{Name: "workers", Kind: script.Whole, Unset: int64(2), Least: 1, Most: 1000, Help: "parts that a replica works on at a time"},
 		{Name: "work", Kind: script.Span, Unset: 20 * milli, Least: 1e3, Most: 60e9, Help: "that a part takes, the median"},
 		{Name: "spread", Kind: script.Number, Unset: 0.4, Most: 3, Help: "of that: the standard deviation of its logarithm"},
@@ -89,6 +91,7 @@
 	}, Order: func(e *Experiment, c script.Call) error {
 		p := &e.Plan
 		p.Aggregators, p.Replicas, p.Holders = int(c.Whole("aggregators")), int(c.Whole("replicas")), int(c.Whole("holders"))
+		p.Sites = int(c.Whole("sites"))
 		p.Workers, p.Work, p.Spread = int(c.Whole("workers")), c.Whole("work"), c.Number("spread")
 		p.Tail, p.Unlike, p.Uneven, p.Room = c.Number("tail"), c.Number("unlike"), c.Number("uneven"), int(c.Whole("room"))
 		p.Way, p.ListDelay, p.Tick = c.Whole("way"), c.Whole("list_delay"), c.Whole("tick")
@@ -99,6 +102,17 @@
 		p.Budgeted = p.Share > 0
 		return nil
 	}},
+	"link": {Name: "link", Help: "is the way between any two sites", Parameters: []*script.Parameter{
+		{Name: "way", Kind: script.Span, Unset: 40 * milli, Least: 1e3, Most: 10e9, Help: "each way, at least"},
+		{Name: "loss", Kind: script.Number, Unset: 0.0, Most: 1, Help: "share of messages that are sent again,"},
+		{Name: "stall", Kind: script.Span, Unset: 200 * milli, Most: 10e9, Help: "so much later"},
+		{Name: "queries", Kind: script.Number, Unset: 50.0, Least: 0.1, Most: 1e6, Help: "a second that one aggregator may carry to one site"},
+		{Name: "bytes", Kind: script.Size, Unset: int64(1 << 20), Least: 1024, Help: "and bytes"},
+	}, Order: func(e *Experiment, c script.Call) error {
+		e.Plan.Link = emulator.Link{Way: c.Whole("way"), Loss: c.Number("loss"), Stall: c.Whole("stall"), Queries: c.Number("queries"),
+			Bytes: float64(c.Whole("bytes"))}
+		return nil
+	}},
 	"queries": {Name: "queries", Many: true, Help: "is one kind of query", Parameters: []*script.Parameter{
 		{Name: "name", Kind: script.Text, Unset: "query", Help: "of the kind"},
 		{Name: "rate", Kind: script.Number, Least: 0.001, Most: 1e6, Help: "queries a second at each aggregator, in the mean"},
@@ -135,6 +149,7 @@
 		{Name: "kind", Kind: script.Text, Words: append(slices.Clone(emulator.Kinds), emulator.OwnKinds...), Help: "what befalls them"},
 		{Name: "replicas", Kind: script.Wholes, Unset: []int{}, Help: "which"},
 		{Name: "aggregators", Kind: script.Wholes, Unset: []int{}, Help: "which, for crash and freeze"},
+		{Name: "sites", Kind: script.Wholes, Unset: []int{}, Help: "which, for cut"},
 		{Name: "at", Kind: script.Span, Most: 3600e9, Help: "when it begins"},
 		{Name: "until", Kind: script.Span, Most: 3600e9, Help: "when it ends"},
 		{Name: "times", Kind: script.Number, Unset: 5.0, Least: 0.01, Most: 1e4, Help: "slow: how much"},
@@ -142,13 +157,14 @@
 		{Name: "every", Kind: script.Span, Unset: 4 * second, Least: 1e6, Most: 3600e9, Help: "flap, pause, freeze: the period,"},
 		{Name: "bad_for", Kind: script.Span, Unset: 2 * second, Least: 1e5, Most: 3600e9, Help: "and how much of it is bad"},
 	}, Order: func(e *Experiment, c script.Call) error {
-		f := emulator.Fault{Kind: c.Text("kind"), Replicas: c.Wholes("replicas"), Aggregators: c.Wholes("aggregators"), From: c.Whole("at"), Until: c.Whole("until"),
+		f := emulator.Fault{Kind: c.Text("kind"), Replicas: c.Wholes("replicas"), Aggregators: c.Wholes("aggregators"),
+			Sites: c.Wholes("sites"), From: c.Whole("at"), Until: c.Whole("until"),
 			Times: c.Number("times"), Every: c.Whole("every"), For: c.Whole("bad_for")}
 		if f.Until <= f.From {
 			return errors.New(`key "until" is not after "at"`)
 		}
-		if len(f.Replicas)+len(f.Aggregators) == 0 {
-			return errors.New(`keys "replicas" and "aggregators" name nobody`)
+		if len(f.Replicas)+len(f.Aggregators)+len(f.Sites) == 0 {
+			return errors.New(`keys "replicas", "aggregators" and "sites" name nobody`)
 		}
 		e.Plan.Faults = append(e.Plan.Faults, f)
 		return nil
@@ -159,11 +175,12 @@
 			{Name: "policy", Kind: script.Text, Unset: "module", Words: policies, Help: "who decides"},
 			{Name: "executions", Kind: script.Whole, Unset: int64(0), Most: 16, Help: "of one part at most; 0 for the fleet's"},
 			{Name: "store", Kind: script.Text, Unset: "none", Words: emulator.Stores, Help: "how the shared store behaves"},
+			{Name: "route", Kind: script.Text, Unset: "none", Words: append([]string{"none"}, routes.Policies...), Help: "by what queries are carried to other sites"},
 			{Name: "calm", Kind: script.Truth, Unset: false, Help: "no fault befalls anybody"},
 			{Name: "list_delay", Kind: script.Span, Unset: int64(0), Most: 600e9, Help: "0s for the fleet's"},
 		}, Order: func(e *Experiment, c script.Call) error {
-			v := Variant{Name: c.Text("name"), True: c.Text("policy") == "module" && c.Text("store") == "none", change: func(p *emulator.Plan) {
-				p.Policy, p.Store = c.Text("policy"), c.Text("store")
+			v := Variant{Name: c.Text("name"), True: c.Text("policy") == "module" && c.Text("store") == "none" && c.Text("route") == "none", change: func(p *emulator.Plan) {
+				p.Policy, p.Store, p.Route = c.Text("policy"), c.Text("store"), c.Text("route")
 				if n := int(c.Whole("executions")); n > 0 {
 					p.Executions = n
 				}
--- /dev/null
+++ b/experiments/sites-dark.star
@@ -0,0 +1,13 @@
+# Two sites with 80 ms between them and a loss of 1%; all replicas of one hang for 40 s, and the other has room for all.
+experiment(name = "sites-dark", question = "What is left of the revenue when a site goes dark and another has room?", span = "100s",
+           count_from = "30s", count_until = "70s", seeds = 5)
+fleet(aggregators = 8, replicas = 48, holders = 4, sites = 2, work = "50ms")
+link(way = "80ms", loss = 0.01, queries = 40)
+queries(name = "look", rate = 7, parts = 2, goal = "1500ms", patience = "3s")
+queries(name = "book", rate = 7, parts = 2, goal = "1500ms", patience = "3s", effect = "tagged", revenue = 2)
+queries(name = "pay", rate = 7, parts = 2, goal = "1500ms", patience = "3s", effect = "once_only", revenue = 5)
+fault(kind = "hang", replicas = range(0, 24), at = "30s", until = "70s")
+variant(name = "no gateway")
+variant(name = "plan", route = "plan")
+variant(name = "all that is declined", route = "all")
+variant(name = "half and half", route = "half")
