A way between sites that comes back from a cut is used again within seconds

Cause: found with the emulator: pings lost in a cut counted as the way's loss for half a minute after it, and the limit on what is in flight grew back by one query in some seconds.

Change: a way that is back starts from one loss; below its first limit a link gains one query with each good ping.

--- a/crossing/crossing.go
+++ b/crossing/crossing.go
@@ -24,6 +24,8 @@
 	waitShare  = 10   // and each for this part of its time at most
 	smooth     = 0.2  // of the newest delay in the mean
 	pingKept   = 0.95 // of what is known of a way's loss, at each ping
+	cutSent    = 16   // pings that a way which was cut is taken to have had when it is back,
+	cutLost    = 2    // and lost
 )
 
 // Query is one that may leave.
@@ -169,6 +171,9 @@
 		if !w.known {
 			w.mean = float64(took)
 		}
+		if w.missed >= pingMissed { // the cut was one loss, however many pings it took along
+			w.sent, w.lost = cutSent, cutLost
+		}
 		w.known, w.missed = true, 0
 		w.mean += smooth * (float64(took) - w.mean)
 	}
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -49,12 +49,16 @@
 
 // One seed gives one run, on any number of cores, and another seed another.
 func TestSame(t *testing.T) {
-	for _, policy := range append([]string{"module", "shared"}, rivals.Names...) {
+	for _, policy := range append([]string{"module", "shared", "sites"}, rivals.Names...) {
 		p := small(policy, 3)
 		p.Faults = append(slices.Clone(everything), Fault{Kind: "crash", Aggregators: []int{2}, From: 5 * second, Until: 7 * second})
 		if policy == "shared" {
 			p.Policy, p.Store, p.Loads[0].Quota = "module", "good", 150
 		}
+		if policy == "sites" {
+			p.Policy, p.Sites, p.Route, p.Link = "module", 2, "plan", Link{Way: 20 * ms, Loss: 0.02, Stall: 200 * ms, Queries: 50, Bytes: 1e6}
+			p.Faults = append(p.Faults, Fault{Kind: "cut", Sites: []int{1}, From: 7 * second, Until: 9 * second})
+		}
 		_, one := played(t, p, 1)
 		for _, cores := range []int{1, 3, 8} {
 			if _, other := played(t, p, cores); other != one {
@@ -175,6 +179,33 @@
 	}
 }
 
+// With a site dark its queries are served at the other, and no rule is broken at either; without a gateway they are not.
+func TestSites(t *testing.T) {
+	shares := map[string]float64{}
+	for _, route := range []string{"none", "plan", "all", "half"} {
+		p := small("module", 2)
+		p.Sites, p.Route, p.Link = 2, route, Link{Way: 20 * ms, Loss: 0.01, Stall: 200 * ms, Queries: 60, Bytes: 1e6}
+		p.Span, p.From, p.Until = 20*second, 8*second, 19*second
+		for i := range p.Loads {
+			p.Loads[i].Goal, p.Loads[i].Patience = 600*ms, 2*second
+		}
+		p.Loads[0].Rate = 10
+		var dark []int
+		for r := range p.Replicas / 2 {
+			dark = append(dark, r)
+		}
+		p.Faults = []Fault{{Kind: "hang", Replicas: dark, From: 6 * second, Until: 20 * second}}
+		r, _ := played(t, p, Cores())
+		if r.Broken != "" {
+			t.Errorf("%s: %s", route, r.Broken)
+		}
+		shares[route] = r.Share()
+	}
+	if shares["none"] > 0.6 || shares["plan"] < 0.8 || shares["all"] < 0.8 {
+		t.Errorf("with a site dark %v", shares)
+	}
+}
+
 func TestCheck(t *testing.T) {
 	for name, change := range map[string]func(*Plan){
 		"groups":  func(p *Plan) { p.Replicas = 23 },
--- a/routes/limit.go
+++ b/routes/limit.go
@@ -74,6 +74,8 @@
 		if now-l.shrunk > max(l.least, int64(slackTime)) {
 			l.most, l.shrunk = max(l.most*shrink, limitLeast), now
 		}
+	case l.most < limitFirst: // Danger: a way that is back from a cut would take half a minute to carry what it did
+		l.most = min(l.most+1, limitFirst)
 	case 2*l.inFlight >= int(l.most): // what is not used says nothing
 		l.most = min(l.most+1/l.most, limitMost)
 	}
