--- a/emulator/aggregator.go
+++ b/emulator/aggregator.go
@@ -55,6 +55,7 @@
 	tally    *Tally
 	world    *world
 	member   *member           // nil without a store
+	spent    map[int][]int64   // by load: when a query was let in as within its quota
 	gate     *gate             // nil without other sites
 	list     []balance.Listing // as it was told last
 	down     bool
--- a/emulator/arrivals.go
+++ b/emulator/arrivals.go
@@ -31,9 +31,22 @@
 
 // Next is when the next query after a time comes, ns from the run's start; false where none comes any more.
 func (a *Arrivals) Next(at int64) (int64, bool) {
+	for {
+		next, comes := a.steady(at)
+		// Of queries that come as at the height of the day so many are left out as it is lower now.
+		if l := a.load; !comes || l.Wave <= 0 || l.Day <= 0 ||
+			a.chance.Float64()*(1+l.Wave) < 1+l.Wave*math.Sin(2*math.Pi*float64(next)/float64(l.Day)) {
+			return next, comes
+		}
+		at = next
+	}
+}
+
+// steady is the next by a rate that changes at the edges of bursts alone.
+func (a *Arrivals) steady(at int64) (int64, bool) {
 	l := a.load
 	for at < a.span {
-		rate, until := a.rate, int64(math.MaxInt64)
+		rate, until := a.rate*(1+max(l.Wave, 0)), int64(math.MaxInt64)
 		if l.Every > 0 { // a rate that holds until the burst's next edge
 			since := at - l.At
 			if since < 0 {
--- a/emulator/checker/checker.go
+++ b/emulator/checker/checker.go
@@ -43,8 +43,13 @@
 
 func (b Broken) String() string {
 	what := fmt.Sprint("rule ", b.Rule)
-	if b.Rule == Starved {
+	switch b.Rule {
+	case Starved:
 		what = "the mechanism"
+	case Link:
+		what = "a link's limit"
+	case Lease:
+		what = "a quota's bound"
 	}
 	return fmt.Sprintf("%s at %.6f s, %s: %s", what, float64(b.At)/1e9, b.Who, b.Text)
 }
@@ -56,8 +61,9 @@
 	queries map[int32]*query
 	list    map[int]bool // replicas that may be sent to, as the list says
 	load    map[int]*share
-	taken   []int64 // times of queries and parts within the budget's span
-	further []int64 // and of further executions
+	taken   []int64         // times of queries and parts within the budget's span
+	further []int64         // and of further executions
+	crossed map[int][]int64 // by link, when queries left over it
 	Broken  []Broken
 }
 
@@ -74,7 +80,12 @@
 // Starved is rule 0, of the mechanism itself: parts go by what is in flight, so a replica that has nothing in flight, is up and
 // has not failed lately must get some of its shard's parts.
 const (
-	Starved      = 0
+	Starved = 0
+	Link    = 7 // a link's limit
+	Lease   = 8 // a quota's bound
+)
+
+const (
 	starvedAfter = 400  // parts of its shard that went to others,
 	starvedCalm  = 20e9 // ns without a failure there
 )
@@ -261,6 +272,37 @@
 	}
 }
 
+// Crossed tells of a query that leaves over a link which bears so many a second: in no second may more, and half a second's
+// worth beside.
+func (a *Aggregator) Crossed(now int64, link int, limit float64) {
+	if a.crossed == nil {
+		a.crossed = map[int][]int64{}
+	}
+	all := append(within(a.crossed[link], now-1e9), now)
+	if a.crossed[link] = all; float64(len(all)) > 1.5*limit+1 {
+		a.breaks(Link, now, nil, "%d queries in a second over link %d, which bears %.1f", len(all), link, limit)
+	}
+}
+
+// Spent checks when all aggregators together let queries of a customer in as within its quota: in any stretch of S seconds no more
+// than three times the rate for S and two windows, what may be saved up, and one for each aggregator. Times are sorted.
+func Spent(times []int64, customer string, rate, burst, window float64, aggregators int) []Broken {
+	for _, windows := range []float64{1, 3, 10} {
+		span := windows * window
+		most := 3*rate*(span+2*window) + burst + float64(aggregators)
+		first := 0
+		for i, at := range times {
+			for float64(at-times[first])/1e9 > span {
+				first++
+			}
+			if n := i - first + 1; float64(n) > most {
+				return []Broken{{Lease, at, "customer " + customer, fmt.Sprintf("%d queries within its quota in %.0f s, at most %.0f", n, span, most)}}
+			}
+		}
+	}
+	return nil
+}
+
 // Elsewhere tells that a query's answer comes from another site, which has a watch of its own.
 func (a *Aggregator) Elsewhere(number int32) {
 	if q := a.queries[number]; q != nil {
--- a/emulator/plan.go
+++ b/emulator/plan.go
@@ -67,6 +67,8 @@
 	At       int64   // from then on,
 	Every    int64   // at the start of each such stretch, 0 for none,
 	For      int64   // for so long
+	Wave     float64 // of the rate, that it swings up and down by, as by day and night,
+	Day      int64   // once in so long
 	Quota    float64 // queries a second that its customer may ask over all aggregators, kept by the shared store; 0 for none
 	Retry    float64 // share of declined queries that their clients ask again, when they are told to come back
 }
@@ -93,6 +95,7 @@
 	"flap",    // hangs for a stretch of each period
 	"silence", // what it answers is lost on the way
 	"cut",     // the links of a site carry nothing, and nobody is told
+	"list",    // the list tells nobody of any change until the end; it befalls all
 	"drain",   // is told to drain at the start, and is up again at the end
 }
 
--- a/emulator/replica.go
+++ b/emulator/replica.go
@@ -243,6 +243,11 @@
 			continue
 		}
 		at := now + r.ListDelay + r.chance.Int64N(r.ListDelay+1)
+		for _, f := range r.Faults {
+			if f.Kind == "list" && at >= origin+f.From && at < origin+f.Until {
+				at = origin + f.Until
+			}
+		}
 		r.cause(now, agenda.Event{At: at, To: int32(a), Kind: listed, Query: int32(r.number), Result: uint8(standing), Value: r.began})
 	}
 }
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -188,7 +188,7 @@
 		}
 	}
 	for i := range p.Aggregators {
-		a := &aggregator{outlet: place(i), Plan: &p, clients: chance(i, 2), network: chance(i, 3), queries: map[int32]*asked{}, repeats: map[int32][]int{},
+		a := &aggregator{outlet: place(i), Plan: &p, clients: chance(i, 2), network: chance(i, 3), queries: map[int32]*asked{}, repeats: map[int32][]int{}, spent: map[int][]int64{},
 			news: make([]uint64, p.Replicas), tally: NewTally(&p),
 			watch: checker.NewAggregator(fmt.Sprint("aggregator ", i), p.bounds())}
 		for n := range p.Loads {
@@ -249,7 +249,11 @@
 		r.AtFaulty += b.met
 	}
 	r.Events = w.events
-	if b := w.broken(); b != nil {
+	b := w.broken()
+	if over := w.overspent(); b == nil && len(over) > 0 {
+		b = &over[0]
+	}
+	if b != nil {
 		r.Broken, r.Rule = b.String(), b.Rule
 	}
 	return r
--- a/emulator/sites.go
+++ b/emulator/sites.go
@@ -177,6 +177,9 @@
 func (a *aggregator) carry(now int64, number int32, q *asked, link int) {
 	g := a.gate
 	q.link, q.carried = link, true
+	if a.Route == "plan" { // the baselines know no limit
+		a.watch.Crossed(now, link, a.Link.Queries)
+	}
 	h := g.hop.Take(now, balance.Arrival{Workload: q.load, Patience: q.at + a.Loads[q.load].Patience - now, Parts: 1})
 	h.AddPart(link, 1)
 	g.trips[number], g.numbers[h] = h, number
--- a/emulator/stores.go
+++ b/emulator/stores.go
@@ -10,6 +10,7 @@
 
 	"willowsill/commons"
 	"willowsill/emulator/agenda"
+	"willowsill/emulator/checker"
 )
 
 // Stores are the ways in which a shared store behaves; none is no store.
@@ -58,6 +59,26 @@
 	return shelves{maps.Clone(s.presence), maps.Clone(s.findings), maps.Clone(s.members), maps.Clone(s.tokens)}
 }
 
+// overspent checks the quotas' bounds over all aggregators.
+func (w *world) overspent() (all []checker.Broken) {
+	if w.Store == "" || w.Store == "none" {
+		return nil
+	}
+	for n, l := range w.Loads {
+		if l.Quota <= 0 {
+			continue
+		}
+		var times []int64
+		for _, a := range w.aggs {
+			times = append(times, a.spent[n]...)
+		}
+		slices.Sort(times)
+		window := max(10, 10*float64(w.Aggregators)/l.Quota) // seconds: ten queries at each aggregator, ten seconds at least
+		all = append(all, checker.Spent(times, l.Name, l.Quota, l.Quota, window, w.Aggregators)...)
+	}
+	return all
+}
+
 // silent tells whether the store answers nothing now.
 func (s *store) silent(now int64) bool {
 	switch since := now - origin; s.Store {
@@ -182,7 +203,14 @@
 		return false
 	}
 	quota, has := a.member.quotas[load]
-	return has && !a.member.purse.Spend(now, quota)
+	if !has {
+		return false
+	}
+	if !a.member.purse.Spend(now, quota) {
+		return true
+	}
+	a.spent[load] = append(a.spent[load], now)
+	return false
 }
 
 // share begins a round with the store.
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -128,13 +128,15 @@
 		{Name: "burst_at", Kind: script.Span, Unset: int64(0), Most: 3600e9, Help: "from then on,"},
 		{Name: "every", Kind: script.Span, Unset: int64(0), Most: 3600e9, Help: "at the start of each such stretch; 0s for none,"},
 		{Name: "burst_for", Kind: script.Span, Unset: int64(0), Most: 3600e9, Help: "for so long"},
+		{Name: "wave", Kind: script.Number, Unset: 0.0, Most: 1, Help: "of the rate, that it swings by as by day and night,"},
+		{Name: "day", Kind: script.Span, Unset: int64(0), Most: 3600e9, Help: "once in so long"},
 		{Name: "quota", Kind: script.Number, Unset: 0.0, Most: 1e7, Help: "of its customer over all aggregators, kept by the shared store; 0 for none"},
 		{Name: "retry", Kind: script.Number, Unset: 0.0, Most: 1, Help: "share of declined ones that are asked again when told to"},
 	}, Order: func(e *Experiment, c script.Call) error {
 		l := emulator.Load{Name: c.Text("name"), Rate: c.Number("rate"), Parts: int(c.Whole("parts")), Goal: c.Whole("goal"),
 			Patience: c.Whole("patience"), Effect: balance.Effect(slices.Index(effects, c.Text("effect"))), Window: c.Whole("window"),
 			Floor: c.Number("floor"), Revenue: c.Number("revenue"), Skew: c.Number("skew"), Burst: c.Number("burst"),
-			At: c.Whole("burst_at"), Quota: c.Number("quota"),
+			At: c.Whole("burst_at"), Quota: c.Number("quota"), Wave: c.Number("wave"), Day: c.Whole("day"),
 			Every: c.Whole("every"), For: c.Whole("burst_for"), Retry: c.Number("retry")}
 		if l.Goal > l.Patience {
 			return errors.New(`key "goal" is longer than the patience`)
@@ -163,7 +165,7 @@
 		if f.Until <= f.From {
 			return errors.New(`key "until" is not after "at"`)
 		}
-		if len(f.Replicas)+len(f.Aggregators)+len(f.Sites) == 0 {
+		if len(f.Replicas)+len(f.Aggregators)+len(f.Sites) == 0 && f.Kind != "list" {
 			return errors.New(`keys "replicas", "aggregators" and "sites" name nobody`)
 		}
 		e.Plan.Faults = append(e.Plan.Faults, f)
--- /dev/null
+++ b/experiments/day.star
@@ -0,0 +1,12 @@
+# A day of forty seconds that swings by three fifths, with the list silent through its height while a fifth of the replicas restart.
+experiment(name = "day", question = "What does a silent list cost at the height of the day?", seeds = 10)
+fleet(aggregators = 10, replicas = 40, holders = 4, uneven = 0.4)
+queries(rate = 18, parts = 4, goal = "250ms", patience = "1500ms", wave = 0.6, day = "40s")
+fault(kind = "list", at = "8s", until = "26s")
+fault(kind = "restart", replicas = range(0, 8), at = "12s", until = "14s")
+variant(name = "module")
+variant(name = "module, nothing befalls it", calm = True)
+variant(name = "random", policy = "random")
+variant(name = "least in flight", policy = "least")
+variant(name = "fading mean", policy = "ewma")
+variant(name = "oracle", policy = "oracle")
