--- a/emulator/checker/checker.go
+++ b/emulator/checker/checker.go
@@ -61,6 +61,7 @@
 	queries map[int32]*query
 	list    map[int]bool // replicas that may be sent to, as the list says
 	load    map[int]*share
+	peers   map[int][]int   // replicas, by shard
 	taken   []int64         // times of queries and parts within the budget's span
 	further []int64         // and of further executions
 	crossed map[int][]int64 // by link, when queries left over it
@@ -109,7 +110,7 @@
 
 // NewAggregator makes a watch over one.
 func NewAggregator(name string, b Bounds) *Aggregator {
-	return &Aggregator{Bounds: b, Name: name, queries: map[int32]*query{}, list: map[int]bool{}, load: map[int]*share{}}
+	return &Aggregator{Bounds: b, Name: name, queries: map[int32]*query{}, list: map[int]bool{}, load: map[int]*share{}, peers: map[int][]int{}}
 }
 
 func (a *Aggregator) breaks(rule int, now int64, q *query, format string, args ...any) {
@@ -131,6 +132,7 @@
 	if r == nil {
 		r = &share{shard: shard, failed: now - starvedCalm}
 		a.load[replica] = r
+		a.peers[shard] = append(a.peers[shard], replica)
 	}
 	r.others = 0
 	if r.up = now; !up {
@@ -145,10 +147,8 @@
 		return
 	}
 	to.others = 0
-	for number, r := range a.load {
-		if r.shard != to.shard {
-			continue
-		}
+	for _, number := range a.peers[to.shard] {
+		r := a.load[number]
 		if number == replica || r.up < 0 || r.out > 0 || now-r.failed < starvedCalm {
 			r.others = 0
 			continue
@@ -324,7 +324,7 @@
 // Crashed tells that the aggregator died with all it held: its queries are nobody's fault. What it was told of the list it is
 // told again.
 func (a *Aggregator) Crashed() {
-	a.queries, a.load, a.list, a.further = map[int32]*query{}, map[int]*share{}, map[int]bool{}, nil
+	a.queries, a.load, a.peers, a.list, a.further = map[int32]*query{}, map[int]*share{}, map[int][]int{}, map[int]bool{}, nil
 }
 
 // Replica watches what comes to one replica.
