--- a/emulator/plan.go
+++ b/emulator/plan.go
@@ -32,6 +32,7 @@
 
 	Executions   int
 	Cancels      bool
+	GoesOn       bool // what is given up is worked on to its end all the same
 	ColdShare    float64
 	ColdRamp     int64
 	FallMultiple float64
@@ -79,6 +80,7 @@
 	Replicas    []int
 	Aggregators []int // for faults of theirs
 	Sites       []int // cut: which
+	Load        int   // unanswered: the load, by number
 	From, Until int64
 	Times       float64 // slow: how much
 	Every       int64   // flapping and pauses: the period
@@ -87,16 +89,17 @@
 
 // Kinds are the faults there are.
 var Kinds = []string{
-	"hang",    // takes parts and says nothing
-	"slow",    // works so many times longer
-	"errors",  // answers with an error at once
-	"restart", // dies at the start of the fault and is back, cold, at its end
-	"pause",   // works on nothing for a stretch of each period, then goes on
-	"flap",    // hangs for a stretch of each period
-	"silence", // what it answers is lost on the way
-	"cut",     // the links of a site carry nothing, and nobody is told
-	"list",    // the list tells nobody of any change until the end; it befalls all
-	"drain",   // is told to drain at the start, and is up again at the end
+	"hang",       // takes parts and says nothing
+	"slow",       // works so many times longer
+	"errors",     // answers with an error at once
+	"restart",    // dies at the start of the fault and is back, cold, at its end
+	"pause",      // works on nothing for a stretch of each period, then goes on
+	"flap",       // hangs for a stretch of each period
+	"unanswered", // parts of one load are taken and nothing is said, all others are well
+	"silence",    // what it answers is lost on the way
+	"cut",        // the links of a site carry nothing, and nobody is told
+	"list",       // the list tells nobody of any change until the end; it befalls all
+	"drain",      // is told to drain at the start, and is up again at the end
 }
 
 // OwnKinds are the faults that befall aggregators.
--- a/emulator/replica.go
+++ b/emulator/replica.go
@@ -102,7 +102,7 @@
 func (r *replica) happen(now int64, e agenda.Event) {
 	switch e.Kind {
 	case arrives:
-		r.arrive(now, key{e.From, e.Query, e.Part, e.Number})
+		r.arrive(now, key{e.From, e.Query, e.Part, e.Number}, int(e.Value))
 	case dropped:
 		r.drop(now, key{e.From, e.Query, e.Part, e.Number})
 	case worked:
@@ -131,7 +131,7 @@
 
 const errorTime = int64(1e6)
 
-func (r *replica) arrive(now int64, k key) {
+func (r *replica) arrive(now int64, k key, load int) {
 	if r.down {
 		r.reply(now, k, balance.ConnectFailed, 0)
 		return
@@ -147,7 +147,7 @@
 		r.reply(now, k, balance.Errored, errorTime)
 		return
 	}
-	if r.hangs(now) {
+	if f, some := r.is("unanswered"); r.hangs(now) || some && f.Load == load {
 		return
 	}
 	if r.Room > 0 && len(r.queue) >= r.Room {
@@ -206,6 +206,9 @@
 func (r *replica) drop(now int64, k key) {
 	same := func(j job) bool { return j.key == k }
 	r.queue = slices.DeleteFunc(r.queue, same)
+	if r.GoesOn {
+		return
+	}
 	if r.busy = slices.DeleteFunc(r.busy, same); !r.held {
 		r.serve(now)
 	}
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -27,6 +27,7 @@
 	P50        int64     `json:"p50_ns"` // of answers with values
 	P99        int64     `json:"p99_ns"`
 	P999       int64     `json:"p999_ns"`
+	Times      []int64   `json:"times_ns"`  // of answers, at Percents
 	AtFaulty   int       `json:"at_faulty"` // executions at replicas while a fault holds there
 	Lines      []float64 `json:"lines"`     // share of the revenue, by second asked; 1 where nobody asked
 	Loads      []Part    `json:"loads"`     // by load
@@ -35,6 +36,9 @@
 	Rule       int       `json:"rule,omitempty"`
 }
 
+// Percents are those that the times of answers are kept at.
+var Percents = []float64{1, 5, 10, 25, 50, 75, 90, 95, 99, 99.9, 100}
+
 // Part is what came of one load's queries.
 type Part struct {
 	Name   string `json:"name"`
@@ -149,7 +153,10 @@
 func (t *Tally) Sum() *Result {
 	r := &t.Result
 	r.P50, r.P99, r.P999 = t.times.ValueAtPercentile(50), t.times.ValueAtPercentile(99), t.times.ValueAtPercentile(99.9)
-	r.Lines = nil
+	r.Lines, r.Times = nil, nil
+	for _, p := range Percents {
+		r.Times = append(r.Times, t.times.ValueAtPercentile(p))
+	}
 	for i := range int(t.plan.Span / 1e9) {
 		share := 1.0
 		if t.possible[i] > 0 {
@@ -199,7 +206,7 @@
 				a.list = append(a.list, l)
 			}
 		}
-		a.world = w
+		a.world, a.watch.Mechanism = w, p.Policy == "module"
 		a.wake(origin)
 		w.aggs = append(w.aggs, a)
 	}
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -81,6 +81,7 @@
 		{Name: "tick", Kind: script.Span, Unset: 5 * milli, Least: 1e3, Most: 1e9, Help: "between two rounds of an aggregator at least"},
 		{Name: "executions", Kind: script.Whole, Unset: int64(3), Least: 1, Most: 16, Help: "of one part at most"},
 		{Name: "cancels", Kind: script.Truth, Unset: true, Help: "executions may be given up"},
+		{Name: "goes_on", Kind: script.Truth, Unset: false, Help: "what is given up is worked on to its end all the same"},
 		{Name: "cold_share", Kind: script.Number, Unset: 0.2, Least: 0.001, Most: 1, Help: "of its capacity that a fresh replica has"},
 		{Name: "cold_ramp", Kind: script.Span, Unset: 9 * second, Least: 1e6, Most: 600e9, Help: "until it is warm"},
 		{Name: "fall_multiple", Kind: script.Number, Unset: 4.0, Least: 1, Most: 1000, Help: "of its present capacity pushes a cold one over,"},
@@ -96,6 +97,7 @@
 		p.Tail, p.Unlike, p.Uneven, p.Room = c.Number("tail"), c.Number("unlike"), c.Number("uneven"), int(c.Whole("room"))
 		p.Way, p.ListDelay, p.Tick = c.Whole("way"), c.Whole("list_delay"), c.Whole("tick")
 		p.Executions, p.Cancels = int(c.Whole("executions")), c.Truth("cancels")
+		p.GoesOn = c.Truth("goes_on")
 		p.ColdShare, p.ColdRamp = c.Number("cold_share"), c.Whole("cold_ramp")
 		p.FallMultiple, p.FallSpan = c.Number("fall_multiple"), c.Whole("fall_span")
 		p.Share, p.Free, p.BudgetSpan = c.Number("budget"), c.Number("budget_free"), c.Whole("budget_span")
@@ -154,13 +156,14 @@
 		{Name: "sites", Kind: script.Wholes, Unset: []int{}, Help: "which, for cut"},
 		{Name: "at", Kind: script.Span, Most: 3600e9, Help: "when it begins"},
 		{Name: "until", Kind: script.Span, Most: 3600e9, Help: "when it ends"},
+		{Name: "only", Kind: script.Whole, Unset: int64(0), Most: 1000, Help: "unanswered: which queries, by number"},
 		{Name: "times", Kind: script.Number, Unset: 5.0, Least: 0.01, Most: 1e4, Help: "slow: how much"},
 		{Name: "burst_at", Kind: script.Span, Unset: int64(0), Most: 3600e9, Help: "from then on,"},
 		{Name: "every", Kind: script.Span, Unset: 4 * second, Least: 1e6, Most: 3600e9, Help: "flap, pause, freeze: the period,"},
 		{Name: "bad_for", Kind: script.Span, Unset: 2 * second, Least: 1e5, Most: 3600e9, Help: "and how much of it is bad"},
 	}, Order: func(e *Experiment, c script.Call) error {
 		f := emulator.Fault{Kind: c.Text("kind"), Replicas: c.Wholes("replicas"), Aggregators: c.Wholes("aggregators"),
-			Sites: c.Wholes("sites"), From: c.Whole("at"), Until: c.Whole("until"),
+			Load: int(c.Whole("only")), Sites: c.Wholes("sites"), From: c.Whole("at"), Until: c.Whole("until"),
 			Times: c.Number("times"), Every: c.Whole("every"), For: c.Whole("bad_for")}
 		if f.Until <= f.From {
 			return errors.New(`key "until" is not after "at"`)
--- a/experiment/play.go
+++ b/experiment/play.go
@@ -50,6 +50,7 @@
 	P50        int64     `json:"p50_ns"` // medians over the seeds
 	P99        int64     `json:"p99_ns"`
 	P999       int64     `json:"p999_ns"`
+	Times      []int64   `json:"times_ns"` // at emulator.Percents, the mean over seeds
 	Loads      []Load    `json:"loads"`
 	Lines      []float64 `json:"lines"`  // share by second, the mean over seeds
 	Broken     []string  `json:"broken"` // rules, with their seeds
@@ -130,6 +131,12 @@
 		r.AtFaulty += float64(one.AtFaulty) / n
 		p50, p99, p999 = append(p50, one.P50), append(p99, one.P99), append(p999, one.P999)
 		r.Events += one.Events
+		if r.Times == nil {
+			r.Times = make([]int64, len(one.Times))
+		}
+		for i, ns := range one.Times {
+			r.Times[i] += ns / int64(len(runs))
+		}
 		for i, l := range one.Loads {
 			if seed == 0 {
 				r.Loads = append(r.Loads, Load{Name: l.Name})
--- /dev/null
+++ b/experiments/recall.star
@@ -0,0 +1,10 @@
+# Recalls where what is given up is worked on all the same: two replicas are ten times slower, and the fleet is busy.
+experiment(name = "recall", question = "What do recalls cost where cancelled work goes on?", seeds = 10)
+fleet(aggregators = 10, replicas = 40, holders = 4, goes_on = True)
+queries(rate = 45, parts = 4, goal = "250ms", patience = "1500ms")
+fault(kind = "slow", replicas = [0, 11], at = "12s", until = "32s", times = 10)
+variant(name = "module")
+variant(name = "random", policy = "random")
+variant(name = "least in flight", policy = "least")
+variant(name = "fading mean", policy = "ewma")
+variant(name = "oracle", policy = "oracle")
--- /dev/null
+++ b/experiments/unanswered.star
@@ -0,0 +1,11 @@
+# Four replicas answer one kind of query and say nothing to the other.
+experiment(name = "unanswered", question = "What does a kind of query cost that some replicas do not answer?", seeds = 10)
+fleet(aggregators = 10, replicas = 40, holders = 4)
+queries(name = "look", rate = 14, parts = 4, goal = "250ms", patience = "1500ms")
+queries(name = "report", rate = 6, parts = 4, goal = "400ms", patience = "2s", revenue = 4)
+fault(kind = "unanswered", replicas = range(0, 4), only = 1, at = "12s", until = "32s")
+variant(name = "module")
+variant(name = "random", policy = "random")
+variant(name = "least in flight", policy = "least")
+variant(name = "fading mean", policy = "ewma")
+variant(name = "oracle", policy = "oracle")
