--- a/cmd/willowlab/experiments.go
+++ b/cmd/willowlab/experiments.go
@@ -35,8 +35,8 @@
 
 func running() *cobra.Command {
 	var seeds int
-	var asJSON, quiet bool
-	var results string
+	var asJSON, quiet, sockets bool
+	var results, binary string
 	c := &cobra.Command{
 		Use:     "run FILE...",
 		Short:   "Play experiments and print what came of them",
@@ -53,7 +53,13 @@
 				if seeds > 0 {
 					e.Seeds = seeds
 				}
-				t, err := play(e, experiment.Emulated(), quiet || asJSON)
+				way := experiment.Emulated()
+				if sockets {
+					if way, err = onSockets(e, binary, 1); err != nil {
+						return fmt.Errorf("%s: %w", file, err)
+					}
+				}
+				t, err := play(e, way, quiet || asJSON)
 				if err != nil {
 					return fmt.Errorf("%s: %w", file, err)
 				}
@@ -83,6 +89,8 @@
 	}
 	c.Flags().IntVar(&seeds, "seeds", 0, "runs of each variant, in place of the script's")
 	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
+	c.Flags().BoolVar(&sockets, "sockets", false, "in real time, with the true program; what the module decides alone")
+	c.Flags().StringVar(&binary, "program", "bin/willowsill", "the program, for --sockets")
 	c.Flags().BoolVar(&quiet, "quiet", false, "no progress")
 	c.Flags().StringVar(&results, "results", "", "a folder for a table and a chart of each experiment")
 	return c
--- a/cmd/willowlab/sockets.go
+++ b/cmd/willowlab/sockets.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"text/tabwriter"
@@ -12,6 +13,15 @@
 	"willowsill/standin/lab"
 )
 
+// onSockets leaves of an experiment the variants that the true program can play, and is the way to play them.
+func onSockets(e *experiment.Experiment, binary string, atOnce int) (experiment.Way, error) {
+	e.Variants = slices.DeleteFunc(e.Variants, func(v experiment.Variant) bool { return !v.True })
+	if len(e.Variants) == 0 {
+		return experiment.Way{}, errors.New("there is no variant of the decision module")
+	}
+	return experiment.Way{AtOnce: atOnce, Run: func(p emulator.Plan, _ int) (*emulator.Result, error) { return lab.Run(binary, p) }}, nil
+}
+
 func beside() *cobra.Command {
 	var binary string
 	var seeds, atOnce int
@@ -24,7 +34,6 @@
 		Example: "  go build -o bin/ ./cmd/... && bin/willowlab sockets experiments/hang.star experiments/slow.star",
 		Args:    cobra.MinimumNArgs(1),
 		RunE: func(c *cobra.Command, files []string) error {
-			real := experiment.Way{AtOnce: atOnce, Run: func(p emulator.Plan, _ int) (*emulator.Result, error) { return lab.Run(binary, p) }}
 			var pairs [][2]*experiment.Table
 			for _, file := range files {
 				e, err := experiment.Read(file)
@@ -32,9 +41,9 @@
 					return err
 				}
 				e.Seeds = seeds
-				e.Variants = slices.DeleteFunc(e.Variants, func(v experiment.Variant) bool { return !v.True })
-				if len(e.Variants) == 0 {
-					return fmt.Errorf("%s: there is no variant of the decision module", file)
+				real, err := onSockets(e, binary, atOnce)
+				if err != nil {
+					return fmt.Errorf("%s: %w", file, err)
 				}
 				var pair [2]*experiment.Table
 				for i, way := range []experiment.Way{experiment.Emulated(), real} {
