A gateway that leaves tells its peers before it closes; no once-only query is forfeited

Cause: a planned restart closed the door's idle connections while a peer, a way off, was writing a query on one.

--- a/cmd/willowsill/main.go
+++ b/cmd/willowsill/main.go
@@ -131,6 +131,7 @@
 		}
 	}
 	log.Info("leaving")
+	ways.leave()
 	err = server.Stop(time.Duration(max(start.LongestCutOff, leastWait)))
 	ways.end()
 	if e := <-served; err == nil && !errors.Is(e, http.ErrServerClosed) {
--- a/cmd/willowsill/ways.go
+++ b/cmd/willowsill/ways.go
@@ -127,6 +127,13 @@
 	}
 }
 
+// leave tells peers that the door is about to close, and waits until they know.
+func (w *ways) leave() {
+	if w.core != nil {
+		w.door.Leave(context.Background())
+	}
+}
+
 // end closes the door, waits for what is under way there, and keeps the ids for the next start.
 func (w *ways) end() {
 	if w.core == nil {
--- a/cmd/willowsill/ways_off.go
+++ b/cmd/willowsill/ways_off.go
@@ -28,4 +28,5 @@
 }
 
 func (*ways) follow(*operator.Orders) {}
+func (*ways) leave()                  {}
 func (*ways) end()                    {}
--- a/gateway/core.go
+++ b/gateway/core.go
@@ -115,8 +115,8 @@
 	var known roster.News
 	for i, s := range p.Sites {
 		t.Links = append(t.Links, s.Link)
-		for _, address := range s.Gateways {
-			known.Entries = append(known.Entries, roster.Entry{Host: s.Site + "/" + address, Dial: address, Cell: i})
+		for gateway := range s.Gateways {
+			known.Entries = append(known.Entries, s.entry(i, gateway))
 		}
 	}
 	c.crossing = crossing.New(now, t)
@@ -330,30 +330,47 @@
 	return answer, true
 }
 
-// pings measures the way to a site, and finds out within seconds when it is cut.
+// pings measures the way to a site, finds out within seconds when it is cut, and which gateways are about to close.
 //
 // Danger: a connection that was cut says nothing, and TCP waits for minutes. Each ping goes on a connection of its own
-// pool, has a second, and three without an answer close the way.
+// pool, has a second, and three rounds without any answer close the way.
 func (c *Core) pings(ctx context.Context, link int, s Site) {
 	p := c.pool(1, nil, nil)
 	defer p.client.CloseIdleConnections()
 	tick := time.NewTicker(pingEach)
 	defer tick.Stop()
-	for n := 0; ; n++ {
-		began := c.plan.Clock.Now()
-		willing, err := p.ping(ctx, s.Gateways[n%len(s.Gateways)])
+	leaving := make([]bool, len(s.Gateways))
+	for {
+		signs := make([]sign, len(s.Gateways))
+		var all sync.WaitGroup
+		for i, address := range s.Gateways {
+			all.Go(func() { signs[i] = p.ping(ctx, address) })
+		}
+		all.Wait()
 		now := c.plan.Clock.Now()
-		c.mu.Lock()
-		if err != nil {
-			p.client.CloseIdleConnections()
+		best := sign{err: errors.New("no gateway answered")}
+		for i, one := range signs {
+			if one.err != nil { // what it said last holds until it answers again
+				p.client.CloseIdleConnections()
+				best.err = errors.Join(best.err, one.err)
+				continue
+			}
+			if best.err != nil || one.took < best.took {
+				best = one
+			}
+			if one.leaving != leaving[i] {
+				leaving[i] = one.leaving
+				c.goes(ctx, link, s, i, one.leaving)
+			}
 		}
-		cut := c.crossing.Pinged(now, link, now-began, err != nil)
-		if rate, e := strconv.ParseFloat(willing, 64); e == nil && rate >= 0 {
+		c.mu.Lock()
+		cut := c.crossing.Pinged(now, link, best.took, best.err != nil)
+		if rate, e := strconv.ParseFloat(best.willing, 64); e == nil && rate >= 0 {
 			c.crossing.Told(now, link, rate)
 		}
 		c.mu.Unlock()
 		if cut {
-			c.plan.Log.Warn("the way to a site is cut", zap.String("site", s.Site), zap.Error(err))
+			c.plan.Log.Warn("the way to a site is cut", zap.String("site", s.Site), zap.Error(best.err))
 		}
 		select {
 		case <-ctx.Done():
@@ -363,6 +380,15 @@
 	}
 }
 
+// goes tells the module that a gateway is about to close, or has come back.
+func (c *Core) goes(ctx context.Context, link int, s Site, gateway int, leaving bool) {
+	e := s.entry(link, gateway)
+	if leaving {
+		e.Standing = balance.Draining
+	}
+	c.hop.News(ctx, roster.News{Entries: []roster.Entry{e}})
+}
+
 // Figures tell how the ways stand.
 func (c *Core) Figures() map[string]any {
 	c.mu.Lock()
@@ -375,6 +401,12 @@
 	return all
 }
 
+// entry is a gateway in the list that the way's own node is given.
+func (s Site) entry(link, gateway int) roster.Entry {
+	address := s.Gateways[gateway]
+	return roster.Entry{Host: s.Site + "/" + address, Dial: address, Cell: link}
+}
+
 func (s Site) check() error {
 	if s.Site == "" || len(s.Gateways) == 0 {
 		return fmt.Errorf("site %q has no gateways", s.Site)
--- a/gateway/door.go
+++ b/gateway/door.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.step.sm/crypto/keyutil"
@@ -50,6 +51,7 @@
 	// Willing is how many more queries a second the site would take; nil where that is not told.
 	Willing func() float64
 
+	leaving atomic.Bool
 	mu      sync.Mutex // guards Window and waiting
 	waiting map[string]chan struct{}
 }
@@ -65,6 +67,9 @@
 	}
 	if r.URL.Path == pathPing {
 		d.willing(w)
+		if d.leaving.Load() {
+			w.Header().Set(headerLeaving, "1")
+		}
 		w.WriteHeader(http.StatusNoContent)
 		return
 	}
@@ -216,6 +221,19 @@
 	w.Write(kept[3:])
 }
 
+// Leave tells peers at their next pings that the door is about to close, and serves all that comes until they know, or ctx
+// is over.
+//
+// Danger: a peer may write a query while the news that its idle connection was closed is on the way. Nobody can tell it
+// from one that ran, so a once-only one would be forfeited at each planned restart.
+func (d *Door) Leave(ctx context.Context) {
+	d.leaving.Store(true)
+	select {
+	case <-time.After(pingEach + 2*pingWait):
+	case <-ctx.Done():
+	}
+}
+
 // Server makes the server of a door, to be served on a listener.
 func (d *Door) Server(secure *tls.Config) *http.Server {
 	return &http.Server{Handler: d, ReadHeaderTimeout: doorHead, IdleTimeout: doorIdle, MaxHeaderBytes: doorHeader,
@@ -360,23 +378,35 @@
 	return pool, nil
 }
 
-// ping asks a gateway for a sign of life, and returns what its site would take of each workload, as it says.
-func (p *pool) ping(ctx context.Context, address string) (willing string, err error) {
+// sign is a gateway's sign of life.
+type sign struct {
+	took    int64
+	willing string // what its site would take of each workload, as it says
+	leaving bool
+	err     error
+}
+
+// ping asks a gateway for a sign of life.
+func (p *pool) ping(ctx context.Context, address string) (s sign) {
 	ctx, cancel := context.WithTimeout(ctx, pingWait)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, p.url(address, pathPing), nil)
 	if err != nil {
-		return "", err
+		return sign{err: err}
 	}
+	began := time.Now()
 	a, err := p.client.RoundTrip(r)
+	s.took = int64(time.Since(began))
 	if err != nil {
-		return "", err
+		s.err = err
+		return s
 	}
 	defer a.Body.Close()
 	if a.StatusCode != http.StatusNoContent {
-		return "", fmt.Errorf("the gateway at %s answered %s", address, a.Status)
+		s.err = fmt.Errorf("the gateway at %s answered %s", address, a.Status)
 	}
-	return a.Header.Get(headerWilling), nil
+	s.willing, s.leaving = a.Header.Get(headerWilling), a.Header.Get(headerLeaving) != ""
+	return s
 }
 
 var _ front.Core = (*Core)(nil)
--- a/gateway/door_test.go
+++ b/gateway/door_test.go
@@ -87,7 +87,7 @@
 			}
 			p := newPool((&net.Dialer{}).DialContext, secure, map[string]string{address: "b"}, false, 1, nil, nil)
 			defer p.client.CloseIdleConnections()
-			_, err = p.ping(t.Context(), address)
+			err = p.ping(t.Context(), address).err
 			if c.want == "" && err != nil || c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want)) {
 				t.Errorf("got %v, want %q", err, c.want)
 			}
@@ -106,20 +106,20 @@
 	}
 	p := newPool((&net.Dialer{}).DialContext, secure, map[string]string{address: "b"}, false, 1, nil, nil)
 	defer p.client.CloseIdleConnections()
-	if _, err := p.ping(t.Context(), address); err == nil {
+	if err := p.ping(t.Context(), address).err; err == nil {
 		t.Error("an unknown site was let in")
 	}
 	issue(t, root, "caller", "a.gateway", time.Now().Add(time.Hour))
 	p.client.CloseIdleConnections()
-	if _, err := p.ping(t.Context(), address); err != nil {
+	if err := p.ping(t.Context(), address).err; err != nil {
 		t.Error(err)
 	}
 	os.WriteFile(caller.KeyFile, []byte("nonsense"), 0o600)
-	if _, err := p.ping(t.Context(), address); err != nil {
+	if err := p.ping(t.Context(), address).err; err != nil {
 		t.Errorf("on the connection that is there: %v", err)
 	}
 	p.client.CloseIdleConnections()
-	if _, err := p.ping(t.Context(), address); err == nil || strings.Contains(err.Error(), "nonsense") {
+	if err := p.ping(t.Context(), address).err; err == nil || strings.Contains(err.Error(), "nonsense") {
 		t.Errorf("with papers that cannot be read: %v", err)
 	}
 }
--- a/gateway/gateway_test.go
+++ b/gateway/gateway_test.go
@@ -309,6 +309,44 @@
 	}
 }
 
+// A gateway that leaves as planned fails no query, not even a once-only one that was written as its connection was closed.
+func TestLeaves(t *testing.T) {
+	play(t, []string{"a", "b"}, func(w *world) {
+		far := link.Way{Delay: 80 * time.Millisecond}
+		w.links["a>b"].Set(far, far)
+		a, b := w.sites["a"], w.sites["b"]
+		a.core.Evacuate(true)
+		var all sync.WaitGroup
+		var mu sync.Mutex
+		ended := map[string]int{}
+		left := false
+		for i := range 1000 {
+			all.Go(func() {
+				time.Sleep(time.Duration(i) * 20 * time.Millisecond)
+				mu.Lock()
+				late := left
+				mu.Unlock()
+				got := strings.Fields(a.ask(w.Context(), fmt.Sprint("k", i), "pay", 2*time.Second))[0]
+				mu.Lock()
+				defer mu.Unlock()
+				if ended[got]++; got == "whole" && late {
+					w.Errorf("query %d was carried to a door that is closed", i)
+				}
+			})
+		}
+		time.Sleep(15 * time.Second)
+		b.door.Leave(w.Context())
+		b.server.Shutdown(w.Context())
+		mu.Lock()
+		left = true
+		mu.Unlock()
+		all.Wait()
+		if ended["forfeited"]+ended["late:"] > 0 || ended["whole"] < 50 || ended["declined"] < 50 {
+			w.Errorf("ended %v", ended)
+		}
+	})
+}
+
 // A repeat of a query with an effect joins the one under way, or gets its answer.
 func TestRepeats(t *testing.T) {
 	play(t, []string{"a", "b"}, func(w *world) {
--- a/gateway/pool.go
+++ b/gateway/pool.go
@@ -33,6 +33,7 @@
 	headerTry     = "X-Try"
 	headerRan     = "X-May-Have-Run" // on what is no answer: 0 for surely not
 	headerWilling = "X-Willing"      // queries a second that the site would take more
+	headerLeaving = "X-Leaving"      // on a ping's answer: the gateway is about to close
 
 	answerMost = 8 << 20 // bytes of an answer
 	perGateway = 64      // idle connections kept to one gateway
