Lab: variants with other values of a constant, played by a program built with them

Need: an experiment could compare policies, settings and stores, but an older value of a constant only by two texts and two runs.

The same value of a constant gives the same run to the event.

--- a/cmd/willowlab/hunt.go
+++ b/cmd/willowlab/hunt.go
@@ -19,6 +19,7 @@
 func hunting() *cobra.Command {
 	var t hunt.Terms
 	var seeds int
+	var source string
 	c := &cobra.Command{
 		Use:   "hunt FILE",
 		Short: "Look for the faults that harm an experiment's first variant most, or break a rule",
@@ -31,6 +32,9 @@
 			if err != nil {
 				return err
 			}
+			if built, _ := c.Flags().GetBool(asBuilt); e.Variants[0].Constants != nil && !built {
+				return again(e.Variants[0], source, c.OutOrStdout(), os.Args[1:]...)
+			}
 			t.Replicas, t.From, t.Until = e.Plan.Replicas, e.Plan.From, e.Plan.Until
 			best := hunt.Verdict{Share: math.Inf(1)}
 			text := ""
@@ -69,6 +73,7 @@
 			return nil
 		},
 	}
+	sourceFlag(c, &source)
 	c.Flags().Uint64Var(&t.Seed, "seed", 1, "of the search")
 	c.Flags().IntVar(&t.Tries, "tries", 100, "schedules that are tried")
 	c.Flags().IntVar(&t.Faults, "faults", 3, "of a schedule at most")
@@ -92,7 +97,7 @@
 func replaying() *cobra.Command {
 	var from, until time.Duration
 	var seed int
-	var variant, who string
+	var variant, who, source string
 	c := &cobra.Command{
 		Use:   "replay FILE",
 		Short: "Print the decisions of one run in a stretch of time, each with what its pick goes by",
@@ -112,6 +117,9 @@
 				}
 				v = e.Variants[i]
 			}
+			if built, _ := c.Flags().GetBool(asBuilt); v.Constants != nil && !built {
+				return again(v, source, c.OutOrStdout(), os.Args[1:]...)
+			}
 			p := e.Of(v, seed)
 			p.Trace = func(at int64, of, what string) {
 				if at >= int64(from) && at < int64(until) && (who == "" || who == of) {
@@ -126,6 +134,7 @@
 			return err
 		},
 	}
+	sourceFlag(c, &source)
 	c.Flags().DurationVar(&from, "from", 0, "of the run's time")
 	c.Flags().DurationVar(&until, "to", time.Hour, "of the run's time")
 	c.Flags().IntVar(&seed, "seed", 1, "of the run")
--- a/cmd/willowlab/main.go
+++ b/cmd/willowlab/main.go
@@ -12,6 +12,8 @@
 func main() {
 	root := &cobra.Command{Use: "willowlab", Short: "Experiments on fleets, and load for a running aggregator",
 		SilenceUsage: true, SilenceErrors: true}
+	root.PersistentFlags().Bool(asBuilt, false, "")
+	root.PersistentFlags().MarkHidden(asBuilt)
 	root.AddCommand(running(), beside(), checking(), comparing(), reporting(), hunting(), replaying(), loading(), growing())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "willowlab:", err)
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -13,6 +13,7 @@
 	"willowsill/balance"
 	"willowsill/emulator"
 	"willowsill/emulator/rivals"
+	"willowsill/experiment/recast"
 	"willowsill/routes"
 	"willowsill/script"
 )
@@ -32,6 +33,9 @@
 	Name   string
 	True   bool // the decision module decides, and so it can be played on sockets
 	change func(*emulator.Plan)
+
+	// Constants of the deciders are other than they stand in the text; nil for none. What plays it must be built with them.
+	Constants recast.Constants
 }
 
 // Of is a variant's plan with a seed.
@@ -183,8 +187,12 @@
 			{Name: "route", Kind: script.Text, Unset: "none", Words: append([]string{"none"}, routes.Policies...), Help: "by what queries are carried to other sites"},
 			{Name: "calm", Kind: script.Truth, Unset: false, Help: "no fault befalls anybody"},
 			{Name: "list_delay", Kind: script.Span, Unset: int64(0), Most: 600e9, Help: "0s for the fleet's"},
+			{Name: "constants", Kind: script.Shares, Unset: map[string]float64(nil), Least: -1e15, Most: 1e15,
+				Help: "of deciders that are other: {\"balance.coldSafety\": 0.7}; times in ns"},
 		}, Order: func(e *Experiment, c script.Call) error {
-			v := Variant{Name: c.Text("name"), True: c.Text("policy") == "module" && c.Text("store") == "none" && c.Text("route") == "none", change: func(p *emulator.Plan) {
+			other := c.Shares("constants")
+			v := Variant{Name: c.Text("name"), Constants: other, True: c.Text("policy") == "module" && c.Text("store") == "none" &&
+				c.Text("route") == "none" && other == nil, change: func(p *emulator.Plan) {
 				p.Policy, p.Store, p.Route = c.Text("policy"), c.Text("store"), c.Text("route")
 				if n := int(c.Whole("executions")); n > 0 {
 					p.Executions = n
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -63,6 +63,9 @@
 		}
 		small(e)
 		for _, v := range e.Variants {
+			if v.Constants != nil { // it is for a program built so
+				continue
+			}
 			mu.Lock()
 			at := len(lines)
 			lines = append(lines, "")
@@ -199,6 +202,47 @@
 	}
 }
 
+// Variants played by two programs come to the table that one would make, in the script's order.
+func TestJoin(t *testing.T) {
+	e, err := read(t, good+`variant(name = "other", constants = {"balance.channels": 3})`)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if v := e.Variants[2]; v.True || v.Constants["balance.channels"] != 3 {
+		t.Errorf("%+v", v)
+	}
+	whole, err := e.Play(Emulated(), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var some []*Table
+	for _, of := range [][]Variant{e.Variants[1:2], {e.Variants[0], e.Variants[2]}} {
+		one := *e
+		one.Variants = of
+		table, err := one.Play(Emulated(), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		some = append(some, table)
+	}
+	joined, err := e.Join(some...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	a, _ := json.Marshal(whole)
+	b, _ := json.Marshal(joined)
+	if !bytes.Equal(a, b) {
+		t.Errorf("%s and %s", a, b)
+	}
+	if _, err := e.Join(some[0]); err == nil {
+		t.Error("a table without all variants was made")
+	}
+	some[1].Seeds++
+	if _, err := e.Join(some...); err == nil {
+		t.Error("tables of other seeds were joined")
+	}
+}
+
 // The interval holds the mean nine times of ten at least, and is a point where there is no chance.
 func TestInterval(t *testing.T) {
 	if low, high := Interval([]float64{2, 2, 2}); low != 2 || high != 2 {
--- /dev/null
+++ b/experiments/constants.star
@@ -0,0 +1,11 @@
+# What constants of the module are worth: replicas hang, then come back, beside fresh ones.
+experiment(name = "constants", question = "What do other values of the module's constants earn where replicas hang and are slow?", seeds = 10)
+fleet(aggregators = 10, replicas = 40, holders = 4)
+queries(rate = 20, parts = 4, goal = "250ms", patience = "1500ms")
+fault(kind = "hang", replicas = [0], at = "12s", until = "32s")
+fault(kind = "slow", replicas = [5, 10], at = "15s", until = "30s", times = 6)
+variant(name = "as it is")
+variant(name = "found late", constants = {"balance.patience": 14, "balance.patienceLeast": 14})
+variant(name = "found at once", constants = {"balance.patience": 3, "balance.patienceLeast": 2})
+variant(name = "slow ones borne", constants = {"balance.slowMul": 6})
+variant(name = "short rest", constants = {"balance.holdFirst": 100e6})
