Own overload: strain decides limit, worth and rounds; the process's own standing blames nobody

Need: the co-ordinator believed replicas slow when it was itself behind, turned away whatever came at the wrong moment, and made each query wait for two ticks.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -158,6 +158,7 @@
 type execution struct {
 	call    *call
 	sentAt  int64
+	stood   int64 // how long the process had stood by then
 	replica int
 	slots   int // own calls out there at the send, with this one
 	over    bool
@@ -231,6 +232,7 @@
 	rounds     int
 	round      Round
 	cancels    []Cancel // for the next round
+	stood      int64    // how long the process itself stood still, all in all, ns
 	subscribed bool
 	askAt      int64 // when to ask for the list
 	askWait    int64
@@ -355,11 +357,17 @@
 	if e.overdue && result == Cancelled {
 		result = TimedOut
 	}
+	verdict, own := result, e.own(q.agg)
+	if own > 0 && (result == TimedOut || result == Reset || result == ConnectFailed) {
+		verdict = Cancelled
+	}
 	switch result {
 	case Fulfilled:
 		r.heard, r.stale = now, false
-		q.workload.logs.add(now, math.Log(float64(max(took, ms))), 1)
-		q.workload.look(now)
+		if own == 0 {
+			q.workload.logs.add(now, math.Log(float64(max(took, ms))), 1)
+			q.workload.look(now)
+		}
 	case Full, ConnectFailed:
 		// Danger: a replica that turns all away at once always has the lowest count and draws every part.
 		r.jammed = now + q.workload.middle
@@ -371,8 +379,9 @@
 		}
 	}
 	// Danger: leaving out what was cut short would show a jammed replica at its best.
-	if slots := float64(e.slots); result == Fulfilled || (result == Cancelled || result == TimedOut) &&
-		float64(took) > r.slot.of(now, 0)*slots {
+	// How long it took while the process itself stood is not known.
+	if slots := float64(e.slots); own == 0 && (result == Fulfilled || (result == Cancelled || result == TimedOut) &&
+		float64(took) > r.slot.of(now, 0)*slots) {
 		r.slot.add(now, float64(took), slots)
 		r.lately.add(now, float64(took), slots)
 		q.agg.slot.add(now, float64(took), slots)
@@ -384,7 +393,7 @@
 		}
 		q.agg.patience = min(max(q.agg.patience*step, patienceLeast), patienceMost)
 	}
-	q.agg.judge(now, r, e.sentAt, result)
+	q.agg.judge(now, r, e.sentAt, verdict)
 	switch {
 	case result == Fulfilled && q.open && p.stage != given:
 		p.stage = in
@@ -394,6 +403,13 @@
 	return true
 }
 
+// Stood tells that the process itself has just stood still for so long, ns: nothing was sent, read or decided.
+// Danger: after a pause of its own every replica seems silent, and late. Sound ones would be set aside, and lose their parts.
+func (a *Aggregator) Stood(d int64) { a.stood += max(d, 0) }
+
+// own is how long the process itself stood since the execution was sent, ns.
+func (e *execution) own(a *Aggregator) int64 { return a.stood - e.stood }
+
 // Leave tells that the client has gone. Danger: where many go before the time told, later answers are lost.
 func (q *Query) Leave(now int64) {
 	q.agg.left.add(now, float64(now-q.taken)/float64(max(q.end-q.taken, 1)), 1)
@@ -582,7 +598,8 @@
 	n := len(p.executions) - 1
 	e := &p.executions[n]
 	r := &a.replicas[e.replica]
-	half, due := e.sentAt+q.overdue(n+1)/2, e.sentAt+q.overdue(n+1)
+	since := e.sentAt + e.own(a)
+	half, due := since+q.overdue(n+1)/2, since+q.overdue(n+1)
 	if now < half {
 		return half
 	}
@@ -615,7 +632,8 @@
 	r.used++
 	a.further.add(now, float64(min(len(p.executions), 1)))
 	a.sent.add(now, 1)
-	p.executions = append(p.executions, execution{call: r.shared, sentAt: now, replica: to, slots: r.calls})
+	p.executions = append(p.executions, execution{call: r.shared, sentAt: now, replica: to, slots: r.calls,
+		stood: a.stood})
 	p.stage = out
 	if p.mayHaveRun == never {
 		p.mayHaveRun = now
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -22,6 +22,7 @@
 //	step QUERY SHARD ...        the parts of a second step
 //	ok|errored|full|timeout|noconn|reset|cancelled|moot QUERY.PART ... TOOK   the parts' last executions ended
 //	leave QUERY                 the client went
+//	stood T                     the process itself has just stood for so long
 //	flood N QUERY ...           take, N times, with a number behind the name
 //	hear REPLICA UNTIL [suspect] [pace=X*CALLS] [try=T]   what others found of it
 //	over QUERY WORKLOAD ...     as take, of a customer over what was agreed
@@ -267,6 +268,8 @@
 		}
 	case "step":
 		p.step(p.queries[words[1]], words[2:])
+	case "stood":
+		p.start().Stood(p.time(words[1]))
 	case "leave":
 		p.queries[words[1]].Leave(p.now)
 	default:
--- /dev/null
+++ b/cmd/pressed/rounds.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"runtime"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"willowsill/load"
+	"willowsill/standin/sites"
+)
+
+// way is one way to run the program.
+type way struct{ name, script string }
+
+// ways are the program as it was, and as it is with the script.
+var ways = []way{{"former", ""}, {"at once", "strain(shed = False)\n"}}
+
+// lone is one process of the program with replicas that take no time.
+func lone(binary, script string, work time.Duration) (*sites.World, func(), error) {
+	dir, err := os.MkdirTemp("", "pressed")
+	if err != nil {
+		return nil, nil, err
+	}
+	w, err := sites.Start(sites.Shape{Binary: binary, Dir: dir, Names: []string{"one"}, Gateways: 1, Alone: true, Work: work,
+		Workers: 256, Holders: 2, Script: script, Held: 4000, Sockets: 4096})
+	return w, func() {
+		w.Stop()
+		os.RemoveAll(dir)
+	}, err
+}
+
+// asking are clients of a world's process.
+func asking(w *sites.World, workload string) (*load.Clients, error) {
+	return load.New(load.Target{URL: w.Sites["one"].URL(0), Workload: workload, Shards: []int{0, 1}, Text: "t", Patience: sites.Patience,
+		Goal: sites.Goal})
+}
+
+func rounds() *cobra.Command {
+	var binary string
+	var each time.Duration
+	var rates []float64
+	c := &cobra.Command{
+		Use: "rounds", Short: "What a query waits for the tick, what it costs, and the highest rate",
+		Example: "  bin/pressed rounds --each 5s", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 1, ' ', 0)
+			fmt.Fprintf(t, "one core of %d for the program, replicas without work, %v each\n", runtime.NumCPU(), each)
+			fmt.Fprintln(t, "| way\t| asked\t| served a second\t| p50 ms\t| p99 ms\t| CPU us a query\t| cores\t| not served\t|")
+			for _, one := range ways {
+				w, end, err := lone(binary, one.script, 0)
+				if err != nil {
+					end()
+					return err
+				}
+				err = func() error {
+					defer end()
+					clients, err := asking(w, "look")
+					if err != nil {
+						return err
+					}
+					defer clients.Close()
+					clients.Closed(c.Context(), 16, 2*time.Second)
+					row := func(name string, ask func() *load.Outcome) {
+						before, began := w.CPU(), time.Now()
+						o := ask()
+						used, span := w.CPU()-before, time.Since(began)
+						fmt.Fprintf(t, "| %s\t| %s\t| %.0f\t| %.2f\t| %.2f\t| %.0f\t| %.2f\t| %d\t|\n", one.name, name, o.Served, o.P50.Seconds()*1e3,
+							o.P99.Seconds()*1e3, used.Seconds()*1e6/float64(max(o.InGoal+o.Late, 1)), used.Seconds()/span.Seconds(),
+							o.Declined+o.Failed)
+					}
+					row("64 clients", func() *load.Outcome { return clients.Closed(c.Context(), 64, each) })
+					row("256 clients", func() *load.Outcome { return clients.Closed(c.Context(), 256, each) })
+					for i, rate := range rates {
+						row(fmt.Sprintf("%.0f a second", rate), func() *load.Outcome { return clients.Open(c.Context(), rate, each, uint64(i)) })
+					}
+					return t.Flush()
+				}()
+				if err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+	}
+	c.Flags().DurationVar(&each, "each", 5*time.Second, "how long each load is asked")
+	c.Flags().Float64SliceVar(&rates, "rates", []float64{200, 1000, 2000, 3000}, "queries a second")
+	c.Flags().StringVar(&binary, "program", "bin/willowsill", "the program")
+	c.SetContext(context.Background())
+	return c
+}
--- a/cmd/willowsill/main.go
+++ b/cmd/willowsill/main.go
@@ -100,6 +100,12 @@
 		core.Close()
 		return err
 	}
+	own := &strained{start: start, core: core, budget: budget, count: count, guard: &front.Guarded{}, log: log}
+	if err := own.follow(orders); err != nil {
+		shares.end()
+		core.Close()
+		return err
+	}
 	watching, unwatch := context.WithCancel(context.Background())
 	defer unwatch()
 	watched := make(chan struct{})
@@ -108,14 +114,15 @@
 		watch.Run(watching, start.AsksForList)
 	}()
 
-	serving, ways, err := openWays(start, orders, core, clock, count, dial, log)
+	serving, ways, err := openWays(start, orders, core, clock, count, dial, own.guard, log)
 	if err != nil {
+		own.end()
 		shares.end()
 		core.Close()
 		return err
 	}
 	server := front.NewServer(&front.Front{Core: serving, Clock: clock, Workload: start.Workload,
-		Shards: start.Shards, Count: count, Log: log}, l, budget)
+		Shards: start.Shards, Count: count, Guard: own.guard, Log: log}, l, budget)
 	served := make(chan error, 1)
 	go func() { served <- server.Serve() }()
 	log.Info("serving", zap.String("listen", start.Listen), zap.Int("known", len(start.Known.Entries)))
@@ -125,7 +132,7 @@
 		case err := <-served:
 			return err
 		case <-reload:
-			follow(&start, watch, shares, ways, count, log)
+			follow(&start, watch, shares, own, ways, count, log)
 		case <-stop.Done():
 			leaving = true
 		}
@@ -139,6 +146,7 @@
 	}
 	unwatch()
 	<-watched
+	own.end()
 	shares.end()
 	core.Close()
 	log.Info("ended", zap.Any("counters", count))
@@ -149,8 +157,8 @@
 // and switches on and off what the script says.
 //
 // Danger: a file that is missing, half-written or wrong must not end what runs well, nor change a part of it.
-func follow(start *deployment.Start, watch *roster.Watch, shares *sharing, ways *ways, count *counters.Counters,
-	log *zap.Logger) {
+func follow(start *deployment.Start, watch *roster.Watch, shares *sharing, own *strained, ways *ways,
+	count *counters.Counters, log *zap.Logger) {
 	count.Reloads.Add(1)
 	next, odd, err := start.Again()
 	orders := shares.orders
@@ -158,7 +166,12 @@
 		orders, err = operator.Read(orders.File)
 	}
 	if err == nil {
-		err = shares.follow(orders)
+		if err = own.check(orders); err == nil {
+			err = shares.follow(orders)
+		}
+		if err == nil {
+			err = own.follow(orders)
+		}
 	}
 	if err != nil {
 		count.ReloadsWrong.Add(1)
--- /dev/null
+++ b/cmd/willowsill/strained.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"reflect"
+
+	"go.uber.org/zap"
+
+	"willowsill/counters"
+	"willowsill/deployment"
+	"willowsill/front"
+	"willowsill/machine"
+	"willowsill/node"
+	"willowsill/operator"
+	"willowsill/sockets"
+	"willowsill/strain"
+)
+
+// strained has the process know its own strain as the operator's script says.
+type strained struct {
+	start  deployment.Start
+	core   *node.Node
+	budget *sockets.Budget
+	count  *counters.Counters
+	guard  *front.Guarded
+	log    *zap.Logger
+	orders *operator.Orders
+	cancel context.CancelFunc // nil while it is off
+	ended  chan struct{}
+}
+
+// check tells what the orders cannot be here.
+func (s *strained) check(o *operator.Orders) error {
+	if o.Strain == nil {
+		return nil
+	}
+	if _, err := s.terms(o.Strain); err != nil {
+		return fmt.Errorf("%s: strain: %w", o.File, err)
+	}
+	return nil
+}
+
+// follow makes what runs what the orders say. With an error nothing has changed.
+func (s *strained) follow(o *operator.Orders) error {
+	if s.orders != nil && reflect.DeepEqual(s.orders.Strain, o.Strain) {
+		s.orders = o
+		return nil
+	}
+	if err := s.check(o); err != nil {
+		return err
+	}
+	var watch *machine.Watch
+	if o.Strain != nil {
+		terms, _ := s.terms(o.Strain)
+		watch = machine.New(terms, machine.Sources{Now: s.core.Now, Queue: s.core.Waiting,
+			Facts: func() (n, waited int64) { return s.count.Facts.Load(), s.count.DelayTotal.Load() },
+			Client: func() float64 {
+				return float64(s.budget.Taken(sockets.Clients)) / float64(s.budget.Most(sockets.Clients))
+			}, Memory: int64(memoryShare * float64(s.start.Memory))}, s.log)
+	}
+	s.end()
+	s.orders = o
+	if watch == nil {
+		return nil
+	}
+	rhythm := &node.Rhythm{Waited: watch.Waited, Stood: func(ns int64) { watch.Stood.Add(ns) }}
+	if o.Strain.AtOnce {
+		rhythm.Pace = &strain.Pace{Tick: s.start.Tick}
+	}
+	s.core.Follow(rhythm)
+	if o.Strain.Shed {
+		guard := front.Guard(watch)
+		s.guard.Store(&guard)
+	}
+	s.count.Strain.Put(json.Marshaler(watch))
+	ctx, cancel := context.WithCancel(context.Background())
+	s.cancel, s.ended = cancel, make(chan struct{})
+	go func() {
+		defer close(s.ended)
+		watch.Run(ctx)
+	}()
+	s.log.Info("the process watches its own strain", zap.Bool("shed", o.Strain.Shed), zap.Bool("at_once", o.Strain.AtOnce))
+	return nil
+}
+
+// terms are what the orders and the deployment ask for.
+func (s *strained) terms(o *operator.Strain) (strain.Terms, error) {
+	t := strain.Terms{Cores: s.start.Cores, Limit: o.Limit, Fixed: o.Rate, Target: o.Lateness, Most: s.start.MaxComeBack,
+		Floor: o.Floor, Seed: s.start.Seed, Workloads: make([]strain.Workload, len(s.start.Workloads))}
+	for name := range o.Revenue {
+		if _, known := s.start.Workload[name]; !known {
+			return t, fmt.Errorf(`key "revenue": %q is no workload of the deployment`, name)
+		}
+	}
+	for name, row := range s.start.Workload {
+		revenue, stated := o.Revenue[name]
+		if !stated {
+			revenue = 1
+		}
+		t.Workloads[row] = strain.Workload{Revenue: revenue, Goal: s.start.Workloads[row].LatencyGoal}
+	}
+	return t, t.Check()
+}
+
+// end ends it; queries are taken on as they come again, and rounds wait for the tick.
+func (s *strained) end() {
+	if s.cancel == nil {
+		return
+	}
+	s.guard.Store(nil)
+	s.cancel()
+	<-s.ended
+	s.cancel = nil
+	s.core.Follow(nil)
+	s.count.Strain.Put(nil)
+	s.log.Info("the process no longer watches its own strain")
+}
--- a/cmd/willowsill/ways.go
+++ b/cmd/willowsill/ways.go
@@ -55,7 +55,7 @@
 
 // openWays opens the ways that the orders ask for; without any the own site serves alone.
 func openWays(start deployment.Start, o *operator.Orders, own *node.Node, clock node.Clock, count *counters.Counters,
-	dial replica.Dial, log *zap.Logger) (front.Core, *ways, error) {
+	dial replica.Dial, guard *front.Guarded, log *zap.Logger) (front.Core, *ways, error) {
 	if o.Site == nil {
 		return own, &ways{orders: o, log: log}, nil
 	}
@@ -93,7 +93,7 @@
 		wait: time.Duration(max(start.LongestCutOff, leastWait))}
 	w.door = &gateway.Door{Own: o.Site.Name, Sites: names, Deployment: start.Deployment, Clock: clock, Count: figures, Log: log,
 		Secure: true, Willing: core.Willing, Window: window.New(window.Terms{Most: rememberMost, Bytes: rememberBytes, For: int64(rememberFor)}),
-		Front: &front.Front{Core: core, Clock: clock, Workload: start.Workload, Shards: start.Shards, Count: count, Log: log}}
+		Front: &front.Front{Core: core, Clock: clock, Workload: start.Workload, Shards: start.Shards, Count: count, Guard: guard, Log: log}}
 	if o.Site.Remember != "" {
 		if err := w.door.Load(o.Site.Remember); err != nil {
 			log.Error("the ids of before the restart are not known", zap.Error(err))
--- a/cmd/willowsill/ways_off.go
+++ b/cmd/willowsill/ways_off.go
@@ -20,7 +20,7 @@
 type ways struct{}
 
 func openWays(_ deployment.Start, o *operator.Orders, own *node.Node, _ node.Clock, _ *counters.Counters, _ replica.Dial,
-	_ *zap.Logger) (front.Core, *ways, error) {
+	_ *front.Guarded, _ *zap.Logger) (front.Core, *ways, error) {
 	if o.Site != nil {
 		return nil, nil, errors.New("this build has no gateway; site and link need one without the tag platform")
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -13,14 +13,17 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/go-json-experiment/json"
 	"go.uber.org/zap"
 
 	"willowsill/balance"
 	"willowsill/counters"
 	"willowsill/node"
+	"willowsill/strain"
 )
 
 // Core serves one query and gives its one answer, or false where the client left first.
@@ -29,6 +32,13 @@
 	Ready() <-chan struct{}
 }
 
+// Guard decides, before a query has cost much, whether it is taken on: where the process itself falls behind.
+type Guard interface {
+	Arrive(a strain.Arrival) (taken bool, comeBack int64)
+	Unseen(workload int) (away bool, comeBack int64) // of a request whose first line alone is read
+	Ended(workload int, took int64, answered bool)
+}
+
 // Front is the handler of the clients' requests.
 type Front struct {
 	Core     Core
@@ -37,6 +47,7 @@
 	Shards   int
 	Count    *counters.Counters
 	Log      *zap.Logger
+	Guard    *Guarded // nil where all is taken on
 	closing  chan struct{}
 	open     sync.Map // ids of the queries that have no answer yet
 }
@@ -52,6 +63,25 @@
 	restWait  = 200 * time.Millisecond // for the rest of a request that has had its complaint
 )
 
+// Guarded is the place of a guard that may be switched on and off.
+type Guarded struct{ atomic.Pointer[Guard] }
+
+// guard is the present one, or nil.
+func (f *Front) guard() Guard {
+	if f.Guard == nil {
+		return nil
+	}
+	if g := f.Guard.Load(); g != nil {
+		return *g
+	}
+	return nil
+}
+
+// away is a query that is turned away before its body is read.
+type away struct{ comeBack int64 }
+
+func (away) Error() string { return "declined" }
+
 // complaint is a request that is not served, with what the client hears.
 type complaint struct {
 	status int
@@ -154,11 +184,45 @@
 }
 
 func (f *Front) query(w http.ResponseWriter, r *http.Request) {
-	q, err := f.read(w, r)
-	if err != nil {
+	guard := f.guard()
+	q, err := f.read(w, r, guard)
+	var a away
+	switch {
+	case errors.As(err, &a):
+		f.turnAway(w, r, q.Workload, a)
+		return
+	case err != nil:
 		f.complain(w, err)
 		return
 	}
+	f.serve(w, r, q, guard)
+}
+
+// turnAway answers a query that the guard does not take on. Its connection stays where nothing of the request is still to come,
+// for a new one would cost more than the answer.
+func (f *Front) turnAway(w http.ResponseWriter, r *http.Request, workload int, a away) {
+	f.countAway(workload)
+	if c := connection(r); c == nil || !c.complete(r.ContentLength) {
+		w.Header().Set("Connection", "close")
+		f.limit(w, restWait)
+	}
+	f.farewell(w)
+	f.write(w, node.Answer{Final: balance.Declined, ComeBack: a.comeBack})
+}
+
+// countAway counts a query that was turned away unserved.
+func (f *Front) countAway(workload int) {
+	for name, row := range f.Workload {
+		if row == workload {
+			f.Count.Workloads[name].Taken.Add(1)
+			f.Count.Workloads[name].Declined.Add(1)
+		}
+	}
+}
+
+// serve has the core serve a query that was read.
+func (f *Front) serve(w http.ResponseWriter, r *http.Request, q node.Query, guard Guard) {
+	began := f.Clock.Now()
 	// Danger: ids name parts on connections that queries share, and replies go by them alone.
 	if _, taken := f.open.LoadOrStore(q.ID, nil); taken {
 		f.complain(w, complaint{http.StatusConflict, "X-Trace-Id is that of an open query"})
@@ -168,6 +232,9 @@
 		defer f.open.Delete(q.ID) // before the answer is out
 		return f.Core.Serve(r.Context(), q)
 	}()
+	if guard != nil {
+		guard.Ended(q.Workload, f.Clock.Now()-began, ok && a.Final <= balance.Partial)
+	}
 	if !ok { // an empty answer would be one that no replica gave
 		panic(http.ErrAbortHandler)
 	}
@@ -177,7 +244,7 @@
 
 // read decodes a request into a query. The client counts its patience from when it sent the request, which
 // is not told; the earliest that is known of it is when its first byte came.
-func (f *Front) read(w http.ResponseWriter, r *http.Request) (q node.Query, err error) {
+func (f *Front) read(w http.ResponseWriter, r *http.Request, guard Guard) (q node.Query, err error) {
 	began, c := f.Clock.Now(), connection(r)
 	if c != nil {
 		began = min(began, c.began())
@@ -214,6 +281,11 @@
 	}
 	q.Until = began + int64(wait)*unit
 
+	if guard != nil {
+		if taken, comeBack := guard.Arrive(arrival(q, r, f.Clock.Now())); !taken {
+			return q, away{comeBack}
+		}
+	}
 	tooLong := complaint{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
 	if r.ContentLength > bodyMost { // before a byte of it is read
 		return q, tooLong
@@ -237,6 +309,18 @@
 	return q, f.readBody(text, &q)
 }
 
+// arrival is what a query's head shows of it.
+func arrival(q node.Query, r *http.Request, now int64) strain.Arrival {
+	a := strain.Arrival{Workload: q.Workload, ID: xxhash.Sum64String(q.ID), Left: q.Until - now, Try: 1}
+	if q.Customer != "" {
+		a.Customer = xxhash.Sum64String(q.Customer)
+	}
+	if n, err := strconv.Atoi(r.Header.Get("X-Try")); err == nil {
+		a.Try = n
+	}
+	return a
+}
+
 // readBody decodes a body. Its text must reach replicas as it came: the decoder takes no key that stands twice or
 // is written otherwise, and no text that is not Unicode, which others would mend in silence.
 func (f *Front) readBody(text []byte, q *node.Query) error {
--- /dev/null
+++ b/front/guard_test.go
@@ -0,0 +1,168 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"willowsill/balance"
+	"willowsill/counters"
+	"willowsill/node"
+	"willowsill/strain"
+)
+
+// guard turns away what it is told to, and keeps what it was shown.
+type guard struct {
+	away, unseen bool
+	shown        []strain.Arrival
+	ended        []string
+}
+
+func (g *guard) Arrive(a strain.Arrival) (bool, int64) {
+	g.shown = append(g.shown, a)
+	return !g.away, 700e6
+}
+func (g *guard) Unseen(int) (bool, int64) { return g.unseen, 300e6 }
+func (g *guard) Ended(workload int, took int64, answered bool) {
+	g.ended = append(g.ended, fmt.Sprint(workload, " ", took >= 0, " ", answered))
+}
+
+func guarded(f *Front, g *guard) {
+	f.Guard = &Guarded{}
+	as := Guard(g)
+	f.Guard.Store(&as)
+	f.Count = counters.New(f.Workload)
+}
+
+// counted answers all, and counts.
+func counted(n *int) func(context.Context, node.Query) (node.Answer, bool) {
+	return func(context.Context, node.Query) (node.Answer, bool) {
+		*n++
+		return node.Answer{Final: balance.Whole, Values: []node.Value{{Shard: 3, Value: "x"}}}, true
+	}
+}
+
+// said is the next answer: its status, when to come back, and whether the connection stays.
+func (c *client) said() string {
+	r, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		return err.Error()
+	}
+	io.Copy(io.Discard, r.Body)
+	return fmt.Sprint(r.StatusCode, " ", r.Header.Get("Retry-After"), " ", map[bool]string{true: "close", false: "open"}[r.Close])
+}
+
+const guardedHead = "POST /lookup HTTP/1.1\r\nHost: a\r\nX-Qos: lookup\r\nX-Trace-Id: %s\r\nX-Expires-In-Ms: 900\r\n" +
+	"X-Customer: acme\r\nX-Try: 2\r\nContent-Length: %d\r\n\r\n"
+
+// A query that is turned away is answered without its body, and told when to come back; what the guard is shown is what stands
+// in the head.
+func TestTurnedAway(t *testing.T) {
+	served := 0
+	on(t, counted(&served), func(s *Server, dial func() *client) {
+		g := &guard{away: true}
+		guarded(s.front, g)
+		c := dial()
+		defer c.Close()
+		fmt.Fprintf(c, guardedHead, "a", 500) // and no byte of the body
+		if got := c.said(); !strings.HasPrefix(got, "503 0.700 close") {
+			t.Errorf("got %q", got)
+		}
+		d := dial()
+		defer d.Close()
+		for i := range 2 { // with its body there, the connection stays
+			fmt.Fprintf(d, guardedHead+goodBody, fmt.Sprint("b", i), len(goodBody))
+			if got := d.said(); !strings.HasPrefix(got, "503 0.700 open") {
+				t.Errorf("got %q", got)
+			}
+		}
+		g.away = false
+		fmt.Fprintf(d, guardedHead+goodBody, "c", len(goodBody))
+		if got := d.said(); !strings.HasPrefix(got, "200") {
+			t.Errorf("got %q", got)
+		}
+		if a := g.shown[0]; len(g.shown) != 4 || a.Workload != 1 || a.Try != 2 || a.Customer == 0 || a.ID == g.shown[1].ID ||
+			a.Left < 880e6 || a.Left > 900e6 {
+			t.Errorf("shown %+v", g.shown)
+		}
+		if row := s.front.Count.Workloads["lookup"]; served != 1 || row.Taken.Load() != 3 || row.Declined.Load() != 3 ||
+			len(g.ended) != 1 || g.ended[0] != "1 true true" {
+			t.Errorf("%d served, %d taken, %d declined, ended %q", served, row.Taken.Load(), row.Declined.Load(), g.ended)
+		}
+	})
+}
+
+// What follows a query that is turned away is never taken for part of it, nor hidden by it.
+func TestHiddenBehind(t *testing.T) {
+	served := 0
+	on(t, counted(&served), func(s *Server, dial func() *client) {
+		g := &guard{away: true}
+		guarded(s.front, g)
+		c := dial()
+		defer c.Close()
+		fmt.Fprintf(c, guardedHead+goodBody+guardedHead+goodBody, "a", len(goodBody), "b", len(goodBody))
+		if got := c.said(); !strings.HasPrefix(got, "503 0.700 close") {
+			t.Errorf("got %q", got)
+		}
+		if rest, _ := io.ReadAll(c.in); len(rest) > 0 || len(g.shown) != 1 {
+			t.Errorf("%q came after it, %d were shown", rest, len(g.shown))
+		}
+	})
+}
+
+// At its first bytes nothing is turned away but a whole query of a workload that is known; all else goes the usual way.
+func TestUnseen(t *testing.T) {
+	served := 0
+	on(t, counted(&served), func(s *Server, dial func() *client) {
+		g := &guard{unseen: true}
+		guarded(s.front, g)
+		c := dial()
+		defer c.Close()
+		for i := range 3 {
+			fmt.Fprintf(c, guardedHead+goodBody, fmt.Sprint("a", i), len(goodBody))
+			if got := c.said(); !strings.HasPrefix(got, "503 0.300 open") {
+				t.Errorf("got %q", got)
+			}
+		}
+		if len(g.shown) != 0 || s.front.Count.Workloads["lookup"].Declined.Load() != 3 {
+			t.Errorf("%d shown, %d declined", len(g.shown), s.front.Count.Workloads["lookup"].Declined.Load())
+		}
+		for name, text := range map[string]string{
+			"halves":      fmt.Sprintf(guardedHead+goodBody[:20], "h", len(goodBody)),
+			"two":         fmt.Sprintf(guardedHead+goodBody+"POST", "t", len(goodBody)),
+			"other path":  strings.Replace(fmt.Sprintf(guardedHead+goodBody, "o", len(goodBody)), "/lookup ", "/other ", 1),
+			"health":      "GET /healthz HTTP/1.1\r\nHost: a\r\n\r\n",
+			"chunks":      strings.Replace(fmt.Sprintf(guardedHead, "c", 7), "Content-Length: 7", "Transfer-Encoding: chunked", 1),
+			"two lengths": strings.Replace(fmt.Sprintf(guardedHead+goodBody, "l", len(goodBody)), "Host", "Content-Length: 9\r\nHost", 1),
+		} {
+			d := dial()
+			io.WriteString(d, text)
+			if name == "halves" {
+				time.Sleep(5 * time.Millisecond)
+				io.WriteString(d, goodBody[20:])
+			}
+			if got := d.said(); strings.HasPrefix(got, "503 0.300") {
+				t.Errorf("%s: %q", name, got)
+			}
+			d.Close()
+		}
+		c = dial()
+		defer c.Close()
+		for i := range 3 { // longer than a first request may take
+			fmt.Fprintf(c, guardedHead+goodBody, fmt.Sprint("y", i), len(goodBody))
+			if got := c.said(); !strings.HasPrefix(got, "503 0.300 open") {
+				t.Errorf("got %q", got)
+			}
+			time.Sleep(1500 * time.Millisecond)
+		}
+		g.unseen = false
+		fmt.Fprintf(c, guardedHead+goodBody, "z", len(goodBody))
+		if got := c.said(); !strings.HasPrefix(got, "200") {
+			t.Errorf("on the same connection: %q", got)
+		}
+	})
+}
--- a/front/server.go
+++ b/front/server.go
@@ -63,6 +63,9 @@
 // Read notes when the first byte of a request comes: the stock server tells only when a header is whole.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	for n > 0 && c.unseen(b[:n]) { // the answer is out, and the next request is waited for
+		n, err = c.Conn.Read(b)
+	}
 	if n > 0 {
 		c.server.mu.Lock()
 		if c.phase <= idle {
@@ -93,6 +96,14 @@
 	return c.head.length && c.head.coded
 }
 
+// complete tells whether all of the present request has come, and nothing behind it.
+func (c *conn) complete(length int64) bool {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.phase = served
+	return length >= 0 && c.head.body == length
+}
+
 // taken notes that the present request is whole, and tells whether more may have come than belongs to it.
 func (c *conn) taken(length int64) (more bool) {
 	c.server.mu.Lock()
--- /dev/null
+++ b/machine/machine_test.go
@@ -0,0 +1,98 @@
+package machine
+
+import (
+	"context"
+	"encoding/json"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"willowsill/strain"
+)
+
+func newWatch(t *testing.T, facts, waited *atomic.Int64) *Watch {
+	t.Helper()
+	began := time.Now()
+	terms := strain.Terms{Cores: 1, Workloads: []strain.Workload{{Revenue: 1, Goal: 250e6}}, Limit: "model", Target: 5e6, Most: 2e9}
+	if err := terms.Check(); err != nil {
+		t.Fatal(err)
+	}
+	return New(terms, Sources{Now: func() int64 { return int64(time.Since(began)) + 1e9 }, Queue: func() float64 { return 0.1 },
+		Client: func() float64 { return 0.2 }, Memory: 64 << 20,
+		Facts: func() (int64, int64) { return facts.Load(), waited.Load() }}, zap.NewNop())
+}
+
+// What is read is what was done: the processor's time, facts and how long they waited, the heap, a collection.
+func TestRead(t *testing.T) {
+	var facts, waited atomic.Int64
+	w := newWatch(t, &facts, &waited)
+	facts.Add(10)
+	waited.Add(10 * 3e6)
+	for began := time.Now(); time.Since(began) < 60*time.Millisecond; {
+	}
+	held := make([]byte, 8<<20)
+	runtime.GC()
+	r := w.read(int64(7 * time.Millisecond))
+	runtime.KeepAlive(held)
+	if r.Used < 30e6 || r.Used > 10*r.Span || r.Span < 60e6 || r.Wait != 3e6 || r.Late != 7e6 || r.Queue != 0.1 || r.Descriptors != 0.2 {
+		t.Errorf("%+v", r)
+	}
+	if r.Heap < 0.12 || r.Heap > 1 || r.Pause <= 0 || r.GC <= 0 {
+		t.Errorf("%+v", r)
+	}
+	if r = w.read(0); r.Wait != 0 || r.Span > 1e9 {
+		t.Errorf("with nothing new: %+v", r)
+	}
+}
+
+// Reading ten times a second costs less than half a hundredth of a core.
+func TestCheap(t *testing.T) {
+	var facts, waited atomic.Int64
+	w := newWatch(t, &facts, &waited)
+	cost := testing.Benchmark(func(b *testing.B) {
+		for range b.N {
+			w.strain.Read(w.Now(), w.read(0))
+		}
+	})
+	if ns := cost.NsPerOp(); ns*int64(time.Second/each) > 5e6*4 { // a build with the race detector takes four times as long
+		t.Errorf("a reading costs %d ns", ns)
+	}
+	t.Logf("a reading costs %v", time.Duration(cost.NsPerOp()))
+}
+
+// Many ask while it reads, and its figures can be told.
+func TestWatch(t *testing.T) {
+	var facts, waited atomic.Int64
+	w := newWatch(t, &facts, &waited)
+	ctx, stop := context.WithCancel(t.Context())
+	var all sync.WaitGroup
+	all.Go(func() { w.Run(ctx) })
+	for id := range 4 {
+		all.Go(func() {
+			for i := range 200 {
+				taken, _ := w.Arrive(strain.Arrival{ID: uint64(id<<32 + i), Left: 1e9, Try: 1})
+				if away, _ := w.Unseen(0); away || !taken {
+					t.Error("turned away on a machine that is not strained")
+				}
+				w.Waited(1000)
+				w.Ended(0, 1e6, true)
+			}
+		})
+	}
+	time.Sleep(3 * each)
+	stop()
+	all.Wait()
+	text, err := json.Marshal(w)
+	var f struct {
+		Level string
+		Taken int
+		Cost  []float64 `json:"cost_ns"`
+	}
+	if err != nil || json.Unmarshal(text, &f) != nil || f.Taken != 800 || f.Level == "" || len(f.Cost) != 1 {
+		t.Errorf("%s %v", text, err)
+	}
+}
--- a/node/admit.go
+++ b/node/admit.go
@@ -26,6 +26,7 @@
 // query is one that the node holds.
 type query struct {
 	Query
+	came       int64
 	handle     *balance.Query
 	answer     chan Answer // has room for the one answer
 	executions [][]*execution
@@ -48,10 +49,10 @@
 	if len(n.facts) >= queueLength/frontShare {
 		return n.crowded(), true
 	}
-	q := &query{Query: asked, answer: make(chan Answer, 1),
+	q := &query{Query: asked, came: n.Now(), answer: make(chan Answer, 1),
 		executions: make([][]*execution, len(asked.Parts)),
 		values:     make([]string, len(asked.Parts)), in: make([]bool, len(asked.Parts))}
-	n.facts <- fact{n.Now(), arrival{q}}
+	n.facts <- fact{q.came, arrival{q}}
 	select {
 	case a := <-q.answer:
 		return a, true
@@ -83,6 +84,9 @@
 	if over {
 		count.Over.Add(1)
 	}
+	if n.rhythm != nil {
+		n.rhythm.Waited(now - q.came)
+	}
 	q.handle = n.agg.Take(now, balance.Arrival{Workload: q.Workload, Patience: patience, Parts: len(q.Parts), Over: over})
 	for _, p := range q.Parts {
 		q.handle.AddPart(p.Shard, p.Weight)
--- a/node/node.go
+++ b/node/node.go
@@ -50,7 +50,7 @@
 // fact is something that happened, on its way to the loop.
 type fact struct {
 	at   int64
-	what any // arrival, departure, notice, roster.News, survey, allowance, sharing or stop
+	what any // arrival, departure, notice, roster.News, survey, allowance, sharing, rhythm or stop
 }
 
 type stop struct{}
@@ -87,6 +87,7 @@
 	sweep    int64
 	stopped  bool
 	shared   *shared // what is shared with other aggregators, nil where nothing is
+	rhythm   *Rhythm // nil for a round each tick
 }
 
 // host is the replica that has an index.
@@ -167,9 +168,9 @@
 		case <-timer.C:
 			n.late(n.Now() - next)
 		}
-		for range len(n.facts) {
-			n.take(<-n.facts)
-		}
+		woken := n.woken()
+		n.drain()
+		n.gather()
 		now := n.Now()
 		n.expire(now)
 		if now >= n.due() {
@@ -180,7 +181,7 @@
 			n.pool.Sweep()
 			n.bookGone()
 		}
-		next = min(n.due(), n.cuts.next(), n.sweep)
+		next = n.sleeps(min(n.due(), n.cuts.next(), n.sweep), woken)
 		timer.Reset(time.Duration(max(next-n.Now(), 0)))
 	}
 	for n.pool.Close(); n.pool.Open() > 0; {
@@ -189,6 +190,15 @@
 	n.bookPending()
 }
 
+// drain takes the facts that wait, and tells whether there were any.
+func (n *Node) drain() bool {
+	some := len(n.facts)
+	for range some {
+		n.take(<-n.facts)
+	}
+	return some > 0
+}
+
 // late notes how late the loop was, which the simulator has no word for: the module's times are kept that much
 // further from the clients'. Old lateness fades.
 //
@@ -198,11 +208,11 @@
 	n.count.DelayHighest.Show(by)
 }
 
-// due is when the next round has to come: rounds stand a tick apart at least.
+// due is when the next round has to come: rounds stand a tick apart at least, or as the rhythm has it.
 func (n *Node) due() int64 {
 	next := int64(math.MaxInt64)
 	if n.moved {
-		next = n.last + n.Tick
+		next = n.last + n.gap()
 	}
 	if n.wake > 0 {
 		next = min(next, max(n.wake, n.last+n.Tick))
@@ -241,6 +251,8 @@
 		n.allow(now, v)
 	case sharing:
 		n.share(v)
+	case rhythm:
+		n.rhythm = v.rhythm
 	case stop:
 		n.stopped = true
 	}
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -19,6 +19,7 @@
 	"willowsill/roster"
 	"willowsill/sockets"
 	"willowsill/standin"
+	"willowsill/strain"
 )
 
 // world is a node with stand-ins for all that is around it: two replicas, each holding both shards.
@@ -123,6 +124,36 @@
 	})
 }
 
+// With a rhythm a query that comes just after a round does not wait for the next tick, on its way out or back.
+func TestRhythm(t *testing.T) {
+	for _, at := range []bool{false, true} {
+		on(t, asIs, value, func(w *world) {
+			waited := 0
+			if at {
+				w.Follow(&Rhythm{Pace: &strain.Pace{Tick: 5e6}, Waited: func(int64) { waited++ }, Stood: func(ns int64) { w.Errorf("stood %d", ns) }})
+			}
+			time.Sleep(20 * time.Millisecond)
+			for i := range 3 {
+				go w.serve(w.Context(), fmt.Sprint("p", i), 2*time.Second)
+				time.Sleep(time.Millisecond)
+				began := time.Now()
+				got := w.serve(w.Context(), fmt.Sprint("q", i), 2*time.Second)
+				if took := time.Since(began); (took == 50*time.Millisecond) != at || !strings.HasPrefix(got, "0 ") {
+					w.Errorf("with a rhythm %v: %s, %v", at, got, took)
+				}
+				time.Sleep(20 * time.Millisecond)
+			}
+			if at {
+				if waited != 6 {
+					w.Errorf("told of %d queries", waited)
+				}
+				w.Follow(nil)
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+}
+
 func TestSharedCall(t *testing.T) {
 	on(t, func(p *Plan) { p.Deployment.PartsPerCall = 8 }, value, func(w *world) {
 		w.discovery.Change(listed(1, "leaving"))
--- a/node/route.go
+++ b/node/route.go
@@ -20,4 +20,5 @@
 		n.ask()
 	}
 	n.bookPending()
+	n.took(now)
 }
--- a/operator/functions.go
+++ b/operator/functions.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"willowsill/script"
+	"willowsill/strain"
 )
 
 const (
@@ -78,6 +79,20 @@
 		o.Links = append(o.Links, l)
 		return siteName(l.To, "to")
 	}},
+	"strain": {Name: "strain", Help: "has the process know its own strain, turn away what is worth least, and decide without waiting for the tick",
+		Parameters: []*script.Parameter{
+			{Name: "shed", Kind: script.Truth, Unset: true, Help: "under strain, queries worth least are turned away"},
+			{Name: "at_once", Kind: script.Truth, Unset: true, Help: "rounds do not wait for the tick where they cost little"},
+			{Name: "revenue", Kind: script.Shares, Unset: map[string]float64{}, Most: 1e9, Help: "of a query served within its goal, by workload; else 1"},
+			{Name: "limit", Kind: script.Text, Unset: "model", Words: strain.Limits, Help: "how what can be served is found; all but model are baselines"},
+			{Name: "rate", Kind: script.Number, Unset: 1000.0, Least: 0.1, Most: 1e7, Help: "queries a second, for the fixed limit"},
+			{Name: "lateness", Kind: script.Span, Unset: 5 * milli, Least: 1e6, Most: 1e9, Help: "of the process itself that is borne"},
+			{Name: "floor", Kind: script.Number, Unset: 0.05, Most: 0.5, Help: "share of what can be served that customers are given by turns"},
+		}, Order: func(o *Orders, c script.Call) error {
+			o.Strain = &Strain{c.Truth("shed"), c.Truth("at_once"), c.Shares("revenue"), c.Text("limit"), c.Number("rate"),
+				c.Whole("lateness"), c.Number("floor")}
+			return nil
+		}},
 	"quota": {Name: "quota", Many: true, Help: "what one customer may ask for over all aggregators", Parameters: []*script.Parameter{
 		{Name: "customer", Kind: script.Text, Help: "as its queries name it"},
 		{Name: "rate", Kind: script.Number, Least: 0.001, Most: 1e7, Help: "queries a second"},
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -11,6 +11,7 @@
 	Quotas []Quota
 	Site   *Site
 	Links  []Link
+	Strain *Strain
 
 	said script.Said // for Explain
 }
@@ -46,6 +47,17 @@
 	HTTP2    bool               // queries to one gateway share a connection
 }
 
+// Strain is what the process does about its own.
+type Strain struct {
+	Shed     bool               // queries worth least are turned away
+	AtOnce   bool               // rounds do not wait for the tick
+	Revenue  map[string]float64 // of a query served within its goal, by workload; 1 where it is not named
+	Limit    string             // one of strain.Limits
+	Rate     float64            // queries a second, for the fixed limit
+	Lateness int64              // of the process itself that is borne, ns
+	Floor    float64            // share of what can be served that customers are given by turns
+}
+
 // Link is the way to another site.
 type Link struct {
 	To       string
--- a/standin/sites/sites.go
+++ b/standin/sites/sites.go
@@ -4,6 +4,7 @@
 package sites
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -47,6 +48,9 @@
 	Way      link.Way           // each direction of each link
 	Revenue  map[string]float64 // by workload
 	Left     []string           // sites that are left by hand from the start on
+	Script   string             // what else the operator of each process says
+	Held     int                // queries and parts that a process may hold; 0 for 200
+	Sockets  int                // descriptors of a process; 0 for 512
 }
 
 // Shards of each site, and Patience and Goal of its clients.
@@ -229,9 +233,9 @@
 	}
 	three := func(x float64) []float64 { return []float64{x, x, x} }
 	config := map[string]any{"seed": "00000000000000a7",
-		"limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": 512},
+		"limits": map[string]any{"cores": 1, "memory_mb": 128, "sockets": cmp.Or(s.world.Sockets, 512)},
 		"settings": map[string]any{"index": 0, "balancers": s.world.Gateways, "tick": 5, "membership_mode": "push",
-			"caps": map[string]any{"max_attempts": 3, "most_held": 200, "cancel": true, "retry_after": true,
+			"caps": map[string]any{"max_attempts": 3, "most_held": cmp.Or(s.world.Held, 200), "cancel": true, "retry_after": true,
 				"max_retry_after": 2000, "streams_per_conn": 32, "connect_timeout": 200, "conn_idle": 20000},
 			"domain": map[string]any{"slices": Shards, "cells": Shards, "in_a_row": 1, "parts_a_call": 1, "class_need": three(1),
 				"class_floor": three(1), "incomplete_worth": three(0.9), "follow_up": []int{0, 0, 0}},
@@ -262,9 +266,10 @@
 func (s *Site) script(i int) (string, error) {
 	w := s.world
 	if w.Alone {
-		return "", nil
+		return w.Script, nil
 	}
 	var b strings.Builder
+	b.WriteString(w.Script)
 	revenue, _ := json.Marshal(w.Revenue)
 	if w.Revenue == nil {
 		revenue = []byte("{}")
@@ -325,7 +330,7 @@
 		return err
 	}
 	args := []string{}
-	if !s.world.Alone {
+	if !s.world.Alone || s.world.Script != "" {
 		args = []string{"serve", "--operator", s.file(strconv.Itoa(i) + ".star")}
 	}
 	p := &running{cmd: exec.Command(s.world.Binary, args...), ended: make(chan struct{})}
@@ -357,6 +362,15 @@
 	return s.procs[i].spent
 }
 
+// URL is where a process serves clients.
+func (s *Site) URL(i int) string { return "http://" + s.fixed[i] }
+
+// Signal sends a process a signal.
+func (s *Site) Signal(i int, what syscall.Signal) error { return s.procs[i].cmd.Process.Signal(what) }
+
+// PID is a process's number.
+func (s *Site) PID(i int) int { return s.procs[i].cmd.Process.Pid }
+
 // Leave has a process stop as for a planned restart, and waits until it has.
 func (s *Site) Leave(i int) error {
 	p := s.procs[i]
