--- a/emulator/aggregator.go
+++ b/emulator/aggregator.go
@@ -60,6 +60,8 @@
 	list     []balance.Listing // as it was told last
 	down     bool
 	frozen   int64 // it does nothing until then, 0 for not
+
+	processor *processor // its own; nil where what it does costs nothing
 }
 
 // wake begins anew, with nothing but the list.
@@ -131,7 +133,14 @@
 		a.sector.agenda.Push(e)
 		return
 	}
+	if a.queues(now, e) {
+		return
+	}
 	switch e.Kind {
+	case isFree:
+		a.comesTo(now)
+	case reads:
+		a.reading(now)
 	case decides:
 		if a.due != 0 && a.due <= now && !a.down {
 			a.due = 0
@@ -203,6 +212,8 @@
 		return
 	case now >= at+l.Patience: // its client has left
 		a.tally.End(at-origin, now-origin, load, tries, balance.Forfeited)
+		a.next++
+		a.insists(now, a.next, &asked{load: load, at: at, tries: tries, shards: shards}, balance.Forfeited, 0)
 		return
 	}
 	a.hold(now, &asked{load: load, at: at, tries: tries, shards: shards}, at+l.Patience-now)
@@ -327,13 +338,8 @@
 			Load: carriedBack{final: e.final, willing: a.willing(now), comeBack: e.comeBack}})
 		return
 	}
-	l := &a.Loads[q.load]
-	if e.final == balance.Declined && e.comeBack > 0 && q.tries < 3 && a.clients.Float64() < l.Retry {
-		wait := e.comeBack + int64(a.clients.Float64()*float64(e.comeBack)/10)
-		a.repeats[e.query] = q.shards
-		a.cause(now, agenda.Event{At: now + wait, To: a.self, Kind: again, Query: e.query, Value: now + wait, Part: int16(q.load),
-			Number: int16(q.tries + 1)})
-	}
+	a.served(now, q, e.final)
+	a.insists(now, e.query, q, e.final, e.comeBack)
 	a.tally.End(q.at-origin, now-origin, q.load, q.tries, e.final)
 }
 
--- a/emulator/plan.go
+++ b/emulator/plan.go
@@ -42,6 +42,7 @@
 	BudgetSpan   int64
 	Uneven       float64 // of the aggregators' shares of the load, as a standard deviation of the logarithm
 
+	Own    Own    // of each aggregator's own processor
 	Sites  int    // that the fleet is dealt over, replicas in blocks, aggregators by turns; 0 or 1 for one
 	Link   Link   // between any two of them
 	Route  string // by what queries are carried: none, or one of routes.Policies
@@ -71,6 +72,7 @@
 	Wave     float64 // of the rate, that it swings up and down by, as by day and night,
 	Day      int64   // once in so long
 	Quota    float64 // queries a second that its customer may ask over all aggregators, kept by the shared store; 0 for none
+	Insist   float64 // share of queries without an answer, or declined without advice, that their clients ask again soon
 	Retry    float64 // share of declined queries that their clients ask again, when they are told to come back
 }
 
--- a/emulator/replica.go
+++ b/emulator/replica.go
@@ -25,6 +25,9 @@
 	asks        // a client's query; Value is its load
 	again       // a client asks again; Value is its load
 	gone        // a client's time is up
+	isFree      // an aggregator's own processor comes to what waits next
+	isServed    // a query that waited for it
+	reads       // strain is told how it stands
 	forgets     // nothing more can come of a query
 	shares      // a round with the store is due; Value is the round before
 	storeHears  // a round comes to the store
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -208,6 +208,7 @@
 		}
 		a.world, a.watch.Mechanism = w, p.Policy == "module"
 		a.wake(origin)
+		a.power(origin)
 		w.aggs = append(w.aggs, a)
 	}
 	for _, a := range w.aggs {
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -90,6 +90,9 @@
 		{Name: "cold_ramp", Kind: script.Span, Unset: 9 * second, Least: 1e6, Most: 600e9, Help: "until it is warm"},
 		{Name: "fall_multiple", Kind: script.Number, Unset: 4.0, Least: 1, Most: 1000, Help: "of its present capacity pushes a cold one over,"},
 		{Name: "fall_span", Kind: script.Span, Unset: second, Least: 1e6, Most: 600e9, Help: "when kept up so long"},
+		{Name: "own_query", Kind: script.Span, Unset: int64(0), Most: 1e9, Help: "of an aggregator's own processor for a query; 0s for none,"},
+		{Name: "own_reply", Kind: script.Span, Unset: int64(0), Most: 1e9, Help: "for a replica's answer,"},
+		{Name: "own_refusal", Kind: script.Span, Unset: int64(0), Most: 1e9, Help: "and for a query that strain turns away"},
 		{Name: "budget", Kind: script.Number, Unset: 0.0, Most: 10, Help: "further executions for each query; 0 for no budget"},
 		{Name: "budget_free", Kind: script.Number, Unset: 5.0, Most: 1e6, Help: "and so many beside,"},
 		{Name: "budget_span", Kind: script.Span, Unset: 10 * second, Least: 1e6, Most: 600e9, Help: "in any such span"},
@@ -106,6 +109,7 @@
 		p.FallMultiple, p.FallSpan = c.Number("fall_multiple"), c.Whole("fall_span")
 		p.Share, p.Free, p.BudgetSpan = c.Number("budget"), c.Number("budget_free"), c.Whole("budget_span")
 		p.Budgeted = p.Share > 0
+		p.Own = emulator.Own{Query: c.Whole("own_query"), Reply: c.Whole("own_reply"), Refusal: c.Whole("own_refusal")}
 		return nil
 	}},
 	"link": {Name: "link", Help: "is the way between any two sites", Parameters: []*script.Parameter{
@@ -137,13 +141,14 @@
 		{Name: "wave", Kind: script.Number, Unset: 0.0, Most: 1, Help: "of the rate, that it swings by as by day and night,"},
 		{Name: "day", Kind: script.Span, Unset: int64(0), Most: 3600e9, Help: "once in so long"},
 		{Name: "quota", Kind: script.Number, Unset: 0.0, Most: 1e7, Help: "of its customer over all aggregators, kept by the shared store; 0 for none"},
+		{Name: "insist", Kind: script.Number, Unset: 0.0, Most: 1, Help: "share of those without an answer, or declined without advice, that are asked again soon"},
 		{Name: "retry", Kind: script.Number, Unset: 0.0, Most: 1, Help: "share of declined ones that are asked again when told to"},
 	}, Order: func(e *Experiment, c script.Call) error {
 		l := emulator.Load{Name: c.Text("name"), Rate: c.Number("rate"), Parts: int(c.Whole("parts")), Goal: c.Whole("goal"),
 			Patience: c.Whole("patience"), Effect: balance.Effect(slices.Index(effects, c.Text("effect"))), Window: c.Whole("window"),
 			Floor: c.Number("floor"), Revenue: c.Number("revenue"), Skew: c.Number("skew"), Burst: c.Number("burst"),
 			At: c.Whole("burst_at"), Quota: c.Number("quota"), Wave: c.Number("wave"), Day: c.Whole("day"),
-			Every: c.Whole("every"), For: c.Whole("burst_for"), Retry: c.Number("retry")}
+			Every: c.Whole("every"), For: c.Whole("burst_for"), Retry: c.Number("retry"), Insist: c.Number("insist")}
 		if l.Goal > l.Patience {
 			return errors.New(`key "goal" is longer than the patience`)
 		}
@@ -185,6 +190,7 @@
 			{Name: "executions", Kind: script.Whole, Unset: int64(0), Most: 16, Help: "of one part at most; 0 for the fleet's"},
 			{Name: "store", Kind: script.Text, Unset: "none", Words: emulator.Stores, Help: "how the shared store behaves"},
 			{Name: "route", Kind: script.Text, Unset: "none", Words: append([]string{"none"}, routes.Policies...), Help: "by what queries are carried to other sites"},
+			{Name: "strain", Kind: script.Text, Unset: "none", Words: emulator.Strains, Help: "the limit by which aggregators know their own strain"},
 			{Name: "calm", Kind: script.Truth, Unset: false, Help: "no fault befalls anybody"},
 			{Name: "list_delay", Kind: script.Span, Unset: int64(0), Most: 600e9, Help: "0s for the fleet's"},
 			{Name: "constants", Kind: script.Shares, Unset: map[string]float64(nil), Least: -1e15, Most: 1e15,
@@ -192,8 +198,9 @@
 		}, Order: func(e *Experiment, c script.Call) error {
 			other := c.Shares("constants")
 			v := Variant{Name: c.Text("name"), Constants: other, True: c.Text("policy") == "module" && c.Text("store") == "none" &&
-				c.Text("route") == "none" && other == nil, change: func(p *emulator.Plan) {
+				c.Text("route") == "none" && c.Text("strain") == "none" && other == nil, change: func(p *emulator.Plan) {
 				p.Policy, p.Store, p.Route = c.Text("policy"), c.Text("store"), c.Text("route")
+				p.Own.Strain = c.Text("strain")
 				if n := int(c.Whole("executions")); n > 0 {
 					p.Executions = n
 				}
