One builder of the program for tests, one background runner; refusals counted by name

Change: standin/program, background, asking with its connections, Strain.can; a refusal knows its workload's name; the emulator's two ways to turn a query away are one; fields that nobody read are gone.

--- a/cmd/pressed/burst.go
+++ b/cmd/pressed/burst.go
@@ -50,7 +50,7 @@
 // crowd asks at a rate for a while.
 func crowd(ctx context.Context, w *sites.World, parts int, rate float64, span time.Duration, seed uint64) (*Crowd, error) {
 	c := &Crowd{Rate: rate}
-	before, at := w.CPU(), time.Now()
+	before := w.CPU()
 	was := w.Sites["one"].Counters(0)
 	var both sync.WaitGroup
 	errs := make(chan error, 2)
@@ -60,8 +60,7 @@
 		to   **load.Outcome
 	}{{cheap, rate * (1 - dearShare), &c.Cheap}, {dear, rate * dearShare, &c.Dear}} {
 		both.Go(func() {
-			clients, err := load.New(load.Target{URL: w.Sites["one"].URL(0), Workload: kind.name, Shards: all(parts), Text: "t",
-				Patience: sites.Patience, Goal: sites.Goal, Sockets: 700})
+			clients, err := asking(w, kind.name, parts, 700)
 			if err != nil {
 				errs <- err
 				return
@@ -76,11 +75,10 @@
 		return nil, err
 	default:
 	}
-	c.Took, c.CPU = time.Since(at), w.CPU()-before
+	c.Took, c.CPU = span, w.CPU()-before
 	is := w.Sites["one"].Counters(0)
 	c.Refused = sites.Figure(is, "strain", "shed") - sites.Figure(was, "strain", "shed")
 	c.Unseen = sites.Figure(is, "strain", "unseen") - sites.Figure(was, "strain", "unseen")
-	c.Took = span
 	return c, nil
 }
 
@@ -109,7 +107,7 @@
 				if err == nil {
 					err = func() error {
 						if most == 0 { // what can be served is found once, with the former program
-							clients, err := asking(w, cheap, parts)
+							clients, err := asking(w, cheap, parts, 0)
 							if err != nil {
 								return err
 							}
--- a/cmd/pressed/pressed_test.go
+++ b/cmd/pressed/pressed_test.go
@@ -1,25 +1,15 @@
 package main
 
 import (
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
-)
 
-// program builds the program for a test.
-func program(t *testing.T) string {
-	t.Helper()
-	file := filepath.Join(t.TempDir(), "willowsill")
-	if out, err := exec.Command("go", "build", "-o", file, "willowsill/cmd/willowsill").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
-	return file
-}
+	"willowsill/standin/program"
+)
 
 // The process is stopped by a signal while it serves: it sees how long it stood, loses no query, and blames no replica.
 func TestStops(t *testing.T) {
-	s, err := Stops(t.Context(), program(t), "strain()\n", 100, time.Second, 2*time.Second, 1)
+	s, err := Stops(t.Context(), program.Build(t), "strain()\n", 100, time.Second, 2*time.Second, 1)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -31,7 +21,7 @@
 
 // Five times what can be served: more of the revenue is kept than by the program without its strain known.
 func TestBurst(t *testing.T) {
-	binary := program(t)
+	binary := program.Build(t)
 	const rate, parts = 6000, 32
 	var kept [2]float64
 	for i, one := range shedding("model") {
--- a/cmd/pressed/rounds.go
+++ b/cmd/pressed/rounds.go
@@ -35,10 +35,10 @@
 	}, err
 }
 
-// asking are clients of a world's process.
-func asking(w *sites.World, workload string, parts int) (*load.Clients, error) {
+// asking are clients of a world's process, on so many connections at a time; 0 for any number.
+func asking(w *sites.World, workload string, parts, sockets int) (*load.Clients, error) {
 	return load.New(load.Target{URL: w.Sites["one"].URL(0), Workload: workload, Shards: all(parts), Text: "t", Patience: sites.Patience,
-		Goal: sites.Goal})
+		Goal: sites.Goal, Sockets: sockets})
 }
 
 func rounds() *cobra.Command {
@@ -61,7 +61,7 @@
 				}
 				err = func() error {
 					defer end()
-					clients, err := asking(w, "look", parts)
+					clients, err := asking(w, cheap, parts, 0)
 					if err != nil {
 						return err
 					}
--- a/cmd/pressed/stops.go
+++ b/cmd/pressed/stops.go
@@ -21,11 +21,10 @@
 
 // Stop is what came of a process that was stopped again and again while it served.
 type Stop struct {
-	Outcome              *load.Outcome
-	TimedOut, Cancelled  float64 // executions, as the process counts them
-	Sent, Asked, Stood   float64
-	Further              float64 // executions beyond one a part
-	Reset, ConnectFailed float64
+	Outcome             *load.Outcome
+	TimedOut, Cancelled float64 // executions, as the process counts them
+	Stood               float64 // seconds
+	Further             float64 // executions beyond one a part
 }
 
 // watch has clients ask at a steady rate for a while, and sees what the process did meanwhile.
@@ -35,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	clients, err := asking(w, cheap, 2)
+	clients, err := asking(w, cheap, 2, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -50,10 +49,9 @@
 	both.Wait()
 	is := one.Counters(0)
 	of := func(path ...string) float64 { return sites.Figure(is, path...) - sites.Figure(was, path...) }
-	s.Sent, s.TimedOut, s.Cancelled = of("executions", "sent"), of("executions", "timed_out"), of("executions", "cancelled")
-	s.Reset, s.ConnectFailed = of("executions", "reset"), of("executions", "connect_failed")
-	s.Asked, s.Stood = of("workloads", cheap, "taken"), sites.Figure(is, "strain", "stood_ns")/1e9
-	s.Further = s.Sent - 2*(s.Asked-of("workloads", cheap, "declined"))
+	s.TimedOut, s.Cancelled = of("executions", "timed_out"), of("executions", "cancelled")
+	s.Stood = sites.Figure(is, "strain", "stood_ns") / 1e9
+	s.Further = of("executions", "sent") - 2*(of("workloads", cheap, "taken")-of("workloads", cheap, "declined"))
 	return s, err
 }
 
--- a/cmd/sites/sites_test.go
+++ b/cmd/sites/sites_test.go
@@ -1,28 +1,17 @@
 package main
 
 import (
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
+	"willowsill/standin/program"
 	"willowsill/standin/sites"
 )
 
-// program builds the program for a test.
-func program(t *testing.T) string {
-	t.Helper()
-	file := filepath.Join(t.TempDir(), "willowsill")
-	if out, err := exec.Command("go", "build", "-o", file, "willowsill/cmd/willowsill").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
-	return file
-}
-
 // Processes of a site are restarted under load, as planned or killed. Whatever happens to them, each query has one right answer
 // in its time and no once-only part runs twice; of planned restarts no client hears but by a decline.
 func TestRestarts(t *testing.T) {
-	binary := program(t)
+	binary := program.Build(t)
 	for name, killed := range map[string]bool{"planned": false, "killed": true} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/cmd/willowsill/share.go
+++ b/cmd/willowsill/share.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"reflect"
 	"time"
@@ -25,8 +24,7 @@
 	count  *counters.Counters
 	log    *zap.Logger
 	orders *operator.Orders
-	cancel context.CancelFunc // nil while nothing is shared
-	ended  chan struct{}
+	runs   *background // nil while it is off
 }
 
 // follow makes what runs what the orders say. With an error nothing has changed.
@@ -52,12 +50,7 @@
 	s.log.Info("knowledge is shared through a store", zap.String("address", o.Store.Address))
 	s.core.Share(true, quotas)
 	s.count.SharedStore.Put(count)
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel, s.ended = cancel, make(chan struct{})
-	go func() {
-		defer close(s.ended)
-		keeper.Run(ctx)
-	}()
+	s.runs = begin(keeper.Run)
 	return nil
 }
 
@@ -78,12 +71,11 @@
 
 // end ends sharing; what others said fades from the module by itself.
 func (s *sharing) end() {
-	if s.cancel == nil {
+	if s.runs == nil {
 		return
 	}
-	s.cancel()
-	<-s.ended
-	s.cancel = nil
+	s.runs.end()
+	s.runs = nil
 	s.core.Share(false, nil)
 	s.count.SharedStore.Put(nil)
 	s.log.Info("knowledge is no longer shared")
--- a/cmd/willowsill/strained.go
+++ b/cmd/willowsill/strained.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"encoding/json"
 	"fmt"
 	"reflect"
@@ -27,8 +26,7 @@
 	guard  *front.Guarded
 	log    *zap.Logger
 	orders *operator.Orders
-	cancel context.CancelFunc // nil while it is off
-	ended  chan struct{}
+	runs   *background // nil while it is off
 }
 
 // check tells what the orders cannot be here.
@@ -75,12 +73,7 @@
 		s.guard.Store(&guard)
 	}
 	s.count.Strain.Put(json.Marshaler(watch))
-	ctx, cancel := context.WithCancel(context.Background())
-	s.cancel, s.ended = cancel, make(chan struct{})
-	go func() {
-		defer close(s.ended)
-		watch.Run(ctx)
-	}()
+	s.runs = begin(watch.Run)
 	s.log.Info("the process watches its own strain", zap.Bool("shed", o.Strain.Shed), zap.Bool("at_once", o.Strain.AtOnce))
 	return nil
 }
@@ -106,13 +99,12 @@
 
 // end ends it; queries are taken on as they come again, and rounds wait for the tick.
 func (s *strained) end() {
-	if s.cancel == nil {
+	if s.runs == nil {
 		return
 	}
 	s.guard.Store(nil)
-	s.cancel()
-	<-s.ended
-	s.cancel = nil
+	s.runs.end()
+	s.runs = nil
 	s.core.Follow(nil)
 	s.count.Strain.Put(nil)
 	s.log.Info("the process no longer watches its own strain")
--- a/emulator/own.go
+++ b/emulator/own.go
@@ -101,41 +101,40 @@
 	if e.Kind == replies {
 		a.outcome(now, e.Query, int(e.Part), int(e.Number), balance.Result(e.Result))
 	} else {
-		cost = a.Own.Query
-		l := &a.Loads[e.Part]
-		if p.strain != nil {
-			p.strain.Waited(now - e.At)
-			taken, comeBack := p.strain.Arrive(now, strain.Arrival{Workload: int(e.Part), ID: uint64(e.Value), Left: e.Value + l.Patience - now,
-				Try: int(e.Number) + 1})
-			if !taken {
-				cost = a.Own.Refusal
-				if e.Number == 0 {
-					a.tally.Ask(e.Value-origin, int(e.Part))
-				}
-				a.turned(now, &asked{load: int(e.Part), at: e.Value, tries: int(e.Number), shards: e.Load.([]int)}, comeBack)
-			}
-		}
-		switch left := e.Value + l.Patience - now; {
-		case cost != a.Own.Query: // it is turned away
-		case left > 0 && left <= a.Tick: // there is no round in its time; on sockets limits are 50 ms longer
-			cost = a.Own.Refusal
-			if e.Number == 0 {
-				a.tally.Ask(e.Value-origin, int(e.Part))
-			}
-			a.turned(now, &asked{load: int(e.Part), at: e.Value, tries: int(e.Number), shards: e.Load.([]int)}, 0)
-		default:
-			a.take(now, e.Value, int(e.Part), int(e.Number), e.Load.([]int))
-		}
+		cost = a.comesToQuery(now, e)
 	}
 	p.free = now + cost
 	p.used += cost
 	a.works(now)
 }
 
-// turned ends a query that strain turned away.
+// comesToQuery takes a query that waited in, or turns it away, and returns what that costs.
+func (a *aggregator) comesToQuery(now int64, e agenda.Event) (cost int64) {
+	load, tries, shards := int(e.Part), int(e.Number), e.Load.([]int)
+	left := e.Value + a.Loads[load].Patience - now
+	taken, comeBack := true, int64(0)
+	if s := a.processor.strain; s != nil {
+		s.Waited(now - e.At)
+		taken, comeBack = s.Arrive(now, strain.Arrival{Workload: load, ID: uint64(e.Value), Left: left, Try: tries + 1})
+	}
+	if taken && left > 0 && left <= a.Tick { // there is no round in its time; on sockets limits are 50 ms longer
+		taken, comeBack = false, 0
+	}
+	if taken {
+		a.take(now, e.Value, load, tries, shards)
+		return a.Own.Query
+	}
+	if tries == 0 {
+		a.tally.Ask(e.Value-origin, load)
+	}
+	a.turned(now, &asked{load: load, at: e.Value, tries: tries, shards: shards}, comeBack)
+	return a.Own.Refusal
+}
+
+// turned ends a query that was turned away before the module heard of it.
 func (a *aggregator) turned(now int64, q *asked, comeBack int64) {
 	a.next++
-	a.trace(now, "query %d is turned away by strain, to come back in %.3f ms", a.next, float64(comeBack)/1e6)
+	a.trace(now, "query %d is turned away, to come back in %.3f ms", a.next, float64(comeBack)/1e6)
 	a.insists(now, a.next, q, balance.Declined, comeBack)
 	a.tally.End(q.at-origin, now-origin, q.load, q.tries, balance.Declined)
 }
--- a/front/front.go
+++ b/front/front.go
@@ -79,7 +79,10 @@
 }
 
 // away is a query that is turned away before its body is read.
-type away struct{ comeBack int64 }
+type away struct {
+	workload string
+	comeBack int64
+}
 
 func (away) Error() string { return "declined" }
 
@@ -190,7 +193,7 @@
 	var a away
 	switch {
 	case errors.As(err, &a):
-		f.turnAway(w, r, q.Workload, a)
+		f.turnAway(w, r, a)
 		return
 	case err != nil:
 		f.complain(w, err)
@@ -201,8 +204,8 @@
 
 // turnAway answers a query that the guard does not take on, without looking at its body. Its connection stays where the body is
 // there, for a new one would cost more than the answer; a client that is slow to send is not waited for.
-func (f *Front) turnAway(w http.ResponseWriter, r *http.Request, workload int, a away) {
-	f.countAway(workload)
+func (f *Front) turnAway(w http.ResponseWriter, r *http.Request, a away) {
+	f.countAway(a.workload)
 	if !f.discard(w, r) {
 		w.Header().Set("Connection", "close")
 		f.limit(w, restWait)
@@ -226,13 +229,10 @@
 }
 
 // countAway counts a query that was turned away unserved.
-func (f *Front) countAway(workload int) {
-	for name, row := range f.Workload {
-		if row == workload {
-			f.Count.Workloads[name].Taken.Add(1)
-			f.Count.Workloads[name].Declined.Add(1)
-		}
-	}
+func (f *Front) countAway(workload string) {
+	count := f.Count.Workloads[workload]
+	count.Taken.Add(1)
+	count.Declined.Add(1)
 }
 
 // serve has the core serve a query that was read.
@@ -298,7 +298,7 @@
 
 	if guard != nil {
 		if taken, comeBack := guard.Arrive(arrival(q, r, f.Clock.Now())); !taken {
-			return q, away{comeBack}
+			return q, away{name, comeBack}
 		}
 	}
 	tooLong := complaint{http.StatusRequestEntityTooLarge, "the body is over 64 KiB"}
--- a/front/unseen.go
+++ b/front/unseen.go
@@ -33,16 +33,16 @@
 	if !first {
 		return false
 	}
-	workload, is := f.queryLine(b)
+	name, row, is := f.queryLine(b)
 	rest, plain := restOf(b)
 	if !is || !plain {
 		return false
 	}
-	away, comeBack := guard.Unseen(workload)
+	away, comeBack := guard.Unseen(row)
 	if !away {
 		return false
 	}
-	f.countAway(workload)
+	f.countAway(name)
 	c.rest = rest
 	text := append(make([]byte, 0, 128), "HTTP/1.1 503 Service Unavailable\r\n"...)
 	if comeBack > 0 {
@@ -68,16 +68,17 @@
 }
 
 // queryLine reads which workload a request's first line names.
-func (f *Front) queryLine(b []byte) (workload int, is bool) {
+func (f *Front) queryLine(b []byte) (workload string, row int, is bool) {
 	line, _, whole := bytes.Cut(b, []byte("\r\n"))
 	path, isQuery := bytes.CutPrefix(line, []byte("POST /"))
 	path, version, _ := bytes.Cut(path, []byte(" "))
 	if !whole || !isQuery || string(version) != "HTTP/1.1" {
-		return 0, false
+		return "", 0, false
 	}
 	name, _, _ := bytes.Cut(path, []byte("/"))
-	workload, is = f.Workload[string(name)]
-	return workload, is
+	workload = string(name)
+	row, is = f.Workload[workload]
+	return workload, row, is
 }
 
 // restOf tells how much is still to come of the body of a request of which these are the first bytes, with its whole head; not
--- a/machine/machine.go
+++ b/machine/machine.go
@@ -90,7 +90,10 @@
 		now := w.Now()
 		w.mu.Lock()
 		changed := w.strain.Read(now, r)
-		figures := w.strain.Figures(now)
+		var figures strain.Figures
+		if changed {
+			figures = w.strain.Figures()
+		}
 		w.mu.Unlock()
 		if changed {
 			w.log.Info("the process's own strain", zap.String("level", figures.Level), zap.String("cause", figures.Cause),
@@ -217,9 +220,8 @@
 
 // MarshalJSON tells how it stands, for the counters.
 func (w *Watch) MarshalJSON() ([]byte, error) {
-	now := w.Now()
 	w.mu.Lock()
-	f := w.strain.Figures(now)
+	f := w.strain.Figures()
 	w.mu.Unlock()
 	return json.Marshal(struct {
 		strain.Figures
--- a/standin/lab/lab_test.go
+++ b/standin/lab/lab_test.go
@@ -1,19 +1,15 @@
 package lab
 
 import (
-	"os/exec"
-	"path/filepath"
 	"testing"
 
 	"willowsill/emulator"
+	"willowsill/standin/program"
 )
 
 // A short run on sockets comes near what the emulator says, with a fault and without.
 func TestNear(t *testing.T) {
-	binary := filepath.Join(t.TempDir(), "willowsill")
-	if out, err := exec.Command("go", "build", "-o", binary, "willowsill/cmd/willowsill").CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	binary := program.Build(t)
 	const second = int64(1e9)
 	p := emulator.Plan{Policy: "module", Seed: 3, Span: 7 * second, From: 2 * second, Until: 6 * second, Aggregators: 3, Replicas: 12,
 		Holders: 4, Workers: 2, Work: 20e6, Spread: 0.4, Way: 500e3, ListDelay: second / 4, Tick: 5e6, Executions: 3, Cancels: true,
--- a/strain/strain.go
+++ b/strain/strain.go
@@ -188,6 +188,9 @@
 	return s.level != was
 }
 
+// can is the work a second that can be done as far as is known, ns: without a limit, what the cores are.
+func (s *Strain) can() float64 { return min(s.limit.allowed(), s.Cores*1e9) }
+
 // work is what the queries taken on since the last reading cost, ns.
 func (s *Strain) work() (sum float64) {
 	for w, n := range s.began {
@@ -258,13 +261,13 @@
 }
 
 // Figures are the present ones.
-func (s *Strain) Figures(now int64) Figures {
+func (s *Strain) Figures() Figures {
 	f := Figures{Level: s.level.String(), Cause: s.cause, Pressure: round3(s.pressure), Used: round3(s.used / 1e9),
 		Refusal: math.Round(s.costs.refusal), Unseen: math.Round(s.costs.unseen)}
 	for w := range s.Workloads {
 		c := s.costs.of(w)
 		f.Costs = append(f.Costs, math.Round(c))
-		f.Capacity = append(f.Capacity, math.Round(min(s.limit.allowed(), s.Cores*1e9)/c))
+		f.Capacity = append(f.Capacity, math.Round(s.can()/c))
 	}
 	if s.shedding() {
 		f.Floor = round3(s.worth.floorPrice())
--- a/strain/worth.go
+++ b/strain/worth.go
@@ -114,7 +114,7 @@
 	// Danger: a query with little time left costs as much as any, and earns nothing.
 	left := float64(min(a.Left, s.Workloads[a.Workload].Goal))
 	p *= min(max(left/(tookNeeds*w.took[a.Workload]), 0), 1) * max(w.answered[a.Workload], 0.1)
-	if fair := min(s.limit.allowed(), s.Cores*1e9) / w.known; c != nil && c.asked > fair {
+	if fair := s.can() / w.known; c != nil && c.asked > fair {
 		p *= fair / c.asked
 	}
 	if a.Try > 1 || w.repeat(a.ID) {
@@ -189,7 +189,7 @@
 	}
 	since := float64(now-c.at) / 1e9
 	c.asked = c.asked*math.Exp(-since) + cost // over about a second
-	own := s.Floor * min(s.limit.allowed(), s.Cores*1e9) / w.known
+	own := s.Floor * s.can() / w.known
 	c.purse = min(c.purse+since*own, max(saved*own, cost))
 	c.at = now
 	return c
@@ -281,7 +281,7 @@
 	for i := range w.offered {
 		offered += w.offered[i].of(now)
 	}
-	over := max(offered/max(min(s.limit.allowed(), s.Cores*1e9), 1), 1)
+	over := max(offered/max(s.can(), 1), 1)
 	high := min(int64(2*float64(leastBack)*over), most)
 	return high/3 + int64(w.chance.Float64()*float64(high-high/3))
 }
