Admission goes by what a shard's holders needed of late; a jam passes for it within goals

In a burst 4 or 5 of 50 cells fall into a jam (queues full, 5 to 10 parts a second at 700 ms for 50 at 30 ms); four queries in five touch one. `takes` went by the mean of 16 s of own times (balance.go: slot, guess, expect): a cell was closed only once each of its holders had been met in the jam, some 10 s late, and stayed closed as long as one such time was kept: 289 declines from 16 to 21 s at replicas last heard 5 to 18 s before, while what was served took 20 ms. Looked for and not there: amplification by tries (3.7% of executions are further ones), declines before the burst (0.4%), hot shards (cells differ by their machines, not by load), lost time in the process (2.4 ms).

Change: for admission a time counts half after two of the shortest goals and is taken together with what the shard's other holders showed of late; one turned away as full counts as two goals. The pick still remembers 16 s. A part is taken back only where another holder should answer before the client leaves.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,6 +28,9 @@
 	paceSpan      = 16000 * ms // how far back a replica's own times count
 	paceDoubt     = 0.25       // a replica's times are taken together with so many typical ones
 	takenLeast    = 0.02       // the share taken on is reckoned no smaller: some doubt in old times is enough
+	freshGoals    = 2          // shortest latency goals after which what was met counts half for admission: so jams pass
+	freshMost     = 2          // of them that a time counts for at most; what was turned away as full counts for as many
+	freshDoubt    = 2          // times the doubt above that it is taken together with, of a shard and of a holder
 	slowMul       = 1.5        // a replica that should take so many times as long as a peer is passed over
 	priorShare    = 6          // a part not yet timed is taken to need its latency goal / this
 	patience      = 7          // an execution is overdue at so many typical times to begin with,
@@ -134,15 +137,16 @@
 	started int64
 	calls   int // own calls in flight: the count that the design goes by
 	shared  *call
-	sent    ring  // executions there over the span of the cold rule
-	fails   int   // failures since the last fulfilled execution, each sent after the one before was told
-	failed  int64 // the last of these was told
-	quick   bool  // and cost no time
-	slot    mean  // time for each own call, ns
-	lately  mean  // as slot, over half of its span: what others are told
-	heard   int64 // last fulfilled execution
-	jammed  int64 // until then it is left alone for that
-	stale   bool  // its connection is in doubt: nothing is sent until it has been given back
+	sent    ring                         // executions there over the span of the cold rule
+	fails   int                          // failures since the last fulfilled execution, each sent after the one before was told
+	failed  int64                        // the last of these was told
+	quick   bool                         // and cost no time
+	slot    mean                         // time for each own call, ns
+	lately  mean                         // as slot, over half of its span: what others are told
+	fresh   struct{ sum, n, at float64 } // as slot, but older times count less: what admission goes by
+	heard   int64                        // last fulfilled execution
+	jammed  int64                        // until then it is left alone for that
+	stale   bool                         // its connection is in doubt: nothing is sent until it has been given back
 	aside   bool
 	hold    int64 // how long the last rest was
 	since   int64 // the trickle's present quota counts from here
@@ -315,8 +319,7 @@
 // Take takes a query; its parts are added to the handle.
 func (a *Aggregator) Take(now int64, arrival Arrival) *Query {
 	w := &a.workloads[arrival.Workload]
-	q := &Query{agg: a, workload: w, expected: arrival.Parts, taken: now, open: true,
-		over: arrival.Over,
+	q := &Query{agg: a, workload: w, expected: arrival.Parts, taken: now, open: true, over: arrival.Over,
 		end:  now + max(arrival.Patience-spareTicks*a.Tick, 0),
 		goal: now + max(w.LatencyGoal-spareTicks*a.Tick, 0)}
 	if w.LateShare == 0 { // what earns nothing is only load
@@ -371,6 +374,9 @@
 	case Full, ConnectFailed:
 		// Danger: a replica that turns all away at once always has the lowest count and draws every part.
 		r.jammed = now + q.workload.middle
+		if result == Full {
+			q.agg.meet(now, r, math.MaxFloat64, 1)
+		}
 	case Reset:
 		// Danger: a query that kills its replicas, at once, kills their peers as well if its parts run again.
 		if took < q.workload.middle/atOnce {
@@ -382,6 +388,7 @@
 	// How long it took while the process itself stood is not known.
 	if slots := float64(e.slots); own == 0 && (result == Fulfilled || (result == Cancelled || result == TimedOut) &&
 		float64(took) > r.slot.of(now, 0)*slots) {
+		q.agg.meet(now, r, float64(took), slots)
 		r.slot.add(now, float64(took), slots)
 		r.lately.add(now, float64(took), slots)
 		q.agg.slot.add(now, float64(took), slots)
@@ -475,8 +482,7 @@
 	typical := a.slot.of(now, 0)
 	for i := range a.replicas {
 		if r := &a.replicas[i]; r.listed {
-			f := Finding{Replica: i, Cell: r.cell, Aside: r.aside, Trickle: r.since, Failed: r.failed,
-				Heard: r.heard}
+			f := Finding{Replica: i, Cell: r.cell, Aside: r.aside, Trickle: r.since, Failed: r.failed, Heard: r.heard}
 			if typical > 0 {
 				f.Pace, f.Met = r.lately.of(now, 0)/typical, r.lately.n.sum(now)
 			}
@@ -519,15 +525,35 @@
 	return max(float64(w.middle), a.slot.of(now, 0)), paceDoubt / max(a.taken.of(now, 1), takenLeast)
 }
 
-// takes is how long a part sent now should take: the replica's time for each own call, times the calls.
-// With heard the word of others counts as well, and only passes over: admission goes by what was met here.
-func (r *replica) takes(now int64, prior, doubt float64, heard bool) int64 {
+// meet books a time for admission; it counts half after each freshGoals.
+func (a *Aggregator) meet(now int64, r *replica, took, slots float64) {
+	took = min(took, freshMost*float64(a.shortest)*slots)
+	kept := math.Exp2((r.fresh.at - float64(now)) / float64(freshGoals*a.shortest))
+	r.fresh.sum, r.fresh.n, r.fresh.at = r.fresh.sum*kept+took, r.fresh.n*kept+slots, float64(now)
+}
+
+// late is what the holders of a shard have needed for a call of late, all together. Danger: where each aggregator meets a
+// replica once in seconds, a jam is over before it is known of the last holder, and would bar the shard long after.
+func (a *Aggregator) late(now int64, p *part, prior, doubt float64) float64 {
+	sum, n := freshDoubt*doubt*prior, freshDoubt*doubt
+	for _, h := range a.holders[p.shard] {
+		r := &a.replicas[h]
+		a.meet(now, r, 0, 0)
+		sum, n = sum+r.fresh.sum, n+r.fresh.n
+	}
+	return sum / n
+}
+
+// takes is how long a part sent now should take: the replica's time for each own call, times the calls. The pick remembers
+// a slow one, by the word of others as well; admission goes by what was met here and of late.
+func (r *replica) takes(now int64, prior, doubt float64, pick bool) int64 {
 	sum, n := r.slot.sum.sum(now)+doubt*prior, r.slot.n.sum(now)+doubt
-	if heard && now < r.word.Until { // others met it
+	if !pick {
+		sum, n = r.fresh.sum+freshDoubt*doubt*prior, r.fresh.n+freshDoubt*doubt
+	} else if now < r.word.Until { // others met it
 		sum, n = sum+r.word.Weight*r.word.Pace*prior, n+r.word.Weight
 	}
-	pace := sum / n
-	return int64(pace * float64(r.calls+1))
+	return int64(sum / n * float64(r.calls+1))
 }
 
 // pick chooses the replica with the lowest Running Execution Cost for a part, or -1; ties go round.
@@ -535,7 +561,7 @@
 	holders := a.holders[p.shard]
 	from := a.pointers[p.shard] % max(len(holders), 1)
 	prior, doubt := a.guess(now, w)
-	expected, crowded := a.expect(now, p, prior, doubt, true)
+	expected, crowded := a.expect(now, p, w, true)
 	for level := range 4 {
 		best, choice, tied := costLimit-priority+1, -1, false
 		for k := range holders {
@@ -611,9 +637,9 @@
 	if now < due {
 		return due
 	}
-	// Danger: what cannot be sent again, by the rules or for the time left, must not be taken back.
-	if (r.aside || r.heard < e.sentAt) && !e.overdue && a.Cancels && q.mayRun(now, p) &&
-		now+q.workload.middle <= q.end {
+	// Danger: what cannot be sent again, by the rules or for the time left, must not be taken back: in a jam, work twice.
+	again, _ := a.expect(now, p, q.workload, false)
+	if (r.aside || r.heard < e.sentAt) && !e.overdue && a.Cancels && q.mayRun(now, p) && again < q.end-now {
 		e.overdue = true
 		a.cancels = append(a.cancels, Cancel{q, number, n})
 	}
@@ -671,10 +697,9 @@
 // than limit; it returns the weight still missing.
 func (q *Query) ask(now int64, need float64, limit int64) float64 {
 	var offers []*part
-	prior, doubt := q.agg.guess(now, q.workload)
 	for i := range q.parts {
 		if p := &q.parts[i]; p.step == q.step && p.stage == unasked {
-			p.offer, _ = q.agg.expect(now, p, prior, doubt, false)
+			p.offer, _ = q.agg.expect(now, p, q.workload, false)
 			offers = append(offers, p)
 		}
 	}
@@ -693,12 +718,16 @@
 // ones would be late, and one stands idle that was set aside for failures that cost no time. Danger: with
 // none sound, declining all would never find one mended; and what the sound have no room for would be
 // declined while others rest, though a try there costs next to nothing.
-func (a *Aggregator) expect(now int64, p *part, prior, doubt float64, heard bool) (best int64, crowded bool) {
+func (a *Aggregator) expect(now int64, p *part, w *workload, pick bool) (best int64, crowded bool) {
+	prior, doubt := a.guess(now, w)
+	if !pick {
+		prior = a.late(now, p, prior, doubt)
+	}
 	times := [...]int64{math.MaxInt64, math.MaxInt64, math.MaxInt64, math.MaxInt64}
 	for _, h := range a.holders[p.shard] {
 		if r := &a.replicas[h]; now >= r.jammed && a.coldRoom(now, r, p) {
 			n := slices.Index([]bool{!r.aside && !r.stale, r.idles(), !r.stale, true}, true)
-			times[n] = min(times[n], r.takes(now, prior, doubt, heard)<<(n/3)) // in doubt: it waits for those before it
+			times[n] = min(times[n], r.takes(now, prior, doubt, pick)<<(n/3)) // in doubt: it waits for those before it
 		}
 	}
 	if float64(times[0]) > crowdShare*float64(a.shortest) && times[1] < times[0] {
