What comes while the process stands, or right before a client's end, is answered in its time

Cause: (a) node/admit.go declined at once only a query whose time was up; one with less than a tick left, right after a round, was answered by the next round, up to 5 ms late (seen in a bubble of virtual time: 5 ms for 1 and for 4 ms left). (b) front/server.go: the deadlines of connections go by while the process stands, and requests that had come were closed unread; that was mended only where the operator's strain guard is on. There the second read had 2 ms, too few when hundreds of goroutines wake at once.

Change: a query for which no round comes in its time is declined at once. A read whose time is over looks once more, 50 ms, once for a request, and not while one is served, for the stock server ends its own reads by such times.

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -3,12 +3,14 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -491,3 +493,49 @@
 		}
 	})
 }
+
+// tardy is a connection whose time is over for its next reads, as it is after the process has stood.
+type tardy struct {
+	net.Conn
+	reads int
+}
+
+func (c *tardy) Read(b []byte) (int, error) {
+	if c.reads--; c.reads >= 0 {
+		return 0, os.ErrDeadlineExceeded
+	}
+	return c.Conn.Read(b)
+}
+
+// Danger: requests that came while the process stood would be closed unread as it goes on; one that comes byte by byte would
+// never end.
+func TestReadLate(t *testing.T) {
+	on(t, nil, func(s *Server, dial func() *client) {
+		near, far := net.Pipe()
+		defer far.Close()
+		late := &tardy{near, 1}
+		c := &conn{Conn: late, server: s, since: s.front.Clock.Now()}
+		go io.WriteString(far, "POST /lookup")
+		b := make([]byte, 100)
+		if n, err := c.Read(b); n != 12 || err != nil {
+			t.Errorf("read %d, %v", n, err)
+		}
+		go io.WriteString(far, " HTTP/1.1")
+		late.reads = 1
+		if n, err := c.Read(b); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("read %d, %v: a second time", n, err)
+		}
+		if n, err := c.Read(b); n != 9 || err != nil {
+			t.Errorf("read %d, %v", n, err)
+		}
+		c.taken(0)
+		late.reads = 1
+		if n, err := c.Read(b); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("read %d, %v: while it is served", n, err)
+		}
+		nothing := &conn{Conn: &tardy{near, 1}, server: s}
+		if n, err := nothing.Read(b); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("read %d, %v: nothing had come", n, err)
+		}
+	})
+}
--- a/front/server.go
+++ b/front/server.go
@@ -21,7 +21,7 @@
 	requestWait = 2 * time.Second        // from connecting, or from the first byte of a later request, to its last
 	idleWait    = 2 * time.Second        // that a connection may stand between two requests
 	idleShare   = 4                      // and no more than this part of the clients' descriptors stand so
-	lateWait    = 2 * time.Millisecond   // for what has come already when the time for it is over
+	lateWait    = 50 * time.Millisecond  // for what has come already when the time for it is over: all wake at once then
 	surely      = 250 * time.Millisecond // a client that means well has sent its request so long after connecting
 
 	stillComes = 600 * time.Millisecond // after the word to stop, new connections are accepted for so long,
@@ -53,10 +53,11 @@
 	rest   int64 // bytes of the body of a request that was answered unseen; of the reader alone
 
 	// Under the server's lock.
-	phase phase
-	since int64 // silent or idle since, or the first byte of the present request came, ns
-	whole int64 // when the present request has to be whole
-	head  head  // of the present request
+	phase  phase
+	spared bool  // the present request was read though its time was over
+	since  int64 // silent or idle since, or the first byte of the present request came, ns
+	whole  int64 // when the present request has to be whole
+	head   head  // of the present request
 }
 
 // connection is the one that a request came on, nil in tests without one.
@@ -68,7 +69,7 @@
 // Read notes when the first byte of a request comes: the stock server tells only when a header is whole.
 func (c *conn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.server.front.guard() != nil {
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
 		n, err = c.readLate(b, err)
 	}
 	for n > 0 {
@@ -93,11 +94,19 @@
 	return n, err
 }
 
-// readLate reads once more what has come, though the time for it is over.
+// readLate reads once more what has come, though the time for it is over; once for a request, or one that comes byte by byte
+// would never end. While a request is served the stock server ends reads by such times of its own.
 //
 // Danger: while the process itself stood, the time went by for connections whose requests had come and nobody read. They would be
 // closed, and their queries lost, as it goes on.
 func (c *conn) readLate(b []byte, late error) (int, error) {
+	c.server.mu.Lock()
+	over := c.spared || c.phase >= served
+	c.spared = true
+	c.server.mu.Unlock()
+	if over {
+		return 0, late
+	}
 	c.Conn.SetReadDeadline(time.Now().Add(lateWait))
 	n, err := c.Conn.Read(b)
 	if n == 0 {
@@ -130,7 +139,7 @@
 func (c *conn) taken(length int64) (more bool) {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	c.phase = served
+	c.phase, c.spared = served, false
 	return length < 0 || c.head.body > length
 }
 
--- a/front/unseen.go
+++ b/front/unseen.go
@@ -62,7 +62,7 @@
 		return true
 	}
 	c.server.mu.Lock()
-	c.phase, c.since = idle, now
+	c.phase, c.since, c.spared = idle, now, false
 	c.server.mu.Unlock()
 	return true
 }
--- a/node/admit.go
+++ b/node/admit.go
@@ -69,12 +69,13 @@
 }
 
 // admit hands a query to the module, or declines it where the node holds as much as it may, or where its
-// client's time is up.
+// client's time is up before a round can come.
 func (n *Node) admit(now int64, q *query) {
 	count := n.rows[q.Workload]
 	count.Taken.Add(1)
 	patience := q.Until - now - n.lateness
-	if n.held >= n.terms.MostHeld || patience <= 0 {
+	// Danger: a round a tick later would answer a client whose time is up by then.
+	if n.held >= n.terms.MostHeld || patience <= max(n.last+n.gap()-now, 0) {
 		count.Declined.Add(1)
 		q.over = true
 		q.answer <- n.crowded()
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -355,3 +355,20 @@
 		t.Errorf("the present is %d ns off", d)
 	}
 }
+
+// Danger: what comes right after a round, with less than a tick left, would be answered a round late.
+func TestNoRoundInTime(t *testing.T) {
+	on(t, asIs, value, func(w *world) {
+		first := make(chan string)
+		go func() { first <- w.serve(w.Context(), "q", time.Second) }()
+		synctest.Wait() // its round is now
+		for _, left := range []time.Duration{time.Millisecond, 4 * time.Millisecond} {
+			began := time.Now()
+			w.expect(w.serve(w.Context(), fmt.Sprint(left), left), "2 [] 1000 after 0s")
+			if took := time.Since(began); took > left {
+				w.Errorf("answered after %v, its client had %v", took, left)
+			}
+		}
+		w.expect(<-first, "0 [{0 q.0text} {1 q.1text}] 0 after 50ms")
+	})
+}
