--- a/balance/balance.go
+++ b/balance/balance.go
@@ -28,8 +28,8 @@
 	paceSpan      = 16000 * ms // how far back a replica's own times count
 	paceDoubt     = 0.25       // a replica's times are taken together with so many typical ones
 	takenLeast    = 0.02       // the share taken on is reckoned no smaller: some doubt in old times is enough
-	freshGoals    = 2          // shortest latency goals after which what was met counts half for admission: so jams pass
-	freshMost     = 2          // of them that a time counts for at most; what was turned away as full counts for as many
+	freshGoals    = 2          // shortest latency goals after which a time counts half for admission: so jams pass
+	freshMost     = 2          // of them that a time counts for at most, and that one turned away as full counts for
 	freshDoubt    = 2          // times the doubt above that it is taken together with, of a shard and of a holder
 	slowMul       = 1.5        // a replica that should take so many times as long as a peer is passed over
 	priorShare    = 6          // a part not yet timed is taken to need its latency goal / this
@@ -532,8 +532,8 @@
 	r.fresh.sum, r.fresh.n, r.fresh.at = r.fresh.sum*kept+took, r.fresh.n*kept+slots, float64(now)
 }
 
-// late is what the holders of a shard have needed for a call of late, all together. Danger: where each aggregator meets a
-// replica once in seconds, a jam is over before it is known of the last holder, and would bar the shard long after.
+// late is what the holders of a shard needed for a call of late, all together. Danger: where each aggregator
+// meets a replica once in seconds, a jam is over before it is known of each, and would bar the shard long after.
 func (a *Aggregator) late(now int64, p *part, prior, doubt float64) float64 {
 	sum, n := freshDoubt*doubt*prior, freshDoubt*doubt
 	for _, h := range a.holders[p.shard] {
@@ -544,8 +544,8 @@
 	return sum / n
 }
 
-// takes is how long a part sent now should take: the replica's time for each own call, times the calls. The pick remembers
-// a slow one, by the word of others as well; admission goes by what was met here and of late.
+// takes is how long a part sent now should take: the replica's time for each own call, times the calls. The
+// pick remembers a slow one, by the word of others as well; admission goes by what was met here and of late.
 func (r *replica) takes(now int64, prior, doubt float64, pick bool) int64 {
 	sum, n := r.slot.sum.sum(now)+doubt*prior, r.slot.n.sum(now)+doubt
 	if !pick {
@@ -637,11 +637,12 @@
 	if now < due {
 		return due
 	}
-	// Danger: what cannot be sent again, by the rules or for the time left, must not be taken back: in a jam, work twice.
-	again, _ := a.expect(now, p, q.workload, false)
-	if (r.aside || r.heard < e.sentAt) && !e.overdue && a.Cancels && q.mayRun(now, p) && again < q.end-now {
-		e.overdue = true
-		a.cancels = append(a.cancels, Cancel{q, number, n})
+	// Danger: what cannot run again, by the rules or in the time left, must not be taken back: in a jam, work twice.
+	if (r.aside || r.heard < e.sentAt) && !e.overdue && a.Cancels && q.mayRun(now, p) {
+		if again, _ := a.expect(now, p, q.workload, false); again < q.end-now {
+			e.overdue = true
+			a.cancels = append(a.cancels, Cancel{q, number, n})
+		}
 	}
 	return q.end
 }
