A second look at late reads only where the process stood, and for each request

Cause, found in reading the change again: readLate in front/server.go marked a request as spared also where it refused, and the stock server ends a read by a time long past after every request. So only the first request of a connection had its second look, and the bound of TestSlowRequest held by that chance alone: without the mark a body that never ends got its 408 50 ms late.

Change: a connection knows when its reads are to end; it looks again only where that was noticed 50 ms late or more, so usual time limits are exact again; the mark is set only with the look. TestReadLate asserts the next request as well, and failed before.

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -514,14 +514,15 @@
 		near, far := net.Pipe()
 		defer far.Close()
 		late := &tardy{near, 1}
-		c := &conn{Conn: late, server: s, since: s.front.Clock.Now()}
+		longAgo := time.Now().Add(-time.Second)
+		c := &conn{Conn: late, server: s, since: s.front.Clock.Now(), readBy: longAgo}
 		go io.WriteString(far, "POST /lookup")
 		b := make([]byte, 100)
 		if n, err := c.Read(b); n != 12 || err != nil {
 			t.Errorf("read %d, %v", n, err)
 		}
 		go io.WriteString(far, " HTTP/1.1")
-		late.reads = 1
+		late.reads, c.readBy = 1, longAgo
 		if n, err := c.Read(b); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			t.Errorf("read %d, %v: a second time", n, err)
 		}
@@ -533,7 +534,12 @@
 		if n, err := c.Read(b); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			t.Errorf("read %d, %v: while it is served", n, err)
 		}
-		nothing := &conn{Conn: &tardy{near, 1}, server: s}
+		c.phase, late.reads = idle, 1 // its answer is out, and the next comes
+		go io.WriteString(far, "POST")
+		if n, err := c.Read(b); n != 4 || err != nil {
+			t.Errorf("read %d, %v: the next request", n, err)
+		}
+		nothing := &conn{Conn: &tardy{near, 1}, server: s, readBy: longAgo}
 		if n, err := nothing.Read(b); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
 			t.Errorf("read %d, %v: nothing had come", n, err)
 		}
--- a/front/server.go
+++ b/front/server.go
@@ -54,7 +54,8 @@
 
 	// Under the server's lock.
 	phase  phase
-	spared bool  // the present request was read though its time was over
+	spared bool // the present request was read though its time was over
+	readBy time.Time
 	since  int64 // silent or idle since, or the first byte of the present request came, ns
 	whole  int64 // when the present request has to be whole
 	head   head  // of the present request
@@ -94,17 +95,18 @@
 	return n, err
 }
 
-// readLate reads once more what has come, though the time for it is over; once for a request, or one that comes byte by byte
-// would never end. While a request is served the stock server ends reads by such times of its own.
+// readLate reads once more what has come, though the time for it is over, where that was noticed so late that the process
+// must have stood; once for a request, or one that comes byte by byte would never end. While a request is served the
+// stock server ends reads by such times of its own.
 //
 // Danger: while the process itself stood, the time went by for connections whose requests had come and nobody read. They would be
 // closed, and their queries lost, as it goes on.
 func (c *conn) readLate(b []byte, late error) (int, error) {
 	c.server.mu.Lock()
-	over := c.spared || c.phase >= served
-	c.spared = true
+	stood := c.phase < served && !c.spared && time.Since(c.readBy) >= lateWait
+	c.spared = c.spared || stood
 	c.server.mu.Unlock()
-	if over {
+	if !stood {
 		return 0, late
 	}
 	c.Conn.SetReadDeadline(time.Now().Add(lateWait))
@@ -112,7 +114,7 @@
 	if n == 0 {
 		return 0, late
 	}
-	c.Conn.SetReadDeadline(time.Now().Add(requestWait))
+	c.SetReadDeadline(time.Now().Add(requestWait))
 	c.server.mu.Lock()
 	if c.phase == silent { // its time begins now
 		c.phase, c.since = idle, c.server.front.Clock.Now()
@@ -121,6 +123,14 @@
 	return n, err
 }
 
+// SetReadDeadline notes when reads are to end.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.server.mu.Lock()
+	c.readBy = t
+	c.server.mu.Unlock()
+	return c.Conn.SetReadDeadline(t)
+}
+
 // due is when the present request has to be whole.
 func (c *conn) due() int64 {
 	c.server.mu.Lock()
