Late reads are told by what the machine holds, not by how late the process noticed

A probe in readLate logged each refusal with what waited in the socket: the one that lost a query was a connection between two requests, not looked at before, 10.7 to 11.3 ms late, with 264 bytes waiting. So the line at fault was `time.Since(c.readBy) >= lateWait` in front/server.go: the connection used last before a stop has its time end right as the process goes on, and "50 ms late" tells nothing of how long that stood. Ruled out: requests spared before (spared was false), requests being served (phase idle).

Change: a read whose time is over looks once, without waiting, at what the machine holds (one read of the socket, which returns at once). So neither a measure of lateness nor the 50 ms wait is needed, and limits stay exact. TestReadLate runs on a socket now, with a time that ended a nanosecond ago; it failed before.

--- a/front/front_test.go
+++ b/front/front_test.go
@@ -11,12 +11,15 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"runtime"
 	"strings"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"willowsill/balance"
 	"willowsill/counters"
@@ -494,54 +497,60 @@
 	})
 }
 
-// tardy is a connection whose time is over for its next reads, as it is after the process has stood.
-type tardy struct {
-	net.Conn
-	reads int
-}
-
-func (c *tardy) Read(b []byte) (int, error) {
-	if c.reads--; c.reads >= 0 {
-		return 0, os.ErrDeadlineExceeded
-	}
-	return c.Conn.Read(b)
-}
-
 // Danger: requests that came while the process stood would be closed unread as it goes on; one that comes byte by byte would
 // never end.
 func TestReadLate(t *testing.T) {
-	on(t, nil, func(s *Server, dial func() *client) {
-		near, far := net.Pipe()
-		defer far.Close()
-		late := &tardy{near, 1}
-		longAgo := time.Now().Add(-time.Second)
-		c := &conn{Conn: late, server: s, since: s.front.Clock.Now(), readBy: longAgo}
-		go io.WriteString(far, "POST /lookup")
-		b := make([]byte, 100)
-		if n, err := c.Read(b); n != 12 || err != nil {
-			t.Errorf("read %d, %v", n, err)
-		}
-		go io.WriteString(far, " HTTP/1.1")
-		late.reads, c.readBy = 1, longAgo
-		if n, err := c.Read(b); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-			t.Errorf("read %d, %v: a second time", n, err)
-		}
-		if n, err := c.Read(b); n != 9 || err != nil {
-			t.Errorf("read %d, %v", n, err)
-		}
-		c.taken(0)
-		late.reads = 1
-		if n, err := c.Read(b); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-			t.Errorf("read %d, %v: while it is served", n, err)
-		}
-		c.phase, late.reads = idle, 1 // its answer is out, and the next comes
-		go io.WriteString(far, "POST")
-		if n, err := c.Read(b); n != 4 || err != nil {
-			t.Errorf("read %d, %v: the next request", n, err)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	far, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer far.Close()
+	near, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	s := &Server{front: &Front{Clock: node.NewClock()}}
+	c := &conn{Conn: near, server: s, since: s.front.Clock.Now()}
+	over := func() { near.SetReadDeadline(time.Now().Add(-time.Nanosecond)) } // a moment ago: that is all that a stop may leave to see
+	comes := func(text string) {
+		io.WriteString(far, text)
+		socket, err := near.(syscall.Conn).SyscallConn()
+		for n := 0; err == nil && n < len(text); runtime.Gosched() {
+			socket.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+		}
+		if err != nil {
+			t.Fatal(err)
 		}
-		nothing := &conn{Conn: &tardy{near, 1}, server: s, readBy: longAgo}
-		if n, err := nothing.Read(b); n != 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
-			t.Errorf("read %d, %v: nothing had come", n, err)
+	}
+	reads := func(what, want string) {
+		t.Helper()
+		b := make([]byte, 100)
+		n, err := c.Read(b)
+		if string(b[:n]) != want || (want == "") != errors.Is(err, os.ErrDeadlineExceeded) || want != "" && err != nil {
+			t.Errorf("%s: read %q, %v", what, b[:n], err)
 		}
-	})
+	}
+	over()
+	reads("nothing had come", "")
+	comes("POST /lookup")
+	over()
+	reads("it had come", "POST /lookup")
+	comes(" HTTP/1.1")
+	over()
+	reads("a second time", "")
+	near.SetReadDeadline(time.Time{})
+	reads("in its time", " HTTP/1.1")
+	c.taken(0)
+	comes("POST")
+	over()
+	reads("while it is served", "")
+	c.phase = idle // its answer is out
+	over()
+	reads("the next request", "POST")
 }
--- a/front/server.go
+++ b/front/server.go
@@ -9,6 +9,7 @@
 	"os"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"go.uber.org/zap"
@@ -21,7 +22,6 @@
 	requestWait = 2 * time.Second        // from connecting, or from the first byte of a later request, to its last
 	idleWait    = 2 * time.Second        // that a connection may stand between two requests
 	idleShare   = 4                      // and no more than this part of the clients' descriptors stand so
-	lateWait    = 50 * time.Millisecond  // for what has come already when the time for it is over: all wake at once then
 	surely      = 250 * time.Millisecond // a client that means well has sent its request so long after connecting
 
 	stillComes = 600 * time.Millisecond // after the word to stop, new connections are accepted for so long,
@@ -54,8 +54,7 @@
 
 	// Under the server's lock.
 	phase  phase
-	spared bool // the present request was read though its time was over
-	readBy time.Time
+	spared bool  // the present request was read though its time was over
 	since  int64 // silent or idle since, or the first byte of the present request came, ns
 	whole  int64 // when the present request has to be whole
 	head   head  // of the present request
@@ -95,40 +94,52 @@
 	return n, err
 }
 
-// readLate reads once more what has come, though the time for it is over, where that was noticed so late that the process
-// must have stood; once for a request, or one that comes byte by byte would never end. While a request is served the
-// stock server ends reads by such times of its own.
+// readLate reads once more what has come, though the time for it is over; once for a request, or one that comes byte by
+// byte would never end. It waits for nothing, so limits stay exact. While a request is served the stock server ends reads
+// by such times of its own.
 //
 // Danger: while the process itself stood, the time went by for connections whose requests had come and nobody read. They would be
-// closed, and their queries lost, as it goes on.
+// closed, and their queries lost, as it goes on. How late that is noticed tells nothing: for one whose time ended just then, by ms.
 func (c *conn) readLate(b []byte, late error) (int, error) {
 	c.server.mu.Lock()
-	stood := c.phase < served && !c.spared && time.Since(c.readBy) >= lateWait
-	c.spared = c.spared || stood
+	over := c.spared || c.phase >= served
 	c.server.mu.Unlock()
-	if !stood {
+	if over {
 		return 0, late
 	}
-	c.Conn.SetReadDeadline(time.Now().Add(lateWait))
-	n, err := c.Conn.Read(b)
+	c.Conn.SetReadDeadline(time.Now().Add(requestWait))
+	n := c.waiting(b)
 	if n == 0 {
+		c.Conn.SetReadDeadline(time.Now())
 		return 0, late
 	}
-	c.SetReadDeadline(time.Now().Add(requestWait))
 	c.server.mu.Lock()
+	c.spared = true
 	if c.phase == silent { // its time begins now
 		c.phase, c.since = idle, c.server.front.Clock.Now()
 	}
 	c.server.mu.Unlock()
-	return n, err
+	return n, nil
 }
 
-// SetReadDeadline notes when reads are to end.
-func (c *conn) SetReadDeadline(t time.Time) error {
-	c.server.mu.Lock()
-	c.readBy = t
-	c.server.mu.Unlock()
-	return c.Conn.SetReadDeadline(t)
+// waiting reads what the machine holds of what the client sent, 0 for nothing.
+func (c *conn) waiting(b []byte) (n int) {
+	socket, is := c.Conn.(syscall.Conn)
+	if !is { // a pipe holds nothing
+		return 0
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	raw.Read(func(fd uintptr) bool {
+		n, err = syscall.Read(int(fd), b)
+		return true // also where there was nothing: it does not wait
+	})
+	if err != nil {
+		return 0
+	}
+	return n
 }
 
 // due is when the present request has to be whole.
--- a/front/unseen.go
+++ b/front/unseen.go
@@ -54,8 +54,7 @@
 	// its connection closed as it asks again. To set a deadline costs a good part of the answer, so it is not done each time.
 	if now >= c.renew {
 		c.renew = now + int64(idleWait)/4
-		c.SetReadDeadline(time.Now().Add(idleWait))
-		c.Conn.SetWriteDeadline(time.Now().Add(idleWait))
+		c.Conn.SetDeadline(time.Now().Add(idleWait))
 	}
 	if _, err := c.Conn.Write(text); err != nil {
 		f.Count.Undelivered.Add(1)
