A part is taken back by what its shard's holders have answered since it was sent

At fault: recall in balance.go, `again < q.end-now`: an aggregator meets a holder once in five seconds, so its guess is a typical time and the condition always held. The work was run twice where there was least room.

Change: a peer is believed in as before only where a holder of the shard has answered in the second half of the wait; where one has only since the send it must be expected within what is left of the goal, past halfway to the client's end of the client's time; where none has, within half of that.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -56,9 +56,8 @@
 
 // ring sums what happened over a span, in buckets of fixed width that are used again.
 type ring struct {
-	width  int64
-	sums   [spanBuckets + 1]float64
-	newest int64 // number of the newest bucket
+	width, newest int64 // of a bucket; number of the newest
+	sums          [spanBuckets + 1]float64
 }
 
 func newRing(span int64) ring { return ring{width: max(span/spanBuckets, 1)} }
@@ -120,9 +119,8 @@
 // workload is the table's row: what the module reads of a workload, and its recent part times.
 type workload struct {
 	Workload
-	logs   mean  // logarithms of the times of fulfilled parts
-	taken  mean  // as the aggregator's
-	middle int64 // the typical part time, about the median
+	logs, taken mean  // logarithms of the times of fulfilled parts; taken as the aggregator's
+	middle      int64 // the typical part time, about the median
 }
 
 // look brings the typical part time up to date. Danger: one kept from a jam would decline all for ever.
@@ -132,41 +130,36 @@
 
 // replica is what is known of one server.
 type replica struct {
-	listed  bool // as up
-	cell    int
-	started int64
-	calls   int // own calls in flight: the count that the design goes by
-	shared  *call
-	sent    ring                         // executions there over the span of the cold rule
-	fails   int                          // failures since the last fulfilled execution, each sent after the one before was told
-	failed  int64                        // the last of these was told
-	quick   bool                         // and cost no time
-	slot    mean                         // time for each own call, ns
-	lately  mean                         // as slot, over half of its span: what others are told
-	fresh   struct{ sum, n, at float64 } // as slot, but older times count less: what admission goes by
-	heard   int64                        // last fulfilled execution
-	jammed  int64                        // until then it is left alone for that
-	stale   bool                         // its connection is in doubt: nothing is sent until it has been given back
-	aside   bool
-	hold    int64 // how long the last rest was
-	since   int64 // the trickle's present quota counts from here
-	quota   int   // parts a first rest, doubled while it goes well
-	used    int   // of the quota, where there is one
-	good    int   // fulfilled since the quota was set
-	word    Word  // of others; it fades by itself
+	listed            bool // as up
+	cell              int
+	started           int64
+	calls             int // own calls in flight: the count that the design goes by
+	shared            *call
+	sent              ring                         // executions there over the span of the cold rule
+	fails             int                          // failures since the last fulfilled execution, each sent after the one before was told
+	failed            int64                        // the last of these was told
+	quick             bool                         // and cost no time
+	slot, lately      mean                         // time for each own call, ns; lately over half of its span: what others are told
+	fresh             struct{ sum, n, at float64 } // as slot, but older times count less: what admission goes by
+	heard             int64                        // last fulfilled execution
+	jammed            int64                        // until then it is left alone for that
+	stale             bool                         // its connection is in doubt: nothing is sent until it has been given back
+	aside             bool
+	hold              int64 // how long the last rest was
+	since             int64 // the trickle's present quota counts from here
+	quota, used, good int   // parts a first rest, doubled while it goes well; used of it, fulfilled since it was set
+	word              Word  // of others; it fades by itself
 }
 
 // call is what travels together to one replica; the count falls when its last part is done.
 type call struct{ parts, round int }
 
 type execution struct {
-	call    *call
-	sentAt  int64
-	stood   int64 // how long the process had stood by then
-	replica int
-	slots   int // own calls out there at the send, with this one
-	over    bool
-	overdue bool // given up by this aggregator as too long
+	call          *call
+	sentAt, stood int64 // how long the process had stood by then
+	replica       int
+	slots         int  // own calls out there at the send, with this one
+	over, overdue bool // overdue: given up by this aggregator as too long
 }
 
 type stage uint8
@@ -194,20 +187,19 @@
 
 // Query is the handle to one query that was taken.
 type Query struct {
-	agg      *Aggregator
-	workload *workload
-	broke    int  // the replica that it was last reset by at once, + 1
-	deadly   bool // it was reset at once by two replicas
-	parts    []part
-	expected int
-	taken    int64
-	goal     int64 // latest time for an answer within the latency goal
-	end      int64 // latest time for any answer
-	step     int   // 0, or 1 for the second
-	begun    int   // steps whose parts were asked for
-	whole    bool  // of the first step
-	over     bool  // its customer asks for more than was agreed
-	open     bool
+	agg         *Aggregator
+	workload    *workload
+	broke       int  // the replica that it was last reset by at once, + 1
+	deadly      bool // it was reset at once by two replicas
+	parts       []part
+	expected    int
+	taken       int64
+	goal        int64 // latest time for an answer within the latency goal
+	end         int64 // latest time for any answer
+	step, begun int   // 0, or 1 for the second; steps whose parts were asked for
+	whole       bool  // of the first step
+	over        bool  // its customer asks for more than was agreed
+	open        bool
 }
 
 // Open tells whether the query still wants a final answer.
@@ -216,30 +208,26 @@
 // Aggregator is one instance of the module.
 type Aggregator struct {
 	Deployment
-	chance     chance
-	workloads  []workload
-	replicas   []replica
-	holders    [][]int // by shard
-	pointers   []int   // by shard: the next tied pick
-	slot       mean    // time for each own call at all replicas, ns
-	shortest   int64   // the shortest latency goal of all workloads
-	rest       int64   // the first of a replica set aside
-	left       mean    // share of their time after which clients left
-	most       int     // the most holders that a shard ever had
-	up         int     // replicas listed as up
-	patience   float64 // typical times until an execution is overdue
-	sent       ring    // executions, for what a replica is usually sent
-	queries    []*Query
-	handed     ring // queries and parts, for the budget of further executions
-	further    ring
-	taken      mean // queries taken on among those handed over
-	rounds     int
-	round      Round
-	cancels    []Cancel // for the next round
-	stood      int64    // how long the process itself stood still, all in all, ns
-	subscribed bool
-	askAt      int64 // when to ask for the list
-	askWait    int64
+	chance          chance
+	workloads       []workload
+	replicas        []replica
+	holders         [][]int // by shard
+	pointers        []int   // by shard: the next tied pick
+	slot            mean    // time for each own call at all replicas, ns
+	shortest, rest  int64   // the shortest latency goal of all workloads; the first rest of a replica set aside
+	left            mean    // share of their time after which clients left
+	most, up        int     // the most holders that a shard ever had; replicas listed as up
+	patience        float64 // typical times until an execution is overdue
+	sent            ring    // executions, for what a replica is usually sent
+	queries         []*Query
+	handed, further ring // queries and parts, and executions, for the budget of further ones
+	taken           mean // queries taken on among those handed over
+	rounds          int
+	round           Round
+	cancels         []Cancel // for the next round
+	stood           int64    // how long the process itself stood still, all in all, ns
+	subscribed      bool
+	askAt, askWait  int64 // when to ask for the list, and how much later after a failure
 }
 
 // New makes an aggregator at its start.
@@ -618,7 +606,8 @@
 // recall cancels an overdue execution on a replica that is in doubt, so that the part can run elsewhere.
 //
 // Danger: what is cancelled may go on running and jam peers. Only replicas set aside or silent since the send
-// lose their parts. Where a part then comes soon the next recall is sooner, else later.
+// lose their parts. Where a part then comes soon the next recall is sooner, else later. Where none of the shard's holders
+// has answered of late its jam may not be known here yet, so little time for the part must do, or half.
 func (q *Query) recall(now int64, number int) int64 {
 	a, p := q.agg, &q.parts[number]
 	n := len(p.executions) - 1
@@ -637,14 +626,26 @@
 	if now < due {
 		return due
 	}
+	left, next := q.goal-now, (q.goal+q.end)/2
+	if now >= next {
+		left, next = q.end-now, q.end
+	}
+	answered := func(by int64) bool {
+		return slices.ContainsFunc(a.holders[p.shard], func(h int) bool { return a.replicas[h].heard >= by })
+	}
+	if answered(half) {
+		left = q.end - now
+	} else if !answered(e.sentAt) {
+		left /= 2
+	}
 	// Danger: what cannot run again, by the rules or in the time left, must not be taken back: in a jam, work twice.
 	if (r.aside || r.heard < e.sentAt) && !e.overdue && a.Cancels && q.mayRun(now, p) {
-		if again, _ := a.expect(now, p, q.workload, false); again < q.end-now {
+		if again, _ := a.expect(now, p, q.workload, false); again < left {
 			e.overdue = true
 			a.cancels = append(a.cancels, Cancel{q, number, n})
 		}
 	}
-	return q.end
+	return next
 }
 
 // send starts an execution.
