--- a/emulator/aggregator.go
+++ b/emulator/aggregator.go
@@ -292,8 +292,8 @@
 				s.part, number, s.replica, float64(s.cutAt-now)/1e6, a.inFlight(s.replica))
 		}
 		a.tally.Send(q.at-origin, number > 0)
-		e := agenda.Event{At: now + a.way(), To: int32(a.Aggregators + s.replica), Kind: arrives, Query: s.query, Value: int64(q.load), Part: int16(s.part),
-			Number: int16(number)}
+		e := agenda.Event{At: now + a.way(), To: int32(a.Aggregators + s.replica), Kind: arrives, Query: s.query, Part: int16(s.part),
+			Number: int16(number), Result: uint8(q.load), Value: s.cutAt}
 		a.cause(now, e)
 		e.At, e.To, e.Kind = s.cutAt, a.self, cuts
 		a.cause(now, e)
--- a/emulator/emulator_test.go
+++ b/emulator/emulator_test.go
@@ -51,6 +51,9 @@
 	for _, policy := range []string{"module", "shared", "sites", "two", "oracle"} {
 		p := small(policy, 3)
 		p.Faults = append(slices.Clone(everything), Fault{Kind: "crash", Aggregators: []int{2}, From: 5 * second, Until: 7 * second})
+		if policy == "two" {
+			p.Crowd, p.CrowdAt, p.StopEvery, p.StopFor, p.Expires, p.GoesOn, p.KeepsPlace = 0.2, 3, second, 100*ms, true, true, true
+		}
 		if policy == "shared" {
 			p.Policy, p.Store, p.Loads[0].Quota = "module", "good", 150
 		}
@@ -244,3 +247,38 @@
 		})
 	}
 }
+
+// Replicas that stand still now and then, that lose speed under many parts, that drop what nobody waits for, and that work on what
+// was given up: each of these moves what is served, the way it should.
+func TestLaws(t *testing.T) {
+	play := func(change func(*Plan)) *Result {
+		p := small("random", 5)
+		p.Budgeted, p.Loads = false, p.Loads[:1]
+		change(&p)
+		r, _ := played(t, p, Cores())
+		t.Logf("%.3f in goal, p50 %.1f ms, p99 %.1f ms", r.Share(), float64(r.P50)/1e6, float64(r.P99)/1e6)
+		return r
+	}
+	stops := func(p *Plan) { p.StopEvery, p.StopFor = 2*second, 150*ms }
+	plain, stopped := play(func(*Plan) {}), play(stops)
+	if stopped.P99 < plain.P99+75*ms || stopped.P50 > plain.P50+20*ms {
+		t.Errorf("with pauses of 150 ms the slowest take %d ns, without %d", stopped.P99, plain.P99)
+	}
+	crowd := func(p *Plan) { p.Loads[0].Rate, p.Crowd, p.CrowdAt = 80, 0.1, 2 }
+	busy, crowded := play(func(p *Plan) { p.Loads[0].Rate = 80 }), play(crowd)
+	if crowded.Share() > busy.Share()-0.02 {
+		t.Errorf("%.3f served by replicas that slow down under many parts, %.3f else", crowded.Share(), busy.Share())
+	}
+	keeps := play(func(p *Plan) {
+		crowd(p)
+		p.GoesOn, p.KeepsPlace = true, true
+	})
+	drops := play(func(p *Plan) {
+		crowd(p)
+		p.GoesOn, p.KeepsPlace, p.Expires = true, true, true
+	})
+	if keeps.Share() > crowded.Share()-0.1 || drops.Share() <= keeps.Share() {
+		t.Errorf("%.3f served where what is given up is worked on, %.3f where it is not, %.3f where what waits too long is dropped",
+			keeps.Share(), crowded.Share(), drops.Share())
+	}
+}
--- a/emulator/plan.go
+++ b/emulator/plan.go
@@ -26,13 +26,19 @@
 	Tail                  float64 // share of parts with a heavy tail: a Pareto law
 	Unlike                float64 // of replicas' speed, the standard deviation of its logarithm
 	Room                  int     // parts that may wait at a replica; more are turned away
+	Crowd                 float64 // of its speed that a replica loses for each part a worker that it holds
+	CrowdAt               float64 // beyond so many a worker
+	StopEvery             int64   // between two pauses that a replica makes by itself, in the mean; 0 for none
+	StopFor               int64   // and how long one is, from half to one and a half times this
+	Expires               bool    // what waits at a replica is dropped there once its time is up
 	Way                   int64   // to a replica, and back: at least, with a quarter more in the mean
 	ListDelay             int64   // until the list tells of a change, up to twice
 	Tick                  int64
 
 	Executions   int
 	Cancels      bool
-	GoesOn       bool // what is given up is worked on to its end all the same
+	GoesOn       bool // what is given up is worked on to its end all the same,
+	KeepsPlace   bool // and so is what was given up while it still waited
 	ColdShare    float64
 	ColdRamp     int64
 	FallMultiple float64
@@ -128,6 +134,8 @@
 		return errors.New("nobody asks")
 	case p.Way < 1000:
 		return errors.New("a way of less than a microsecond")
+	case p.StopEvery > 0 && p.StopEvery < 3*p.StopFor:
+		return errors.New("replicas would stand still most of the time")
 	case p.Until > p.Span || p.From >= p.Until:
 		return errors.New("the stretch that counts is not within the span")
 	}
--- a/emulator/replica.go
+++ b/emulator/replica.go
@@ -12,7 +12,7 @@
 
 // What happens.
 const (
-	arrives uint8 = iota // a part at a replica
+	arrives uint8 = iota // a part at a replica; Result is its load, Value until when it is waited for
 	dropped              // it is given up by its aggregator
 	worked               // a worker has done one
 	begins               // a fault; Value is its number
@@ -42,6 +42,7 @@
 	goesBack    // and its answer goes back
 	tripLate    // a trip's time is up
 	listed      // the list tells of a replica; Query is its number, Result its standing, Value its start
+	stands      // a replica makes a pause by itself
 )
 
 // key names an execution among those that a replica has.
@@ -55,6 +56,7 @@
 	key
 	turn uint64 // of its service, so that an old end does nothing
 	at   int64  // its service ends
+	by   int64  // nobody waits for it from then on
 }
 
 // truth is what the oracle may see of a replica.
@@ -76,7 +78,9 @@
 	busy    []job
 	turns   uint64
 	under   map[int]bool // faults by number that hold now
-	held    bool         // it is paused
+	held    bool         // it is paused,
+	since   int64        // from then
+	until   int64        // until then
 	watch   *checker.Replica
 	met     int // executions while a fault holds
 	falling bool
@@ -105,17 +109,23 @@
 func (r *replica) happen(now int64, e agenda.Event) {
 	switch e.Kind {
 	case arrives:
-		r.arrive(now, key{e.From, e.Query, e.Part, e.Number}, int(e.Value))
+		r.arrive(now, key{e.From, e.Query, e.Part, e.Number}, int(e.Result), e.Value)
 	case dropped:
 		r.drop(now, key{e.From, e.Query, e.Part, e.Number})
 	case worked:
 		r.worked(now, uint64(e.Value))
 	case begins, ends:
 		r.turn(now, int(e.Value), e.Kind == begins)
+	case stands:
+		r.hold(now, r.StopFor/2+r.chance.Int64N(r.StopFor+1))
+		r.stop(now)
 	case resumes:
+		if !r.held || now < r.until { // a longer pause has begun meanwhile
+			return
+		}
 		r.held = false
 		for i := range r.busy { // what was under way goes on where it was
-			r.schedule(now, &r.busy[i], max(r.busy[i].at-e.Value, 0))
+			r.schedule(now, &r.busy[i], max(r.busy[i].at-r.since, 0))
 		}
 		r.serve(now)
 	}
@@ -134,7 +144,8 @@
 
 const errorTime = int64(1e6)
 
-func (r *replica) arrive(now int64, k key, load int) {
+// arrive takes a part of a load in that is waited for until by.
+func (r *replica) arrive(now int64, k key, load int, by int64) {
 	if r.down {
 		r.reply(now, k, balance.ConnectFailed, 0)
 		return
@@ -157,7 +168,7 @@
 		r.reply(now, k, balance.Full, 0)
 		return
 	}
-	r.queue = append(r.queue, job{key: k})
+	r.queue = append(r.queue, job{key: k, by: by})
 	r.serve(now)
 }
 
@@ -166,6 +177,9 @@
 	for !r.held && len(r.busy) < r.Workers && len(r.queue) > 0 {
 		j := r.queue[0]
 		r.queue = r.queue[1:]
+		if r.Expires && now >= j.by {
+			continue
+		}
 		r.busy = append(r.busy, j)
 		r.schedule(now, &r.busy[len(r.busy)-1], r.takes(now))
 	}
@@ -183,13 +197,20 @@
 	if r.Tail > 0 && r.chance.Float64() < r.Tail {
 		t *= math.Pow(1-r.chance.Float64(), -1/1.5) // Pareto's law with a tail of 1.5
 	}
+	return int64(min(t*r.slower(now), 600e9))
+}
+
+// slower is how many times as long a part takes here and now, by faults, cold and crowd.
+func (r *replica) slower(now int64) float64 {
+	t := 1.0
 	if f, slow := r.is("slow"); slow {
 		t *= f.Times
 	}
 	if age := now - r.began; r.began > 0 && age < r.ColdRamp {
 		t /= r.ColdShare + (1-r.ColdShare)*float64(age)/float64(r.ColdRamp)
 	}
-	return int64(min(t, 600e9))
+	held := float64(len(r.queue)+len(r.busy)) / float64(r.Workers)
+	return t * (1 + r.Crowd*max(held-r.CrowdAt, 0))
 }
 
 func (r *replica) worked(now int64, turn uint64) {
@@ -208,7 +229,9 @@
 // drop gives an execution up: it leaves the queue or its worker.
 func (r *replica) drop(now int64, k key) {
 	same := func(j job) bool { return j.key == k }
-	r.queue = slices.DeleteFunc(r.queue, same)
+	if !r.KeepsPlace {
+		r.queue = slices.DeleteFunc(r.queue, same)
+	}
 	if r.GoesOn {
 		return
 	}
@@ -286,14 +309,30 @@
 	}
 }
 
+// hold has all work stand still for so long, or longer where it does already.
+func (r *replica) hold(now, d int64) {
+	if !r.held {
+		r.held, r.since, r.until = true, now, now
+	}
+	r.until = max(r.until, now+d)
+	r.cause(now, agenda.Event{At: r.until, To: r.self, Kind: resumes})
+}
+
+// stop has the next pause come that a replica makes by itself.
+func (r *replica) stop(now int64) {
+	if r.StopEvery > 0 {
+		at := now + max(int64(r.chance.ExpFloat64()*float64(r.StopEvery)), 1)
+		r.cause(now, agenda.Event{At: at, To: r.self, Kind: stands})
+	}
+}
+
 // pause has all work stand still for a stretch, and again at each period while the fault holds.
 func (r *replica) pause(now int64, number int) {
 	f := r.Faults[number]
 	if now >= origin+f.Until {
 		return
 	}
-	r.held = true
-	r.cause(now, agenda.Event{At: now + f.For, To: r.self, Kind: resumes, Value: now})
+	r.hold(now, f.For)
 	if f.Every > f.For {
 		r.cause(now, agenda.Event{At: now + f.Every, To: r.self, Kind: begins, Value: int64(number)})
 	}
@@ -303,14 +342,7 @@
 func (r *replica) truth(now int64) truth {
 	_, errs := r.is("errors")
 	_, lost := r.is("silence")
-	f, slow := r.is("slow")
-	work := float64(r.Work) * r.speed
-	if slow {
-		work *= f.Times
-	}
-	if age := now - r.began; r.began > 0 && age < r.ColdRamp {
-		work /= r.ColdShare + (1-r.ColdShare)*float64(age)/float64(r.ColdRamp)
-	}
+	work := float64(r.Work) * r.speed * r.slower(now)
 	waiting := max(float64(len(r.queue)+len(r.busy)-r.Workers+1), 0)
 	return truth{int64(work * (1 + waiting/float64(r.Workers))), !r.down && !errs && !lost && !r.hangs(now) && !r.held}
 }
--- a/emulator/run.go
+++ b/emulator/run.go
@@ -220,6 +220,7 @@
 	}
 	for _, r := range w.backs {
 		w.entities = append(w.entities, r)
+		r.stop(origin)
 	}
 	if p.Store != "" && p.Store != "none" {
 		s := &store{outlet: place(p.Aggregators + p.Replicas), Plan: &p, now: newShelves(), kept: newShelves(), chance: chance(0, 5)}
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -80,12 +80,18 @@
 		{Name: "unlike", Kind: script.Number, Unset: 0.0, Most: 3, Help: "of replicas' speeds, as spread"},
 		{Name: "uneven", Kind: script.Number, Unset: 0.0, Most: 3, Help: "of aggregators' shares of the load, as spread"},
 		{Name: "room", Kind: script.Whole, Unset: int64(0), Most: 1e6, Help: "parts that may wait at a replica; 0 for any number"},
+		{Name: "crowd", Kind: script.Number, Unset: 0.0, Most: 100, Help: "of its speed that a replica loses for each part a worker that it holds"},
+		{Name: "crowd_at", Kind: script.Number, Unset: 4.0, Most: 1e6, Help: "beyond so many a worker"},
+		{Name: "stop_every", Kind: script.Span, Unset: int64(0), Most: 3600e9, Help: "between two pauses that a replica makes by itself, in the mean; 0s for none"},
+		{Name: "stop_for", Kind: script.Span, Unset: 180 * milli, Least: 1e6, Most: 60e9, Help: "and how long one is, from half to one and a half times this"},
+		{Name: "expires", Kind: script.Truth, Unset: false, Help: "what waits at a replica is dropped there once its time is up"},
 		{Name: "way", Kind: script.Span, Unset: milli / 2, Least: 1e3, Most: 10e9, Help: "to a replica, and back, at least"},
 		{Name: "list_delay", Kind: script.Span, Unset: second, Least: 1, Most: 600e9, Help: "until the list tells of a change, up to twice"},
 		{Name: "tick", Kind: script.Span, Unset: 5 * milli, Least: 1e3, Most: 1e9, Help: "between two rounds of an aggregator at least"},
 		{Name: "executions", Kind: script.Whole, Unset: int64(3), Least: 1, Most: 16, Help: "of one part at most"},
 		{Name: "cancels", Kind: script.Truth, Unset: true, Help: "executions may be given up"},
 		{Name: "goes_on", Kind: script.Truth, Unset: false, Help: "what is given up is worked on to its end all the same"},
+		{Name: "keeps_place", Kind: script.Truth, Unset: false, Help: "and so is what was given up while it still waited"},
 		{Name: "cold_share", Kind: script.Number, Unset: 0.2, Least: 0.001, Most: 1, Help: "of its capacity that a fresh replica has"},
 		{Name: "cold_ramp", Kind: script.Span, Unset: 9 * second, Least: 1e6, Most: 600e9, Help: "until it is warm"},
 		{Name: "fall_multiple", Kind: script.Number, Unset: 4.0, Least: 1, Most: 1000, Help: "of its present capacity pushes a cold one over,"},
@@ -102,9 +108,11 @@
 		p.Sites = int(c.Whole("sites"))
 		p.Workers, p.Work, p.Spread = int(c.Whole("workers")), c.Whole("work"), c.Number("spread")
 		p.Tail, p.Unlike, p.Uneven, p.Room = c.Number("tail"), c.Number("unlike"), c.Number("uneven"), int(c.Whole("room"))
+		p.Crowd, p.CrowdAt, p.Expires = c.Number("crowd"), c.Number("crowd_at"), c.Truth("expires")
+		p.StopEvery, p.StopFor = c.Whole("stop_every"), c.Whole("stop_for")
 		p.Way, p.ListDelay, p.Tick = c.Whole("way"), c.Whole("list_delay"), c.Whole("tick")
 		p.Executions, p.Cancels = int(c.Whole("executions")), c.Truth("cancels")
-		p.GoesOn = c.Truth("goes_on")
+		p.GoesOn, p.KeepsPlace = c.Truth("goes_on"), c.Truth("keeps_place")
 		p.ColdShare, p.ColdRamp = c.Number("cold_share"), c.Whole("cold_ramp")
 		p.FallMultiple, p.FallSpan = c.Number("fall_multiple"), c.Whole("fall_span")
 		p.Share, p.Free, p.BudgetSpan = c.Number("budget"), c.Number("budget_free"), c.Whole("budget_span")
--- a/experiment/experiment_test.go
+++ b/experiment/experiment_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -30,15 +31,13 @@
 	for i := range p.Faults {
 		f := &p.Faults[i]
 		f.From, f.Until = at(f.From), at(f.Until)
-		var there []int
-		for _, r := range f.Replicas {
-			if r < p.Replicas/3 {
-				there = append(there, r)
-			}
+		few := func(all []int, most int) []int {
+			return slices.DeleteFunc(slices.Clone(all), func(n int) bool { return n >= most })
 		}
-		f.Replicas = there
+		f.Replicas, f.Aggregators = few(f.Replicas, p.Replicas/3), few(f.Aggregators, p.Aggregators)
 	}
 	for i := range p.Loads {
+		p.Loads[i].Parts = min(p.Loads[i].Parts, p.Shards())
 		p.Loads[i].Every, p.Loads[i].For = at(p.Loads[i].Every), at(p.Loads[i].For)
 	}
 }
