A recall looks its peers up only where it may be made; declarations say what they hold

Cause: found in reading the change again.

Change: the look-up stands behind the condition, as the reckoning of the peer's time does. Decisions as before.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -56,7 +56,7 @@
 
 // ring sums what happened over a span, in buckets of fixed width that are used again.
 type ring struct {
-	width, newest int64 // of a bucket; number of the newest
+	width, newest int64 // width of a bucket, ns; number of the newest
 	sums          [spanBuckets + 1]float64
 }
 
@@ -156,7 +156,7 @@
 
 type execution struct {
 	call          *call
-	sentAt, stood int64 // how long the process had stood by then
+	sentAt, stood int64 // when; and how long the process had stood by then, ns
 	replica       int
 	slots         int  // own calls out there at the send, with this one
 	over, overdue bool // overdue: given up by this aggregator as too long
@@ -607,7 +607,7 @@
 //
 // Danger: what is cancelled may go on running and jam peers. Only replicas set aside or silent since the send
 // lose their parts. Where a part then comes soon the next recall is sooner, else later. Where none of the shard's holders
-// has answered of late its jam may not be known here yet, so little time for the part must do, or half.
+// has answered of late their jam may not be known here yet, so a peer must be expected in less time.
 func (q *Query) recall(now int64, number int) int64 {
 	a, p := q.agg, &q.parts[number]
 	n := len(p.executions) - 1
@@ -630,16 +630,16 @@
 	if now >= next {
 		left, next = q.end-now, q.end
 	}
-	answered := func(by int64) bool {
-		return slices.ContainsFunc(a.holders[p.shard], func(h int) bool { return a.replicas[h].heard >= by })
-	}
-	if answered(half) {
-		left = q.end - now
-	} else if !answered(e.sentAt) {
-		left /= 2
-	}
 	// Danger: what cannot run again, by the rules or in the time left, must not be taken back: in a jam, work twice.
 	if (r.aside || r.heard < e.sentAt) && !e.overdue && a.Cancels && q.mayRun(now, p) {
+		answered := func(by int64) bool {
+			return slices.ContainsFunc(a.holders[p.shard], func(h int) bool { return a.replicas[h].heard >= by })
+		}
+		if answered(half) {
+			left = q.end - now
+		} else if !answered(e.sentAt) {
+			left /= 2
+		}
 		if again, _ := a.expect(now, p, q.workload, false); again < left {
 			e.overdue = true
 			a.cancels = append(a.cancels, Cancel{q, number, n})
