Past the goal a peer heard since the send is enough to take an overdue part back

Past the goal a part waited for halfway to the client's end where its peers had answered since the send but not within half of the wait (recall, the look-up of peers).

Change: once the goal is past, what is left is the client's time, also by the word of such a peer.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -635,7 +635,7 @@
 		answered := func(by int64) bool {
 			return slices.ContainsFunc(a.holders[p.shard], func(h int) bool { return a.replicas[h].heard >= by })
 		}
-		if answered(half) {
+		if answered(half) || now >= q.goal && answered(e.sentAt) {
 			left = q.end - now
 		} else if !answered(e.sentAt) {
 			left /= 2
