Zones out of reach are found out by the first query and passed over

Checked and ruled out by a probe of each decline: the lot and quota of cold replicas (balance.coldRoom: none of 3,100 declines), times at cold replicas (1.5 times those at warm ones).

Change: rift, a decider without I/O: three replicas of a zone that fail with none of it heard between put the zone out of reach; the module hears Word.Away of each, has no room there, and forgets what they brought; single parts try it again. zones() in the operator's script; the platform's run line switches it on. Zones, the fault rift and watch_zones in the emulator; zone-rift and zone-lost.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,9 +1,7 @@
 // Package balance decides for one aggregator: which replica serves each part of a query, when a part runs
 // again, when a query is answered and whom to decline.
-//
-// How to call it: New makes an aggregator. Facts go in by ListWhole, ListChanged, ListFailed, Take, and by
-// AddPart, Outcome and Leave on what Take returns; Decide(now), once a tick, returns what to do. Calls come
-// from one goroutine, in order of time; nothing is shared, no clock read, no I/O. The types are in types.go.
+// Facts go in by ListWhole, ListChanged, ListFailed, Take, and on what Take returns AddPart, Outcome, Leave. Decide
+// (now), once a tick, returns what to do. Calls come from one goroutine, in order of time; no clock is read, no I/O.
 package balance
 
 import (
@@ -361,7 +359,7 @@
 		}
 	case Full, ConnectFailed:
 		// Danger: a replica that turns all away at once always has the lowest count and draws every part.
-		r.jammed = now + q.workload.middle
+		r.jammed = max(r.jammed, now+q.workload.middle)
 		if result == Full {
 			q.agg.meet(now, r, math.MaxFloat64, 1)
 		}
@@ -452,14 +450,17 @@
 }
 
 // Hear takes in what others found of a replica.
-// Danger: hearsay alone must not lock out what is sound. By it a replica is passed over, as one is that was met and
-// found slow, and no more: it serves as its peers fill. A try is put off no further than the longest rest.
+// Danger: hearsay alone must not lock out what is sound. By it a replica is passed over, as one is that was met and found slow: it
+// serves as its peers fill. One that is away has no room, whatever else is heard. A try is put off no further than the longest rest.
 func (a *Aggregator) Hear(now int64, w Word) {
 	if w.Replica >= len(a.replicas) || !a.replicas[w.Replica].listed {
 		return
 	}
 	r := &a.replicas[w.Replica]
-	w.Weight = min(w.Weight, wordMost)
+	if w.Weight = min(w.Weight, wordMost); w.Away > 0 { // what it brought meanwhile tells nothing of it
+		r.letIn()
+		r.jammed, r.slot, r.fresh.sum, r.fresh.n = w.Away, newMean(paceSpan), 0, 0
+	}
 	if r.word = w; r.aside && w.Try > 0 && r.quota == 1 && r.used == 0 {
 		r.since = min(max(w.Try, now), now+holdDoubled*a.rest)
 	}
@@ -487,10 +488,9 @@
 
 // coldRoom tells whether a cold replica may be sent a part.
 //
-// Danger: right after its start a replica falls over under its usual load, and stays down. It bears a
-// multiple of what it can do now. If each aggregator sends it no more than that share of its own usual
-// traffic, all stay within it together, and a shard of cold ones is not starved. So each part has a lot,
-// drawn once; one just back gets no burst; what peers that are away should bear makes the share smaller.
+// Danger: right after its start a replica falls over under its usual load, and stays down. It bears a multiple of what it can
+// do now. If each aggregator sends it no more than that share of its own usual traffic, all stay within it together, and a shard
+// of cold ones is not starved. Each part has a lot, drawn once; no burst; what peers that are away should bear makes it less.
 func (a *Aggregator) coldRoom(now int64, r *replica, p *part) bool {
 	if r.started == 0 || now-r.started >= a.ColdRamp {
 		return true
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -24,7 +24,7 @@
 //	leave QUERY                 the client went
 //	stood T                     the process itself has just stood for so long
 //	flood N QUERY ...           take, N times, with a number behind the name
-//	hear REPLICA UNTIL [suspect] [pace=X*CALLS] [try=T]   what others found of it
+//	hear REPLICA UNTIL [suspect] [pace=X*CALLS] [try=T] [away=T]   what others found of it
 //	over QUERY WORKLOAD ...     as take, of a customer over what was agreed
 //	> send QUERY.PART REPLICA [until T]
 //	> cancel QUERY.PART EXECUTION
@@ -176,6 +176,8 @@
 			w.Pace, w.Weight = p.number(pace), p.number(calls)
 		case "try":
 			w.Try = p.time(value)
+		case "away":
+			w.Away = p.time(value)
 		default:
 			p.fatal("unknown key %s", key)
 		}
--- a/balance/types.go
+++ b/balance/types.go
@@ -97,6 +97,7 @@
 	Pace    float64 // times the typical that it is said to need,
 	Weight  float64 // counted like so many own calls; 0 for no word on that
 	Try     int64   // where it is set aside: its trickle starts then, 0 for no word
+	Away    int64   // it cannot be reached until then, or could not until now, ns; 0 for no word
 }
 
 // Result is how an execution ended.
--- a/cmd/willowsill/main.go
+++ b/cmd/willowsill/main.go
@@ -106,6 +106,13 @@
 		core.Close()
 		return err
 	}
+	areas := &zoned{start: start, core: core, log: log}
+	if err := areas.follow(orders); err != nil {
+		own.end()
+		shares.end()
+		core.Close()
+		return err
+	}
 	watching, unwatch := context.WithCancel(context.Background())
 	defer unwatch()
 	watched := make(chan struct{})
@@ -132,7 +139,7 @@
 		case err := <-served:
 			return err
 		case <-reload:
-			follow(&start, watch, shares, own, ways, count, log)
+			follow(&start, watch, shares, own, areas, ways, count, log)
 		case <-stop.Done():
 			leaving = true
 		}
@@ -157,7 +164,7 @@
 // and switches on and off what the script says.
 //
 // Danger: a file that is missing, half-written or wrong must not end what runs well, nor change a part of it.
-func follow(start *deployment.Start, watch *roster.Watch, shares *sharing, own *strained, ways *ways,
+func follow(start *deployment.Start, watch *roster.Watch, shares *sharing, own *strained, areas *zoned, ways *ways,
 	count *counters.Counters, log *zap.Logger) {
 	count.Reloads.Add(1)
 	next, odd, err := start.Again()
@@ -166,12 +173,15 @@
 		orders, err = operator.Read(orders.File)
 	}
 	if err == nil {
-		if err = own.check(orders); err == nil {
+		if err = errors.Join(own.check(orders), areas.check(orders)); err == nil {
 			err = shares.follow(orders)
 		}
 		if err == nil {
 			err = own.follow(orders)
 		}
+		if err == nil {
+			err = areas.follow(orders)
+		}
 	}
 	if err != nil {
 		count.ReloadsWrong.Add(1)
--- a/cmd/willowsill/platform_test.go
+++ b/cmd/willowsill/platform_test.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"testing"
+
+	"willowsill/operator"
 )
 
 // ordered is a line of the deploy file.
@@ -37,6 +39,13 @@
 	if !is || strings.ContainsAny(run, "&|;$`") {
 		t.Fatalf("run is %q: it has to end by exec in one process", run)
 	}
+	words := strings.Fields(run)
+	// What it is started with holds as well, or it would not come up.
+	if i := slices.Index(words, "--operator"); i > 0 && i+1 < len(words) {
+		if _, err := operator.Read(filepath.Join("../..", words[i+1])); err != nil {
+			t.Error(err)
+		}
+	}
 	into := t.TempDir()
 	build := ordered(t, "build")
 	line := strings.NewReplacer("mkdir -p bin &&", "", "-o bin/", "-o "+into+"/", "./cmd/...", "./cmd/willowsill").Replace(build)
@@ -48,7 +57,7 @@
 	if out, err := command.CombinedOutput(); err != nil {
 		t.Fatalf("%s: %v\n%s", line, err, out)
 	}
-	program, err := elf.Open(filepath.Join(into, strings.TrimPrefix(run, "bin/")))
+	program, err := elf.Open(filepath.Join(into, strings.TrimPrefix(words[0], "bin/")))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/counters/counters.go
+++ b/counters/counters.go
@@ -143,6 +143,7 @@
 	SharedStore Slot `json:"shared_store,omitzero"` // where one is used
 	Gateway     Slot `json:"gateway,omitzero"`
 	Strain      Slot `json:"strain,omitzero"`
+	Zones       Slot `json:"zones,omitzero"`
 
 	Rounds       Count   `json:"rounds"`
 	DelayTotal   Count   `json:"delay_total_ns"` // from a fact's birth to the loop, over all facts
--- a/deploy/operator.star
+++ b/deploy/operator.star
@@ -1,3 +1,4 @@
-# The operator's file of the platform: nothing is switched on here.
-#
-# What can be: `willowsill check --help`, and docs/store.md for the shared store, which this platform does not give.
+# The operator's file of the platform. What else can be switched on: `willowsill check --help`, and docs/store.md for the shared
+# store, which this platform does not give.
+
+zones()    # a zone out of reach is found out by three replicas of it that fail, and passed over
--- a/emulator/aggregator.go
+++ b/emulator/aggregator.go
@@ -74,7 +74,10 @@
 		for i := range whole {
 			whole[i].New = true
 		}
-		a.brain = newModule(now, a.deployment(int(a.self)), whole)
+		m := newModule(now, a.deployment(int(a.self)), whole)
+		if a.brain = m; a.Watch {
+			a.brain = newWatched(m, a.Plan, int(a.self), whole)
+		}
 	} else {
 		truths := &a.world.truths
 		a.brain = newRival(a.Plan, int(a.self), a.list, func(r int) (int64, bool) { return (*truths)[r].wait, (*truths)[r].sound })
--- a/emulator/plan.go
+++ b/emulator/plan.go
@@ -49,6 +49,8 @@
 	Uneven       float64 // of the aggregators' shares of the load, as a standard deviation of the logarithm
 
 	Own    Own    // of each aggregator's own processor
+	Zones  int    // that replicas are dealt over in blocks, and aggregators by turns; 0 or 1 for one
+	Watch  bool   // aggregators know zones out of reach by few failures
 	Sites  int    // that the fleet is dealt over, replicas in blocks, aggregators by turns; 0 or 1 for one
 	Link   Link   // between any two of them
 	Route  string // by what queries are carried: none, or one of routes.Policies
@@ -88,6 +90,7 @@
 	Replicas    []int
 	Aggregators []int // for faults of theirs
 	Sites       []int // cut: which
+	Zones       []int // rift: which
 	Load        int   // unanswered: the load, by number
 	From, Until int64
 	Times       float64 // slow: how much
@@ -105,6 +108,7 @@
 	"flap",       // hangs for a stretch of each period
 	"unanswered", // parts of one load are taken and nothing is said, all others are well
 	"silence",    // what it answers is lost on the way
+	"rift",       // parts and answers between a zone and the others are lost, and nobody is told
 	"cut",        // the links of a site carry nothing, and nobody is told
 	"list",       // the list tells nobody of any change until the end; it befalls all
 	"drain",      // is told to drain at the start, and is up again at the end
@@ -155,6 +159,11 @@
 				return fmt.Errorf("fault %q: there is no aggregator %d", f.Kind, a)
 			}
 		}
+		for _, zone := range f.Zones {
+			if zone < 0 || zone >= max(p.Zones, 1) {
+				return fmt.Errorf("fault %q: there is no zone %d", f.Kind, zone)
+			}
+		}
 		for _, site := range f.Sites {
 			if site < 0 || site >= p.sites() {
 				return fmt.Errorf("fault %q: there is no site %d", f.Kind, site)
--- a/emulator/replica.go
+++ b/emulator/replica.go
@@ -133,7 +133,7 @@
 
 // reply tells an aggregator how an execution ended.
 func (r *replica) reply(now int64, k key, result balance.Result, after int64) {
-	if _, lost := r.is("silence"); lost {
+	if _, lost := r.is("silence"); lost || r.apart(now, int(k.from), r.number) {
 		return
 	}
 	r.cause(now, agenda.Event{At: now + after + r.way(), To: k.from, Kind: replies, Query: k.query, Part: k.part, Number: k.number,
@@ -146,6 +146,9 @@
 
 // arrive takes a part of a load in that is waited for until by.
 func (r *replica) arrive(now int64, k key, load int, by int64) {
+	if r.apart(now, int(k.from), r.number) {
+		return
+	}
 	if r.down {
 		r.reply(now, k, balance.ConnectFailed, 0)
 		return
--- a/experiment/experiment.go
+++ b/experiment/experiment.go
@@ -73,6 +73,7 @@
 		{Name: "replicas", Kind: script.Whole, Unset: int64(40), Least: 1, Most: 20000, Help: "how many"},
 		{Name: "holders", Kind: script.Whole, Unset: int64(4), Least: 1, Most: 1000, Help: "replicas of each shard"},
 		{Name: "sites", Kind: script.Whole, Unset: int64(1), Least: 1, Most: 32, Help: "that all of it is dealt over"},
+		{Name: "zones", Kind: script.Whole, Unset: int64(1), Least: 1, Most: 64, Help: "that replicas are dealt over in blocks, and aggregators by turns"},
 		{Name: "workers", Kind: script.Whole, Unset: int64(2), Least: 1, Most: 1000, Help: "parts that a replica works on at a time"},
 		{Name: "work", Kind: script.Span, Unset: 20 * milli, Least: 1e3, Most: 60e9, Help: "that a part takes, the median"},
 		{Name: "spread", Kind: script.Number, Unset: 0.4, Most: 3, Help: "of that: the standard deviation of its logarithm"},
@@ -105,7 +106,7 @@
 	}, Order: func(e *Experiment, c script.Call) error {
 		p := &e.Plan
 		p.Aggregators, p.Replicas, p.Holders = int(c.Whole("aggregators")), int(c.Whole("replicas")), int(c.Whole("holders"))
-		p.Sites = int(c.Whole("sites"))
+		p.Sites, p.Zones = int(c.Whole("sites")), int(c.Whole("zones"))
 		p.Workers, p.Work, p.Spread = int(c.Whole("workers")), c.Whole("work"), c.Number("spread")
 		p.Tail, p.Unlike, p.Uneven, p.Room = c.Number("tail"), c.Number("unlike"), c.Number("uneven"), int(c.Whole("room"))
 		p.Crowd, p.CrowdAt, p.Expires = c.Number("crowd"), c.Number("crowd_at"), c.Truth("expires")
@@ -171,6 +172,7 @@
 		{Name: "replicas", Kind: script.Wholes, Unset: []int{}, Help: "which"},
 		{Name: "aggregators", Kind: script.Wholes, Unset: []int{}, Help: "which, for crash and freeze"},
 		{Name: "sites", Kind: script.Wholes, Unset: []int{}, Help: "which, for cut"},
+		{Name: "zones", Kind: script.Wholes, Unset: []int{}, Help: "which, for rift"},
 		{Name: "at", Kind: script.Span, Most: 3600e9, Help: "when it begins"},
 		{Name: "until", Kind: script.Span, Most: 3600e9, Help: "when it ends"},
 		{Name: "only", Kind: script.Whole, Unset: int64(0), Most: 1000, Help: "unanswered: which queries, by number"},
@@ -180,13 +182,13 @@
 		{Name: "bad_for", Kind: script.Span, Unset: 2 * second, Least: 1e5, Most: 3600e9, Help: "and how much of it is bad"},
 	}, Order: func(e *Experiment, c script.Call) error {
 		f := emulator.Fault{Kind: c.Text("kind"), Replicas: c.Wholes("replicas"), Aggregators: c.Wholes("aggregators"),
-			Load: int(c.Whole("only")), Sites: c.Wholes("sites"), From: c.Whole("at"), Until: c.Whole("until"),
+			Load: int(c.Whole("only")), Sites: c.Wholes("sites"), Zones: c.Wholes("zones"), From: c.Whole("at"), Until: c.Whole("until"),
 			Times: c.Number("times"), Every: c.Whole("every"), For: c.Whole("bad_for")}
 		if f.Until <= f.From {
 			return errors.New(`key "until" is not after "at"`)
 		}
-		if len(f.Replicas)+len(f.Aggregators)+len(f.Sites) == 0 && f.Kind != "list" {
-			return errors.New(`keys "replicas", "aggregators" and "sites" name nobody`)
+		if len(f.Replicas)+len(f.Aggregators)+len(f.Sites)+len(f.Zones) == 0 && f.Kind != "list" {
+			return errors.New(`keys "replicas", "aggregators", "sites" and "zones" name nobody`)
 		}
 		e.Plan.Faults = append(e.Plan.Faults, f)
 		return nil
@@ -199,6 +201,7 @@
 			{Name: "store", Kind: script.Text, Unset: "none", Words: emulator.Stores, Help: "how the shared store behaves"},
 			{Name: "route", Kind: script.Text, Unset: "none", Words: append([]string{"none"}, routes.Policies...), Help: "by what queries are carried to other sites"},
 			{Name: "strain", Kind: script.Text, Unset: "none", Words: emulator.Strains, Help: "the limit by which aggregators know their own strain"},
+			{Name: "watch_zones", Kind: script.Truth, Unset: false, Help: "aggregators know zones out of reach by few failures"},
 			{Name: "calm", Kind: script.Truth, Unset: false, Help: "no fault befalls anybody"},
 			{Name: "list_delay", Kind: script.Span, Unset: int64(0), Most: 600e9, Help: "0s for the fleet's"},
 			{Name: "constants", Kind: script.Shares, Unset: map[string]float64(nil), Least: -1e15, Most: 1e15,
@@ -206,9 +209,9 @@
 		}, Order: func(e *Experiment, c script.Call) error {
 			other := c.Shares("constants")
 			v := Variant{Name: c.Text("name"), Constants: other, True: c.Text("policy") == "module" && c.Text("store") == "none" &&
-				c.Text("route") == "none" && c.Text("strain") == "none" && other == nil, change: func(p *emulator.Plan) {
+				c.Text("route") == "none" && c.Text("strain") == "none" && !c.Truth("watch_zones") && other == nil, change: func(p *emulator.Plan) {
 				p.Policy, p.Store, p.Route = c.Text("policy"), c.Text("store"), c.Text("route")
-				p.Own.Strain = c.Text("strain")
+				p.Own.Strain, p.Watch = c.Text("strain"), c.Truth("watch_zones")
 				if n := int(c.Whole("executions")); n > 0 {
 					p.Executions = n
 				}
--- a/node/book.go
+++ b/node/book.go
@@ -61,6 +61,9 @@
 	n.countEnd(result)
 	q := e.query
 	q.out--
+	if n.rifts != nil {
+		n.rifts.Ended(now, e.replica, result, max(at-e.sentAt, 0))
+	}
 	q.handle.Outcome(now, e.part, e.number, result, max(at-e.sentAt, 0))
 	n.forget(q)
 	n.moved = true
@@ -118,7 +121,7 @@
 	whole := news.Whole || !live
 	if whole {
 		for i := range n.hosts {
-			n.hosts[i].gone = true // unless it is named
+			n.hosts[i].gone, n.hosts[i].up = true, false // unless it is named
 		}
 	}
 	listings := make([]balance.Listing, 0, len(news.Entries))
@@ -130,13 +133,17 @@
 		if !known {
 			i = n.place(e.Host)
 		}
-		n.hosts[i].gone = e.Standing == balance.Gone
+		h := &n.hosts[i]
+		h.gone, h.up = e.Standing == balance.Gone, e.Standing == balance.Up
 		if e.Standing != balance.Gone {
-			n.hosts[i].born = e.Born
+			h.born, h.zone = e.Born, e.Zone
 		}
 		if !known || e.Dial != "" { // one that has left may come without its address
 			n.pool.Address(i, e.Dial)
 		}
+		if n.rifts != nil && h.up {
+			n.rifts.Listed(i, e.Zone, known)
+		}
 		listings = append(listings, balance.Listing{Replica: i, New: !known, Cell: e.Cell, Standing: e.Standing,
 			Started: n.Wall(e.Born)})
 		if e.Standing == balance.Up && !n.isReady {
@@ -148,6 +155,9 @@
 		if h.gone {
 			n.pool.Leave(i)
 		}
+		if n.rifts != nil && !h.up {
+			n.rifts.Gone(i)
+		}
 	}
 	if whole {
 		n.agg.ListWhole(now, listings, live)
--- a/node/node.go
+++ b/node/node.go
@@ -14,6 +14,7 @@
 	"willowsill/counters"
 	"willowsill/deployment"
 	"willowsill/replica"
+	"willowsill/rift"
 	"willowsill/roster"
 	"willowsill/sockets"
 )
@@ -50,7 +51,7 @@
 // fact is something that happened, on its way to the loop.
 type fact struct {
 	at   int64
-	what any // arrival, departure, notice, roster.News, survey, allowance, sharing, rhythm or stop
+	what any // arrival, departure, notice, roster.News, survey, allowance, sharing, rhythm, zones or stop
 }
 
 type stop struct{}
@@ -86,13 +87,18 @@
 	lateness int64     // how late the loop was lately, ns
 	sweep    int64
 	stopped  bool
-	shared   *shared // what is shared with other aggregators, nil where nothing is
-	rhythm   *Rhythm // nil for a round each tick
+	shared   *shared     // what is shared with other aggregators, nil where nothing is
+	rhythm   *Rhythm     // nil for a round each tick
+	rifts    *rift.Rifts // nil where zones are not watched
+	words    []balance.Word
+	away     []string // zones out of reach, as was logged last
 }
 
 // host is the replica that has an index.
 type host struct {
 	name string // empty where the index can be used again
+	zone string // empty where it has none
+	up   bool   // listed as up
 	gone bool   // off the list
 	born int64  // ms of Unix time, 0 for long ago
 }
@@ -217,6 +223,9 @@
 	if n.wake > 0 {
 		next = min(next, max(n.wake, n.last+n.Tick))
 	}
+	if n.rifts != nil {
+		next = min(next, max(n.rifts.Next(), n.last+n.Tick))
+	}
 	return next
 }
 
@@ -253,6 +262,8 @@
 		n.share(v)
 	case rhythm:
 		n.rhythm = v.rhythm
+	case zones:
+		n.watchZones(now, v.rifts)
 	case stop:
 		n.stopped = true
 	}
--- a/node/send.go
+++ b/node/send.go
@@ -13,6 +13,7 @@
 type execution struct {
 	query        *query
 	part, number int
+	replica      int
 	sentAt       int64
 	cutAt        int64
 	ticket       *replica.Ticket
@@ -32,7 +33,7 @@
 	filling := map[int]*call{}
 	for _, s := range sends {
 		q := n.queries[s.Query]
-		e := &execution{query: q, part: s.Part, number: len(q.executions[s.Part]), sentAt: now, cutAt: s.CutAt}
+		e := &execution{query: q, part: s.Part, number: len(q.executions[s.Part]), replica: s.Replica, sentAt: now, cutAt: s.CutAt}
 		// The replica is told less than the true wait, so that it takes the part for given up no later than
 		// this side does.
 		wait := (s.CutAt - now) / waitUnit
@@ -41,6 +42,9 @@
 			Wait: wait, Text: q.Text}, Load: q.Load}
 		q.executions[s.Part] = append(q.executions[s.Part], e)
 		q.out++
+		if n.rifts != nil {
+			n.rifts.Sent(now, s.Replica)
+		}
 		if wait < 1 {
 			n.later(e, balance.Moot)
 			continue
--- a/node/share.go
+++ b/node/share.go
@@ -108,6 +108,9 @@
 		return
 	}
 	for _, w := range v.Words {
+		if n.rifts != nil {
+			w = n.rifts.Heed(w)
+		}
 		n.agg.Hear(now, w)
 	}
 }
--- /dev/null
+++ b/node/zones.go
@@ -0,0 +1,57 @@
+package node
+
+import (
+	"slices"
+
+	"go.uber.org/zap"
+
+	"willowsill/rift"
+)
+
+type zones struct{ rifts *rift.Rifts }
+
+// WatchZones has the loop know zones that are out of reach from now on, by a decider that it owns once it was handed over, or no
+// longer with nil.
+func (n *Node) WatchZones(r *rift.Rifts) {
+	select {
+	case n.facts <- fact{n.Now(), zones{r}}:
+	case <-n.ended:
+	}
+}
+
+func (n *Node) watchZones(now int64, r *rift.Rifts) {
+	if n.rifts != nil {
+		n.words = n.rifts.End(now, n.words[:0])
+		n.hearZones(now)
+	}
+	if n.rifts = r; r == nil {
+		n.words, n.away = nil, nil
+		n.count.Zones.Put(nil)
+		return
+	}
+	n.count.Zones.Put(r.Figures)
+	for i, h := range n.hosts {
+		if h.name != "" && h.up {
+			r.Listed(i, h.zone, true)
+		}
+	}
+}
+
+// look has the rifts decide, and the module hear of it.
+func (n *Node) look(now int64) {
+	if n.rifts == nil || now < n.rifts.Next() {
+		return
+	}
+	n.words = n.rifts.Decide(now, n.words[:0])
+	n.hearZones(now)
+	if out := n.rifts.Out(nil); !slices.Equal(out, n.away) {
+		n.log.Warn("zones out of reach", zap.Strings("zones", out), zap.Strings("before", n.away))
+		n.away = out
+	}
+}
+
+func (n *Node) hearZones(now int64) {
+	for _, w := range n.words {
+		n.agg.Hear(now, w)
+	}
+}
--- /dev/null
+++ b/node/zones_test.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"willowsill/rift"
+	"willowsill/standin"
+)
+
+// A zone whose replicas refuse connections is found out by two of them and passed over; a try later it is back in.
+func TestZones(t *testing.T) {
+	for _, on2 := range []bool{false, true} {
+		t.Run(fmt.Sprint("watched ", on2), func(t *testing.T) {
+			on(t, asIs, value, func(w *world) {
+				host := func(i int, zone string) standin.Host {
+					h := listed(i, "active")
+					h.Site = zone
+					return h
+				}
+				w.discovery.Change(host(0, "a"))
+				w.discovery.Change(host(1, "a"))
+				for i := range 8 { // nobody listens there
+					w.discovery.Change(host(2+i, "b"))
+				}
+				if on2 {
+					w.WatchZones(rift.New(rift.Terms{Rest: 1e9, Few: 2, Seed: 1}))
+				}
+				time.Sleep(10 * time.Millisecond)
+				refused := func() int64 { return w.count.Executions.ConnectFailed.Load() }
+				ask := func(name string, n int) {
+					for i := range n {
+						if got := w.serve(w.Context(), fmt.Sprint(name, i), 2*time.Second); got[0] != '0' && on2 {
+							w.Errorf("%s%d: %s", name, i, got)
+						}
+					}
+				}
+				ask("first", 2)
+				early := refused()
+				ask("more", 8)
+				if late := refused() - early; early < 2 || (late == 0) != on2 {
+					w.Errorf("refused %d times by the first queries and %d times by the next", early, late)
+				}
+				if !on2 {
+					return
+				}
+				if w.rifts.Figures.Found.Load() != 1 || len(w.away) != 1 {
+					w.Errorf("found %d times, out of reach: %v", w.rifts.Figures.Found.Load(), w.away)
+				}
+				for i := range 8 {
+					l := w.network.Listen(fmt.Sprint("r:", 2+i))
+					w.listeners = append(w.listeners, l)
+					go (&standin.Replica{Answer: value}).Serve(l)
+				}
+				time.Sleep(6 * time.Second) // the longest wait for a try
+				ask("back", 10)
+				synctest.Wait()
+				if w.rifts.Figures.Back.Load() != 1 || len(w.away) != 0 {
+					w.Errorf("back %d times, out of reach: %v", w.rifts.Figures.Back.Load(), w.away)
+				}
+				w.WatchZones(nil)
+				ask("off", 2)
+				if w.rifts != nil {
+					w.Error("zones are still watched")
+				}
+			})
+		})
+	}
+}
--- a/operator/functions.go
+++ b/operator/functions.go
@@ -93,6 +93,12 @@
 				c.Whole("lateness"), c.Number("floor")}
 			return nil
 		}},
+	"zones": {Name: "zones", Help: "has the process find out by few failures that a whole zone of replicas is out of its reach, and pass it over", Parameters: []*script.Parameter{
+		{Name: "few", Kind: script.Whole, Unset: int64(3), Least: 2, Most: 1000, Help: "replicas of one zone that have to fail, with none of it heard between"},
+	}, Order: func(o *Orders, c script.Call) error {
+		o.Zones = &Zones{int(c.Whole("few"))}
+		return nil
+	}},
 	"quota": {Name: "quota", Many: true, Help: "what one customer may ask for over all aggregators", Parameters: []*script.Parameter{
 		{Name: "customer", Kind: script.Text, Help: "as its queries name it"},
 		{Name: "rate", Kind: script.Number, Least: 0.001, Most: 1e7, Help: "queries a second"},
--- a/operator/operator.go
+++ b/operator/operator.go
@@ -12,6 +12,7 @@
 	Site   *Site
 	Links  []Link
 	Strain *Strain
+	Zones  *Zones // nil where zones are not watched
 
 	said script.Said // for Explain
 }
@@ -58,6 +59,11 @@
 	Floor    float64            // share of what can be served that customers are given by turns
 }
 
+// Zones is how zones out of reach are known.
+type Zones struct {
+	Few int // replicas of one zone that have to fail, with none of it heard between
+}
+
 // Link is the way to another site.
 type Link struct {
 	To       string
--- a/operator/operator_test.go
+++ b/operator/operator_test.go
@@ -115,14 +115,17 @@
 	}
 }
 
-// The scripts that come with the program are right, and the platform's switches nothing on.
+// The scripts that come with the program are right, and the platform's switches on what it allows and no more.
 func TestOwnScripts(t *testing.T) {
 	all, _ := filepath.Glob("../examples/*.star")
-	for _, file := range append(all, "../deploy/operator.star") {
+	if o, err := Read("../deploy/operator.star"); err != nil || len(o.said) != 1 || o.Zones == nil {
+		t.Errorf("the platform's: %v", err)
+	}
+	for _, file := range all {
 		o, err := Read(file)
 		if err != nil {
 			t.Error(err)
-		} else if on := len(o.said) > 0; on == (strings.Contains(file, "deploy") || strings.Contains(file, "customers")) {
+		} else if on := len(o.said) > 0; on == strings.Contains(file, "customers") {
 			t.Errorf("%s: switched on: %v", file, on)
 		}
 	}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -28,6 +28,7 @@
 	Host     string
 	Dial     string
 	Cell     int
+	Zone     string // empty where it has none
 	Standing balance.Standing
 	Born     int64 // ms of Unix time, 0 for long ago
 }
@@ -51,6 +52,7 @@
 type entry struct {
 	Host   string `json:"host"`
 	Dial   string `json:"dial"`
+	Zone   string `json:"site"`
 	Cell   *int   `json:"block"`
 	Health string `json:"health"`
 	Born   int64  `json:"born_ms"`
@@ -82,7 +84,7 @@
 	if err := json.Unmarshal(raw, &e); err != nil {
 		return Entry{}, err
 	}
-	out := Entry{Host: e.Host, Dial: e.Dial, Born: e.Born}
+	out := Entry{Host: e.Host, Dial: e.Dial, Zone: e.Zone, Born: e.Born}
 	switch e.Health {
 	case "active":
 		out.Standing = balance.Up
