--- a/rift/rift.go
+++ b/rift/rift.go
@@ -54,12 +54,10 @@
 type zone struct {
 	name     string
 	replicas int // listed
-	barred   int // of them
 	turn     int // rises with each answer: failures of earlier turns do not count
 	failures int // replicas that failed in this turn
 	heard    int64
 	out      bool
-	since    int64 // out: it has been since
 	wait     int64 // until the next try, ns
 	tryAt    int64 // the next try
 	trying   bool  // some are let in, and nothing has been sent to them yet
@@ -141,11 +139,20 @@
 }
 
 func (f *Rifts) place(name string) int {
+	empty := -1
 	for i := range f.zones {
-		if f.zones[i].name == name {
+		switch {
+		case f.zones[i].name == name:
 			return i + 1
+		case f.zones[i].replicas == 0:
+			empty = i
 		}
 	}
+	// Danger: a list that names new zones all day would grow this for as long as the process runs.
+	if empty >= 0 {
+		f.zones[empty] = zone{name: name, turn: 1}
+		return empty + 1
+	}
 	f.zones = append(f.zones, zone{name: name, turn: 1})
 	return len(f.zones)
 }
@@ -207,7 +214,7 @@
 		r.anew, f.stale = false, true
 	}
 	if v.failures++; v.failures >= f.terms.Few && !v.out {
-		v.out, v.since, v.wait, v.trying = true, now, tryAfter*f.terms.Rest, false
+		v.out, v.wait, v.trying = true, tryAfter*f.terms.Rest, false
 		for i := range f.replicas {
 			if f.replicas[i].zone == z+1 {
 				f.replicas[i].anew = false
--- a/rift/rift_test.go
+++ b/rift/rift_test.go
@@ -384,3 +384,20 @@
 		})
 	}
 }
+
+// Zones that come and go leave nothing behind.
+func TestManyNames(t *testing.T) {
+	f, h := newRifts(12, "a", "b"), heard{}
+	for i := range 1000 {
+		f.Gone(3)
+		f.Listed(3, fmt.Sprint("z", i), true)
+		h.decide(t, f, 1000*ms)
+	}
+	if len(f.zones) > 3 {
+		t.Errorf("%d zones are kept", len(f.zones))
+	}
+	lose(f, 2000*ms)
+	if h.decide(t, f, 2000*ms); h.zone(0, 2) != 6 || len(h) != 6 {
+		t.Errorf("barred: %v", h)
+	}
+}
