--- a/balance/balance.go
+++ b/balance/balance.go
@@ -117,7 +117,7 @@
 type workload struct {
 	Workload
 	logs, taken mean  // logarithms of the times of fulfilled parts; taken as the aggregator's
-	middle      int64 // the typical part time, about the median
+	row, middle int64 // the row; the typical part time, about the median
 }
 
 // look brings the typical part time up to date. Danger: one kept from a jam would decline all for ever.
@@ -210,7 +210,7 @@
 	replicas        []replica
 	holders         [][]int // by shard
 	pointers        []int   // by shard: the next tied pick
-	slot            []mean  // time for each own call at the replicas of an account's shards, ns
+	slot            []mean  // time for each own call, ns: of all workloads, or of each where shards have accounts
 	shortest, rest  int64   // the shortest latency goal of all workloads; the first rest of a replica set aside
 	left            mean    // share of their time after which clients left
 	most, up        int     // the most holders that a shard ever had; replicas listed as up
@@ -244,7 +244,7 @@
 	a.Workloads, a.shortest = workloads, math.MaxInt64
 	for i, w := range workloads {
 		if i == len(a.workloads) {
-			a.workloads = append(a.workloads, &workload{logs: newMean(timeSpan), taken: newMean(timeSpan)})
+			a.workloads = append(a.workloads, &workload{row: int64(i), logs: newMean(timeSpan), taken: newMean(timeSpan)})
 		}
 		a.workloads[i].Workload, a.shortest = w, min(a.shortest, w.LatencyGoal)
 		a.workloads[i].look(now)
@@ -383,7 +383,7 @@
 		q.agg.meet(now, r, float64(took), slots)
 		r.slot.add(now, float64(took), slots)
 		r.lately.add(now, float64(took), slots)
-		q.agg.slot[p.shard%len(q.agg.slot)].add(now, float64(took), slots)
+		q.agg.slot[int(q.workload.row)%len(q.agg.slot)].add(now, float64(took), slots)
 	}
 	if execution > 0 && p.executions[execution-1].overdue && result != Cancelled && result != Moot {
 		step := patienceStep
@@ -477,7 +477,7 @@
 	for i := range a.replicas {
 		if r := &a.replicas[i]; r.listed {
 			f := Finding{Replica: i, Cell: r.cell, Aside: r.aside, Trickle: r.since, Failed: r.failed, Heard: r.heard}
-			if typical := a.slot[r.cell%len(a.slot)].of(now, 0); typical > 0 {
+			if typical := a.slot[0].of(now, 0); typical > 0 && a.Accounts == 0 {
 				f.Pace, f.Met = r.lately.of(now, 0)/typical, r.lately.n.sum(now)
 			}
 			found = append(found, f)
@@ -513,8 +513,8 @@
 
 // guess is what a replica not met lately is taken to need for a call, and how many calls' worth that counts.
 // Danger: one old time would bar its shard while it is kept; the more is declined, the less it counts.
-func (a *Aggregator) guess(now int64, p *part, w *workload) (prior, doubt float64) {
-	return max(float64(w.middle), a.slot[p.shard%len(a.slot)].of(now, 0)), paceDoubt / max(a.taken.of(now, 1), takenLeast)
+func (a *Aggregator) guess(now int64, w *workload) (prior, doubt float64) {
+	return max(float64(w.middle), a.slot[int(w.row)%len(a.slot)].of(now, 0)), paceDoubt / max(a.taken.of(now, 1), takenLeast)
 }
 
 // meet books a time for admission; it counts half after each freshGoals.
@@ -552,7 +552,7 @@
 func (a *Aggregator) pick(now int64, p *part, w *workload, overCap bool) int {
 	holders := a.holders[p.shard]
 	from := a.pointers[p.shard] % max(len(holders), 1)
-	prior, doubt := a.guess(now, p, w)
+	prior, doubt := a.guess(now, w)
 	expected, crowded := a.expect(now, p, w, true)
 	for level := range 4 {
 		best, choice, tied := costLimit-priority+1, -1, false
@@ -722,7 +722,7 @@
 // none sound, declining all would never find one mended; and what the sound have no room for would be
 // declined while others rest, though a try there costs next to nothing.
 func (a *Aggregator) expect(now int64, p *part, w *workload, pick bool) (best int64, crowded bool) {
-	prior, doubt := a.guess(now, p, w)
+	prior, doubt := a.guess(now, w)
 	if !pick {
 		prior = a.late(now, p, prior, doubt)
 	}
