--- a/carrier/gangway/connection.go
+++ b/carrier/gangway/connection.go
@@ -60,7 +60,9 @@
 
 // run opens the connection, and then reads from it until it ends.
 func (c *connection) run(address string, e *exchange) {
-	conn, err := dial(c.ctx, address)
+	within, stop := context.WithTimeout(c.ctx, dialWait)
+	conn, err := c.pool.Dial(within, "tcp", address)
+	stop()
 	if err != nil {
 		c.cancel()
 		c.pool.Failed.Add(1)
--- a/carrier/gangway/gangway.go
+++ b/carrier/gangway/gangway.go
@@ -87,11 +87,15 @@
 	ended bool
 
 	Opened, Failed atomic.Int64 // connections
+
+	// Dial opens a connection; tests have networks of their own.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // NewPool makes a pool.
 func NewPool(tell func(any), now func() int64) *Pool {
-	return &Pool{tell: tell, now: now, out: map[*replica.Ticket]*exchange{}}
+	d := net.Dialer{Control: hail.Control, KeepAlive: -1}
+	return &Pool{tell: tell, now: now, out: map[*replica.Ticket]*exchange{}, Dial: d.DialContext}
 }
 
 // Dial is how a replica is named to Address: its id and where it listens.
@@ -224,7 +228,7 @@
 // Open is how many connections have not ended.
 func (p *Pool) Open() int { return p.open }
 
-// ended is what a connection's goroutines tell: an exchange is over, or the connection is.
+// notice is what a connection's goroutines tell: an exchange is over, or the connection is.
 type notice struct {
 	conn   *connection
 	over   *exchange // nil where the connection alone has ended
@@ -267,8 +271,3 @@
 	}
 	return ended, n.err
 }
-
-func dial(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: dialWait, Control: hail.Control, KeepAlive: -1}
-	return d.DialContext(ctx, "tcp", address)
-}
--- /dev/null
+++ b/carrier/gangway/gangway_test.go
@@ -0,0 +1,220 @@
+package gangway
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"willowsill/balance"
+	"willowsill/internal/pipes"
+	"willowsill/replica"
+)
+
+// server is a scripted replica: it answers the requests of a connection with the given texts, one each; "" ends the connection.
+type server struct {
+	answers []string
+	heads   []string
+}
+
+func (s *server) serve(l *pipes.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			r := bufio.NewReader(c)
+			for {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				body, _ := io.ReadAll(req.Body)
+				s.heads = append(s.heads, fmt.Sprint(req.Method, " ", req.RequestURI, " ", req.Header.Get(HeaderTarget), " ",
+					req.Header.Get(HeaderDeadline), " ", string(body)))
+				if len(s.answers) == 0 {
+					return
+				}
+				a := s.answers[0]
+				s.answers = s.answers[1:]
+				if a == "" {
+					return
+				}
+				a, closes := strings.CutSuffix(a, "CLOSE")
+				io.WriteString(c, strings.ReplaceAll(a, "ID", req.Header.Get(HeaderAttempt)))
+				if closes {
+					return
+				}
+			}
+		}()
+	}
+}
+
+func text(status, id, seal, body string) string {
+	return fmt.Sprintf("HTTP/1.1 %s\r\n%s: %s\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", status, HeaderAttempt, id, HeaderSeal, seal,
+		len(body), body)
+}
+
+type deck struct {
+	*Pool
+	t     *testing.T
+	notes chan any
+}
+
+func board(t *testing.T, s *server, play func(d *deck)) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &pipes.Network{}
+		l := n.Listen("r:1")
+		go s.serve(l)
+		d := &deck{t: t, notes: make(chan any, 64)}
+		began := time.Now()
+		d.Pool = NewPool(func(v any) { d.notes <- v }, func() int64 { return int64(time.Since(began)) })
+		d.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			return n.Dial(ctx, network, address)
+		}
+		d.Address(0, Dial("i-1", "r:1"))
+		play(d)
+		d.Pool.Close()
+		synctest.Wait()
+		for len(d.notes) > 0 {
+			d.Note(<-d.notes)
+		}
+		must.Zero(t, d.Open())
+		l.Close()
+	})
+}
+
+// ask sends one part and tells how it ended.
+func (d *deck) ask(id string) (balance.Result, *Answer) {
+	d.t.Helper()
+	r := &Request{Attempt: id, Method: "POST", Body: []byte("body"), Answers: map[int]*Answer{},
+		Head: []byte("POST /a/b?c HTTP/1.1\r\nHost: h\r\n" + HeaderAttempt + ": " + id + "\r\nContent-Length: 4\r\n")}
+	t := &replica.Ticket{Part: replica.Part{Shard: 3, Wait: 700}, Load: r}
+	must.True(d.t, d.Call(0, []*replica.Ticket{t}))
+	synctest.Wait()
+	for {
+		synctest.Wait()
+		if len(d.notes) == 0 {
+			d.t.Fatal("nothing came of a part")
+		}
+		reports, _ := d.Note(<-d.notes)
+		if len(reports) > 0 {
+			must.Eq(d.t, t, reports[0].Ticket)
+			return reports[0].Result, r.Answers[3]
+		}
+	}
+}
+
+// settle takes in what is left to be told.
+func (d *deck) settle() {
+	synctest.Wait()
+	for len(d.notes) > 0 {
+		d.Note(<-d.notes)
+		synctest.Wait()
+	}
+}
+
+func TestPartAndAnswer(t *testing.T) {
+	s := &server{answers: []string{text("200 OK", "ID", "seal", "abc"), text("200 OK", "ID", "seal2", "de")}}
+	board(t, s, func(d *deck) {
+		result, a := d.ask("x1")
+		must.Eq(t, balance.Fulfilled, result)
+		must.Eq(t, "abc", string(a.Body))
+		must.Eq(t, "seal", a.Seal)
+		result, _ = d.ask("x2")
+		must.Eq(t, balance.Fulfilled, result)
+		must.Eq(t, []string{"POST /a/b?c i-1 700 body", "POST /a/b?c i-1 700 body"}, s.heads)
+		must.Eq(t, 1, int(d.Opened.Load()))
+	})
+}
+
+// TestWaysToEnd: each way in which a replica or its connection fails gives the result that is true of it, and whatever may have
+// run is never called not run.
+func TestWaysToEnd(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer string
+		want   balance.Result
+		opened int // connections after one more part
+	}{
+		"closed unread or run":   {"", balance.Reset, 2},
+		"no answer at all":       {"garbage\r\n\r\n", balance.Reset, 2},
+		"broken off":             {"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nabcCLOSE", balance.Reset, 2},
+		"without a length":       {"HTTP/1.1 200 OK\r\n" + HeaderAttempt + ": ID\r\n\r\nabc", balance.Reset, 2},
+		"its own failure":        {text("500 No", "ID", "seal", "abc"), balance.Errored, 1},
+		"without a seal":         {strings.Replace(text("200 OK", "ID", "", "abc"), HeaderSeal+": \r\n", "", 1), balance.Errored, 1},
+		"encoded":                {strings.Replace(text("200 OK", "ID", "s", "abc"), "\r\n", "\r\nContent-Encoding: gzip\r\n", 1), balance.Errored, 1},
+		"full":                   {strings.Replace(text("503 No", "ID", "", ""), "\r\n", "\r\n"+HeaderNotExecuted+": 1\r\n", 1), balance.Full, 1},
+		"503 that may have run":  {text("503 No", "ID", "s", ""), balance.Errored, 1},
+		"another has the place":  {text("421 No", "ID", "", ""), balance.ConnectFailed, 1},
+		"it closes afterwards":   {strings.Replace(text("200 OK", "ID", "s", "abc"), "\r\n", "\r\nConnection: close\r\n", 1), balance.Fulfilled, 2},
+		"an older answer first":  {text("200 OK", "old", "s", "xyz") + text("200 OK", "ID", "s", "abc"), balance.Fulfilled, 2},
+		"a second answer behind": {text("200 OK", "ID", "s", "abc") + text("200 OK", "ID", "s", "abc"), balance.Fulfilled, 2},
+		"bytes behind":           {text("200 OK", "ID", "s", "abc") + "junk", balance.Fulfilled, 2},
+		"a continue before":      {"HTTP/1.1 100 Continue\r\n\r\n" + text("200 OK", "ID", "s", "abc"), balance.Fulfilled, 1},
+		"in chunks": {"HTTP/1.1 200 OK\r\n" + HeaderAttempt + ": ID\r\n" + HeaderSeal + ": s\r\nTransfer-Encoding: chunked\r\n\r\n" +
+			"2\r\nab\r\n1\r\nc\r\n0\r\n\r\n", balance.Fulfilled, 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := &server{answers: []string{c.answer, text("200 OK", "ID", "s", "next")}}
+			board(t, s, func(d *deck) {
+				result, a := d.ask("x1")
+				must.Eq(t, c.want, result)
+				if result == balance.Fulfilled {
+					must.Eq(t, "abc", string(a.Body))
+				}
+				d.settle()
+				result, a = d.ask("x2")
+				must.Eq(t, balance.Fulfilled, result)
+				must.Eq(t, "next", string(a.Body))
+				must.Eq(t, c.opened, int(d.Opened.Load()))
+			})
+		})
+	}
+}
+
+// TestGivenUp: a part that was written is given up with its connection; one that still waits for its connection is withdrawn,
+// and never leaves.
+func TestGivenUp(t *testing.T) {
+	s := &server{answers: []string{text("200 OK", "ID", "s", "abc")}}
+	board(t, s, func(d *deck) {
+		l := (&pipes.Network{})
+		r := &Request{Attempt: "x", Method: "GET", Answers: map[int]*Answer{}, Head: []byte("GET / HTTP/1.1\r\n")}
+		ticket := &replica.Ticket{Load: r}
+		l.Silence("r:1")
+		dial := d.Dial
+		d.Dial = l.Dial
+		must.True(t, d.Call(0, []*replica.Ticket{ticket}))
+		synctest.Wait()
+		must.True(t, d.GiveUp(ticket, true))
+		time.Sleep(2 * dialWait)
+		d.settle()
+		d.Dial = dial
+		must.True(t, d.Left(0))
+		must.SliceEmpty(t, s.heads)
+	})
+}
+
+// TestIdleTooLong: a connection is not used again when the replica may just be closing it.
+func TestIdleTooLong(t *testing.T) {
+	answer := strings.Replace(text("200 OK", "ID", "s", "abc"), "\r\n", "\r\nKeep-Alive: timeout=4\r\n", 1)
+	s := &server{answers: []string{answer, answer, answer}}
+	board(t, s, func(d *deck) {
+		d.ask("x1")
+		time.Sleep(2 * time.Second)
+		d.ask("x2")
+		must.Eq(t, 1, int(d.Opened.Load()))
+		time.Sleep(3500 * time.Millisecond)
+		d.ask("x3")
+		must.Eq(t, 2, int(d.Opened.Load()))
+	})
+}
--- a/decide/chart/chart.go
+++ b/decide/chart/chart.go
@@ -60,7 +60,8 @@
 	c.hosts = map[string][]*Route{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
-		c.hosts[r.Host] = append(c.hosts[r.Host], r)
+		host := strings.ToLower(r.Host)
+		c.hosts[host] = append(c.hosts[host], r)
 	}
 	for _, rs := range c.hosts {
 		slices.SortFunc(rs, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
@@ -72,11 +73,9 @@
 	rs, ok := c.hosts[host]
 	if !ok {
 		if i := strings.LastIndexByte(host, ':'); i > 0 {
-			rs, ok = c.hosts[host[:i]]
-		}
-		if !ok {
-			rs = c.hosts[strings.ToLower(host)]
+			host = host[:i]
 		}
+		rs = c.hosts[strings.ToLower(host)]
 	}
 	for _, r := range rs {
 		if strings.HasPrefix(path, r.Prefix) {
--- /dev/null
+++ b/decide/pilotage/pilotage_test.go
@@ -0,0 +1,64 @@
+package pilotage
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"willowsill/balance"
+	"willowsill/decide/muster"
+	"willowsill/decide/notices"
+	"willowsill/deployment/berth"
+)
+
+func body(revision int, routes ...string) []byte {
+	var rs []string
+	for _, r := range routes {
+		rs = append(rs, fmt.Sprintf(`{"name":%q,"host":"h","path-prefix":"/%s/","deadline-ms":1000,"target-ms":100,"fanout":["s1","s2"],"min-coverage":0.5,"max-tries":2}`, r, r))
+	}
+	return fmt.Appendf(nil, `{"revision":%d,"routes":[%s],"services":[{"name":"s1"},{"name":"s2"}]}`, revision, strings.Join(rs, ","))
+}
+
+func settings() berth.Settings {
+	return berth.Settings{IP: "10.0.0.1", Bounds: berth.Bounds{RetryRatio: 0.2, RetrySlack: 60, RetryWindowS: 10}}
+}
+
+// TestRowsStay: a route keeps its row, with what was learnt in it, for as long as it is there.
+func TestRowsStay(t *testing.T) {
+	p := New(0, settings())
+	c := p.Take(0, notices.Notice{Revision: 1, Body: body(1, "a", "b")})
+	must.NoError(t, c.Err)
+	a, b := c.State.Rows["a"], c.State.Rows["b"]
+	c = p.Take(0, notices.Notice{Revision: 2, Body: body(2, "b", "c")})
+	must.Eq(t, b, c.State.Rows["b"])
+	must.Eq(t, a, c.State.Rows["c"]) // of the one that has gone
+	must.SliceLen(t, 2, c.Workloads)
+	must.Eq(t, 0.5, c.Workloads[b].Floor)
+	must.Eq(t, balance.Repeatable, c.Workloads[b].Effect)
+	must.Nil(t, p.Take(0, notices.Notice{Revision: 1, Body: body(1, "a")}).State)
+}
+
+// TestBudgetOfAll: an edge that has just started has no free further executions, and all edges together never more than there
+// are.
+func TestBudgetOfAll(t *testing.T) {
+	p := New(0, settings())
+	must.Zero(t, p.Take(1, notices.Notice{Fleet: notices.Fleet{Edges: 9}}).FurtherFree)
+	free, changed := p.Free(11_000 * ms)
+	must.True(t, changed)
+	must.Positive(t, free)
+	must.LessEq(t, 60, 9*free)
+}
+
+// TestShardsComeBack: services that are cut anew again and again do not use the shards up.
+func TestShardsComeBack(t *testing.T) {
+	p := New(0, settings())
+	for i := range 3 * shards {
+		id := fmt.Sprint("i-", i)
+		p.Take(0, notices.Notice{Replicas: []muster.Record{{ID: id, Service: fmt.Sprint("t", i), Address: "a:1", Seq: 1}}})
+		p.Take(0, notices.Notice{Replicas: []muster.Record{{ID: id, Phase: muster.Gone, Seq: 2}}})
+		p.Take(0, notices.Notice{Revision: uint64(i + 1), Body: body(i+1, "a")})
+	}
+	must.MapLen(t, 2, p.slots)
+}
