News goes down a tree of relays; edges watch each other on a ring

Change: decide/beacons (whom an edge follows: two heads a zone follow lighthouses, four edges each of the others), decide/lookout (two watchers an edge, own slowness first), signs of life that start at lighthouses and are only passed on, so that a circle of relays goes silent; edges and suspicions reach lighthouses in the followers' own words. An edge is left out of the tree by the word of two watchers. The number of edges that budgets go by falls only after a minute, since lighthouses just started know few. Ruled out: heartbeats over the tree's links (they would tell of links, not of edges).

--- a/carrier/beam/beam.go
+++ b/carrier/beam/beam.go
@@ -10,28 +10,33 @@
 	"k8s.io/klog/v2"
 
 	"willowsill/carrier/hail"
+	"willowsill/decide/lantern"
 	"willowsill/decide/notices"
 )
 
 const (
-	beatEvery    = 400 * time.Millisecond // between two words of a feeder
-	silentAfter  = 1500 * time.Millisecond
-	unsettledFor = 1200 * time.Millisecond // a feeder that is itself cut off for so long is left for another
-	sayEvery     = 2 * time.Second         // between two words of a follower
-	followerGone = 8 * time.Second
-	nextAfter    = 200 * time.Millisecond
+	beatEvery    = 300 * time.Millisecond  // between two words of a feeder
+	silentAfter  = 1000 * time.Millisecond // three words left out
+	unsettledFor = 1000 * time.Millisecond // a feeder that is itself cut off for so long is left for another
+	sayEvery     = time.Second             // between two words of a follower
+	followerGone = 5 * time.Second
+	nextAfter    = 100 * time.Millisecond
+	stayFor      = 5 * time.Second // before a follower goes back to the feeder that it should have
 )
 
 // Packet is what a feeder says; without a notice it only says that it is there.
+//
+// Danger: relays that said so of themselves could follow each other in a circle, each content with the other, and hear nothing
+// ever again. So that word comes from a lighthouse, and relays only pass it on.
 type Packet struct {
 	Notice  *notices.Notice `cbor:"1,keyasint,omitempty"`
 	Settled bool            `cbor:"2,keyasint,omitempty"` // in touch with most lighthouses
 }
 
-// Hello is what a follower says, again and again.
+// Hello is what a follower says, again and again: of itself, and of those that follow it.
 type Hello struct {
-	IP   string `cbor:"1,keyasint"`
-	Zone string `cbor:"2,keyasint,omitempty"`
+	Self  lantern.Sight   `cbor:"1,keyasint"`
+	Below []lantern.Sight `cbor:"2,keyasint,omitempty"`
 }
 
 // Feed is the set of those who follow.
@@ -109,9 +114,10 @@
 
 // Follower keeps one link to a feeder.
 type Follower struct {
-	Hello     Hello
+	Hello     func() Hello
 	Addresses func() []string // feeders to try, the best first
 	Take      func(notices.Notice)
+	Beat      func(settled bool) // a sign of life came, nil where nobody wants it
 	mu        sync.Mutex
 	settled   bool
 }
@@ -133,11 +139,14 @@
 //
 // Danger: a feeder that is cut off from the others goes on saying that it is there. It is left once another may know more.
 func (f *Follower) Run(ctx context.Context) {
-	for n := 0; ctx.Err() == nil; n++ {
-		addresses := f.Addresses()
-		if len(addresses) > 0 {
-			f.follow(ctx, addresses[n%len(addresses)], len(addresses) > 1)
+	for n := 0; ctx.Err() == nil; {
+		if addresses := f.Addresses(); len(addresses) > 0 {
+			n %= len(addresses)
+			lost := f.follow(ctx, addresses[n], len(addresses) > 1)
 			f.set(false)
+			if n++; !lost {
+				n = 0
+			}
 		}
 		select {
 		case <-ctx.Done():
@@ -146,37 +155,45 @@
 	}
 }
 
-func (f *Follower) follow(ctx context.Context, address string, others bool) {
+// follow tells whether the feeder was lost; else it was left for one that should be followed instead.
+func (f *Follower) follow(ctx context.Context, address string, others bool) (lost bool) {
 	l, err := hail.Dial(ctx, address)
 	if err != nil {
 		klog.V(1).InfoS("a feeder cannot be reached", "address", address, "err", err.Error())
-		return
+		return true
 	}
 	defer l.Close()
 	stop := context.AfterFunc(ctx, l.Close)
 	defer stop()
-	l.Say(f.Hello)
-	said, settledAt := time.Now(), time.Now()
+	l.Say(f.Hello())
+	began := time.Now()
+	said, settledAt := began, began
 	for {
 		var p Packet
 		if err := l.Receive(&p, silentAfter); err != nil {
 			klog.InfoS("a feeder is lost", "address", address, "err", err.Error())
-			return
+			return true
 		}
 		f.set(p.Settled)
 		if p.Notice != nil {
 			f.Take(*p.Notice)
+		} else if f.Beat != nil {
+			f.Beat(p.Settled)
 		}
 		now := time.Now()
 		if p.Settled || !others {
 			settledAt = now
 		} else if now.Sub(settledAt) > unsettledFor {
 			klog.InfoS("a feeder is cut off from the others", "address", address)
-			return
+			return true
 		}
 		if now.Sub(said) > sayEvery {
 			said = now
-			l.Say(f.Hello)
+			l.Say(f.Hello())
+			if a := f.Addresses(); now.Sub(began) > stayFor && len(a) > 0 && a[0] != address {
+				klog.InfoS("another feeder is to be followed", "address", address, "next", a[0])
+				return false
+			}
 		}
 	}
 }
--- a/carrier/helm/helm.go
+++ b/carrier/helm/helm.go
@@ -19,6 +19,7 @@
 	"willowsill/carrier/beam"
 	"willowsill/carrier/gangway"
 	"willowsill/counters"
+	"willowsill/decide/lantern"
 	"willowsill/decide/muster"
 	"willowsill/decide/notices"
 	"willowsill/decide/pilotage"
@@ -82,7 +83,8 @@
 	h.servers, h.address = &quay.Servers{Handler: h.quay}, front.Addr()
 	inner, end := context.WithCancel(context.Background())
 	defer end()
-	up := beam.Follower{Hello: beam.Hello{IP: s.IP, Zone: s.Zone}, Take: h.take,
+	self := beam.Hello{Self: lantern.Sight{Edge: notices.Edge{IP: s.IP, Zone: s.Zone}}}
+	up := beam.Follower{Hello: func() beam.Hello { return self }, Take: h.take,
 		Addresses: func() []string { return []string{s.Inner("127.0.0.1", berth.PortPilot)} }}
 	go up.Run(inner)
 	go h.budget(inner)
--- a/carrier/skiff/skiff.go
+++ b/carrier/skiff/skiff.go
@@ -4,16 +4,20 @@
 
 import (
 	"context"
+	"errors"
+	"net"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/samber/oops"
 	"k8s.io/klog/v2"
 
 	"willowsill/carrier/beam"
 	"willowsill/carrier/hail"
+	"willowsill/decide/beacons"
+	"willowsill/decide/lantern"
+	"willowsill/decide/lookout"
 	"willowsill/decide/notices"
 	"willowsill/deployment/berth"
 )
@@ -24,60 +28,96 @@
 const (
 	leaveSpare = 300 * time.Millisecond // before the grace ends
 	leaveLook  = 100 * time.Millisecond
+
+	belowWithin = 4 * time.Second // a follower unheard for so long is no longer told of
+	lookEvery   = 250 * time.Millisecond
 )
 
 // Skiff is a running cutter.
 type Skiff struct {
 	settings berth.Settings
-	mu       sync.Mutex // guards book, and the order of what followers are told
-	book     *notices.Book
-	feed     beam.Feed
+	base     time.Time
 	up       beam.Follower
+	pilot    beam.Feed // the pilot beside it
+	relay    beam.Feed // the cutters that follow it
+	beats    net.PacketConn
+
+	mu      sync.Mutex // guards the rest, and the order of what followers are told
+	book    *notices.Book
+	lookout *lookout.Lookout
+	below   map[string]sight
+	suspect []string
+}
+
+// sight is what a follower said last.
+type sight struct {
+	lantern.Sight
+	at time.Time
 }
 
 // Run runs a cutter until ctx ends and the pilot beside it has gone.
 func Run(ctx context.Context, s berth.Settings) error {
-	k := &Skiff{settings: s, book: notices.NewBook()}
+	k := &Skiff{settings: s, base: time.Now().Add(-time.Hour), book: notices.NewBook(), lookout: lookout.New(s.IP),
+		below: map[string]sight{}}
 	pilot, err := hail.Listen(s.Inner("127.0.0.1", berth.PortPilot))
 	if err != nil {
 		return ErrSkiff.Wrap(err)
 	}
+	relay, err := hail.Listen(s.Inner(s.IP, berth.PortNotices))
+	if err != nil {
+		return ErrSkiff.Wrap(err)
+	}
+	if k.beats, err = net.ListenPacket("udp", s.Inner(s.IP, berth.PortLookout)); err != nil {
+		return ErrSkiff.Wrapf(err, "listening for heartbeats")
+	}
 	inner, end := context.WithCancel(context.Background())
 	defer end()
-	k.up = beam.Follower{Hello: beam.Hello{IP: s.IP, Zone: s.Zone}, Addresses: k.feeders, Take: k.take}
-	go hail.Serve(pilot, k.attend)
-	go k.feed.Beats(inner, k.up.Settled)
+	k.up = beam.Follower{Hello: k.hello, Addresses: k.feeders, Take: k.take,
+		Beat: func(settled bool) { k.relay.Publish(nil, settled) }}
+	go hail.Serve(pilot, func(l *hail.Link) { k.attend(l, &k.pilot) })
+	go hail.Serve(relay, func(l *hail.Link) { k.attend(l, &k.relay) })
+	go k.pilot.Beats(inner, k.up.Settled)
+	go k.hear()
+	go k.watch(inner)
 	go k.up.Run(inner)
 	<-ctx.Done()
 	// Danger: a pilot that ends in order serves on for a while, and must hear what changes meanwhile.
 	until := time.Now().Add(time.Duration(s.Bounds.GraceS*float64(time.Second)) - leaveSpare)
-	for time.Now().Before(until) && k.feed.Count() > 0 {
+	for time.Now().Before(until) && k.pilot.Count() > 0 {
 		time.Sleep(leaveLook)
 	}
 	return nil
 }
 
-// feeders are where news may be had, the one to try first in front.
-func (k *Skiff) feeders() []string {
+func (k *Skiff) now() int64 { return int64(time.Since(k.base)) }
+
+// feeders are where news may be had, the one to follow in front.
+func (k *Skiff) feeders() (addresses []string) {
 	k.mu.Lock()
-	lights := slices.Clone(k.book.Fleet.Lights)
+	f := k.book.Fleet
 	k.mu.Unlock()
-	for _, ip := range k.settings.SeedIPs() {
-		if !slices.Contains(lights, ip) {
-			lights = append(lights, ip)
-		}
+	for _, o := range beacons.Feeders(k.settings.IP, k.settings.Zone, f, slices.Concat(f.Lights, k.settings.SeedIPs())) {
+		addresses = append(addresses, k.settings.Inner(o.IP, berth.PortNotices))
 	}
-	slices.SortFunc(lights, func(a, b string) int {
-		x, y := xxhash.Sum64String(k.settings.IP+a), xxhash.Sum64String(k.settings.IP+b)
-		if x < y {
-			return -1
+	return addresses
+}
+
+// hello is what this cutter says to the one it follows.
+func (k *Skiff) hello() beam.Hello {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	h := beam.Hello{Self: lantern.Sight{Edge: notices.Edge{IP: k.settings.IP, Zone: k.settings.Zone}, Suspects: k.suspect}}
+	for ip, s := range k.below {
+		age := time.Since(s.at)
+		if age > belowWithin {
+			delete(k.below, ip)
+			continue
 		}
-		return 1
-	})
-	for i, ip := range lights {
-		lights[i] = k.settings.Inner(ip, berth.PortNotices)
+		o := s.Sight
+		o.Age += int64(age)
+		h.Below = append(h.Below, o)
 	}
-	return lights
+	return h
 }
 
 // take takes a notice in and passes on what is new in it.
@@ -91,15 +131,76 @@
 	if fresh.Revision > 0 {
 		klog.InfoS("a configuration has come", "revision", fresh.Revision, "bytes", len(fresh.Body))
 	}
-	k.feed.Publish(&fresh, k.up.Settled())
+	if f := fresh.Fleet; !f.Empty() {
+		ips := make([]string, 0, len(f.Edges))
+		for _, e := range f.Edges {
+			ips = append(ips, e.IP)
+		}
+		k.lookout.Fleet(k.now(), ips)
+	}
+	k.pilot.Publish(&fresh, k.up.Settled())
+	k.relay.Publish(&fresh, k.up.Settled())
 }
 
 // attend feeds one follower.
-func (k *Skiff) attend(l *hail.Link) {
+func (k *Skiff) attend(l *hail.Link, feed *beam.Feed) {
 	beam.Attend(l, func(beam.Hello) {
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		k.feed.Join(l, k.book.Whole(), k.up.Settled())
-	}, func(beam.Hello) {})
-	k.feed.Part(l)
+		feed.Join(l, k.book.Whole(), k.up.Settled())
+	}, func(h beam.Hello) {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		for _, s := range append(h.Below, h.Self) {
+			if s.Edge.IP != k.settings.IP {
+				k.below[s.Edge.IP] = sight{s, time.Now()}
+			}
+		}
+	})
+	feed.Part(l)
+}
+
+// watch sends heartbeats and notes whom it does not hear.
+func (k *Skiff) watch(ctx context.Context) {
+	t := time.NewTicker(lookEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			k.beats.Close()
+			return
+		case <-t.C:
+		}
+		k.mu.Lock()
+		to, suspects := k.lookout.Tick(k.now())
+		if !slices.Equal(suspects, k.suspect) {
+			klog.InfoS("edges that are not heard", "suspects", suspects)
+		}
+		k.suspect = suspects
+		k.mu.Unlock()
+		for _, ip := range to {
+			if a, err := net.ResolveUDPAddr("udp", k.settings.Inner(ip, berth.PortLookout)); err == nil {
+				k.beats.WriteTo([]byte{1}, a)
+			}
+		}
+	}
+}
+
+// hear takes heartbeats in.
+func (k *Skiff) hear() {
+	var buf [16]byte
+	for {
+		_, from, err := k.beats.ReadFrom(buf[:])
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return
+			}
+			time.Sleep(lookEvery)
+			continue
+		}
+		host, _, _ := net.SplitHostPort(from.String())
+		k.mu.Lock()
+		k.lookout.Heard(k.now(), host)
+		k.mu.Unlock()
+	}
 }
--- a/carrier/tower/tower.go
+++ b/carrier/tower/tower.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
@@ -47,7 +48,7 @@
 	saves    chan lantern.Save
 	mesh     *hail.Mesh
 	feed     beam.Feed
-	settled  bool
+	settled  atomic.Bool
 
 	mu      sync.Mutex // guards the rest
 	tickets map[uint64]chan lantern.Answer
@@ -92,6 +93,7 @@
 	go hail.Serve(peers, t.peer)
 	go hail.Serve(followers, t.follower)
 	go t.save(box)
+	go t.feed.Beats(inner, t.settled.Load)
 	server := &http.Server{Handler: t.handler(), ReadHeaderTimeout: headWait, ReadTimeout: bodyWait, IdleTimeout: idleWait,
 		MaxHeaderBytes: headMost}
 	go func() {
@@ -118,8 +120,6 @@
 func (t *Tower) loop(ctx context.Context) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	beats := time.NewTicker(400 * time.Millisecond)
-	defer beats.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -130,9 +130,6 @@
 			for range min(len(t.inputs), 64) {
 				t.carry((<-t.inputs)(t.now()))
 			}
-		case <-beats.C:
-			t.feed.Publish(nil, t.lantern.Settled())
-			continue
 		case <-timer.C:
 		}
 		if now := t.now(); now >= t.lantern.Next() {
@@ -144,6 +141,7 @@
 
 // carry carries out what the lantern asks for.
 func (t *Tower) carry(o lantern.Out) {
+	t.settled.Store(t.lantern.Settled())
 	for _, l := range o.Log {
 		klog.InfoS(l.Text, l.Values...)
 	}
@@ -210,7 +208,9 @@
 			return lantern.Out{}
 		}
 	}, func(h beam.Hello) {
-		t.inputs <- func(now int64) lantern.Out { return t.lantern.Edge(now, h.IP) }
+		for _, s := range append(h.Below, h.Self) {
+			t.inputs <- func(now int64) lantern.Out { return t.lantern.Edge(now, s) }
+		}
 	})
 	t.feed.Part(l)
 }
--- a/decide/lantern/lantern.go
+++ b/decide/lantern/lantern.go
@@ -27,7 +27,11 @@
 	roomMember   = 4000 * ms  // a newcomer waits so long for such a place before the members become more
 	goneAfter    = 30000 * ms // a lighthouse that is no member and unheard for so long is forgotten
 	edgeWithin   = 20000 * ms // an edge heard of within it counts
-	edgesEvery   = 2000 * ms  // between two lists of a lighthouse's edges
+	edgeQuiet    = 3000 * ms  // one that is suspected and unheard for so long does not
+	suspicion    = 4000 * ms  // a watcher's word on another counts for so long
+	suspectedBy  = 2          // watchers, or all that there are
+	mostKept     = 60000 * ms // the number of edges for budgets goes down only after that
+	edgesEvery   = 900 * ms   // between two lists of what was heard of edges
 	silentBeats  = 4          // heartbeats left out, and a replica has fallen silent
 	keepGone     = 60000 * ms
 	saveAgain    = 200 * ms // after a save that failed
@@ -52,10 +56,17 @@
 	Epoch    uint64   `cbor:"2,keyasint,omitempty"`
 	Revision uint64   `cbor:"3,keyasint,omitempty"`
 	Lights   []string `cbor:"4,keyasint,omitempty"` // live ones that it knows of
-	Edges    []string `cbor:"5,keyasint,omitempty"` // that follow it, now and then
+	Edges    []Sight  `cbor:"5,keyasint,omitempty"` // heard of since the last hello
 	Leaving  bool     `cbor:"6,keyasint,omitempty"`
 }
 
+// Sight is one edge as it was heard of by a lighthouse.
+type Sight struct {
+	Edge     notices.Edge `cbor:"1,keyasint"`
+	Suspects []string     `cbor:"2,keyasint,omitempty"` // edges that it watches and does not hear
+	Age      int64        `cbor:"3,keyasint,omitempty"` // since it was heard of, ns
+}
+
 // Send is one word on its way.
 type Send struct {
 	To   []string // IPs; never this one's own
@@ -109,8 +120,15 @@
 type peer struct {
 	heard, first int64 // last, and since when without a long silence
 	hello        Hello
-	edges        []string
-	edgesAt      int64
+}
+
+// edge is what is known of one edge.
+type edge struct {
+	notices.Edge
+	heard int64
+	by    map[string]int64 // who suspects it, and when that was last said
+	told  bool             // the other lighthouses know of it
+	said  []string         // whom it suspects
 }
 
 type reply struct {
@@ -140,7 +158,9 @@
 	book     *notices.Book
 	stands   register.Value // the newest value known to stand
 	peers    map[string]*peer
-	edges    map[string]int64 // that follow this one, by IP, and when they were last heard
+	edges    map[string]*edge // by IP
+	most     int
+	mostAt   int64
 	tickets  []*ticket
 	asks     uint64
 	pass     map[string]muster.Record // for the next batch
@@ -158,7 +178,6 @@
 	joinAt, edgesAt  int64
 	dutyAt           int64
 	asked            bool // what stands, of the register, in this life
-	fleetCount       uint64
 	leaving, settled bool
 	out              Out
 }
@@ -166,7 +185,7 @@
 // New makes a lighthouse.
 func New(now int64, s Start) *Lantern {
 	l := &Lantern{Start: s, list: muster.New(silentBeats*s.BeatEvery, keepGone), book: notices.NewBook(),
-		peers: map[string]*peer{}, edges: map[string]int64{}, pass: map[string]muster.Record{}, began: now, now: now}
+		peers: map[string]*peer{}, edges: map[string]*edge{}, pass: map[string]muster.Record{}, began: now, now: now}
 	seeds := slices.Clone(s.Seeds)
 	slices.Sort(seeds)
 	seeds = slices.Compact(seeds)
@@ -374,7 +393,7 @@
 		l.out.Notice.Revision, l.out.Notice.Body = n.Revision, n.Body
 	}
 	l.out.Notice.Replicas = append(l.out.Notice.Replicas, n.Replicas...)
-	if n.Fleet.Edges > 0 {
+	if !n.Fleet.Empty() {
 		l.out.Notice.Fleet = n.Fleet
 	}
 }
@@ -546,8 +565,11 @@
 func (l *Lantern) hello(p *peer, w Word) {
 	h := w.Hello
 	p.hello = *h
+	for _, s := range h.Edges {
+		l.sight(s, false)
+	}
 	if len(h.Edges) > 0 {
-		p.edges, p.edgesAt = h.Edges, l.now
+		l.fleet()
 	}
 	for _, ip := range h.Lights {
 		l.meet(ip)
@@ -570,40 +592,72 @@
 	l.log("the disk is whole again", "epoch", state.Value.Epoch, "revision", state.Value.Revision)
 }
 
-// Edge tells that an edge follows this lighthouse, again and again while it does.
-func (l *Lantern) Edge(now int64, ip string) Out {
+// Edge tells of an edge that follows this lighthouse, or one below it, again and again while it does.
+func (l *Lantern) Edge(now int64, s Sight) Out {
 	l.now = now
-	_, known := l.edges[ip]
-	l.edges[ip] = now
-	if !known {
+	l.sight(s, true)
+	l.fleet()
+	return l.done()
+}
+
+// sight takes in that an edge was heard of. own tells that no other lighthouse has it from elsewhere.
+func (l *Lantern) sight(s Sight, own bool) {
+	e := l.edges[s.Edge.IP]
+	if e == nil {
+		e = &edge{by: map[string]int64{}}
+		l.edges[s.Edge.IP] = e
 		l.edgesAt = 0
-		l.fleet()
 	}
-	return l.done()
+	at := l.now - s.Age
+	if at < e.heard {
+		return
+	}
+	e.Edge, e.heard, e.said = s.Edge, at, s.Suspects
+	e.told = e.told && !own
+	for _, ip := range s.Suspects {
+		if o := l.edges[ip]; o != nil {
+			o.by[s.Edge.IP] = at
+		}
+	}
 }
 
-// fleet tells the edges how many they are and where lighthouses are, where that has changed.
+// fleet tells the edges who they are and where lighthouses are, where that has changed.
+//
+// Danger: one watcher may be the one that is cut off. An edge is left out of the tree only by the word of two, or of all that
+// watch it, and never while it is heard itself.
 func (l *Lantern) fleet() {
-	edges := map[string]bool{}
-	for ip, at := range l.edges {
-		if l.now-at < edgeWithin {
-			edges[ip] = true
+	var f notices.Fleet
+	for ip, e := range l.edges {
+		if l.now-e.heard > edgeWithin {
+			delete(l.edges, ip)
+			continue
 		}
-	}
-	lights := map[string]bool{l.IP: true}
-	for ip, p := range l.peers {
-		if l.now-p.edgesAt < edgeWithin {
-			for _, e := range p.edges {
-				edges[e] = true
+		n := 0
+		for by, at := range e.by {
+			if l.now-at > suspicion {
+				delete(e.by, by)
+			} else {
+				n++
 			}
 		}
+		if n >= min(suspectedBy, len(l.edges)-1) && n > 0 && l.now-e.heard > edgeQuiet {
+			continue
+		}
+		f.Edges = append(f.Edges, e.Edge)
+	}
+	slices.SortFunc(f.Edges, func(a, b notices.Edge) int { return cmp.Compare(a.IP, b.IP) })
+	// Danger: an edge that was left out may still be spending its share of a budget.
+	if len(f.Edges) >= l.most || l.now-l.mostAt > mostKept {
+		l.most, l.mostAt = len(f.Edges), l.now
+	}
+	f.Most = max(l.most, 1)
+	lights := map[string]bool{l.IP: true}
+	for ip := range l.peers {
 		if slices.Contains(l.members(), ip) || l.live(ip) {
 			lights[ip] = true
 		}
 	}
-	f := notices.Fleet{Edges: max(len(edges), 1), Lights: slices.Sorted(maps.Keys(lights))}
-	l.fleetCount++
-	f.Count = l.fleetCount
+	f.Lights = slices.Sorted(maps.Keys(lights))
 	l.tell(l.book.Take(notices.Notice{Fleet: f}))
 }
 
@@ -637,11 +691,10 @@
 		}
 		if now >= l.edgesAt {
 			l.edgesAt = now + edgesEvery
-			for ip, at := range l.edges {
-				if now-at > edgeWithin {
-					delete(l.edges, ip)
-				} else {
-					h.Edges = append(h.Edges, ip)
+			for _, e := range l.edges {
+				if !e.told {
+					e.told = true
+					h.Edges = append(h.Edges, Sight{e.Edge, e.said, now - e.heard})
 				}
 			}
 			l.fleet()
--- /dev/null
+++ b/decide/lookout/lookout.go
@@ -0,0 +1,100 @@
+// Package lookout has edges keep an eye on each other: each sends heartbeats to the few that follow it on a ring, and says whom of
+// those that it is to watch it has not heard. It reads no clock and sends nothing itself.
+//
+// Decides: who watches whom, and when a watcher suspects an edge.
+package lookout
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	ms        = 1_000_000
+	watchers  = 2 // of each edge: one alone may be the one at fault
+	beatEvery = 500 * ms
+	suspectAt = 2600 * ms // five beats left out: datagrams are lost now and then
+	slowShare = 2         // a call so many times later than it should have been tells of one's own slowness
+)
+
+// Lookout is one edge's.
+type Lookout struct {
+	self   string
+	ring   []string
+	heard  map[string]int64
+	beatAt int64
+	last   int64
+}
+
+// New makes one for an edge, by its IP.
+func New(self string) *Lookout { return &Lookout{self: self, heard: map[string]int64{}} }
+
+// Ring sorts edges by their places: the hash of what they are called.
+func Ring(ips []string) []string {
+	ring := slices.Clone(ips)
+	slices.SortFunc(ring, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
+	})
+	return slices.Compact(ring)
+}
+
+// Watchers are those that an edge's place names: the next on the ring.
+func Watchers(ring []string, ip string) (names []string) {
+	at := slices.Index(ring, ip)
+	for k := 1; at >= 0 && k <= watchers && k < len(ring); k++ {
+		names = append(names, ring[(at+k)%len(ring)])
+	}
+	return names
+}
+
+// Fleet tells who is there.
+func (l *Lookout) Fleet(now int64, ips []string) {
+	l.ring = Ring(ips)
+	watched := map[string]bool{}
+	for _, ip := range l.ring {
+		if slices.Contains(Watchers(l.ring, ip), l.self) {
+			watched[ip] = true
+			if _, ok := l.heard[ip]; !ok { // it may not know yet that it is watched from here
+				l.heard[ip] = now
+			}
+		}
+	}
+	for ip := range l.heard {
+		if !watched[ip] {
+			delete(l.heard, ip)
+		}
+	}
+}
+
+// Heard takes a heartbeat.
+func (l *Lookout) Heard(now int64, from string) {
+	if _, ok := l.heard[from]; ok {
+		l.heard[from] = now
+	}
+}
+
+// Tick returns to whom a heartbeat goes now, if it is time, and who is suspected.
+//
+// Danger: one that stood still itself has heard nobody. It would call all that it watches lost; so its own lateness counts for
+// them first.
+func (l *Lookout) Tick(now int64) (beats, suspects []string) {
+	if gap := now - l.last; l.last > 0 && gap > slowShare*beatEvery {
+		for ip := range l.heard {
+			l.heard[ip] += gap
+		}
+	}
+	l.last = now
+	if now >= l.beatAt {
+		l.beatAt = now + beatEvery
+		beats = Watchers(l.ring, l.self)
+	}
+	for ip, at := range l.heard {
+		if now-at > suspectAt {
+			suspects = append(suspects, ip)
+		}
+	}
+	slices.Sort(suspects)
+	return beats, suspects
+}
--- a/decide/notices/notices.go
+++ b/decide/notices/notices.go
@@ -20,16 +20,25 @@
 	Fleet    Fleet           `cbor:"5,keyasint,omitempty"`
 }
 
-// Fleet is who else is there. The highest Count holds.
+// Fleet is who else is there.
 type Fleet struct {
-	Count  uint64   `cbor:"1,keyasint,omitempty"` // rises with each change at one lighthouse
-	Edges  int      `cbor:"2,keyasint,omitempty"` // the most seen of late
+	Edges  []Edge   `cbor:"1,keyasint,omitempty"` // by IP
+	Most   int      `cbor:"2,keyasint,omitempty"` // edges that there were of late at the most
 	Lights []string `cbor:"3,keyasint,omitempty"` // lighthouses, by IP
 }
 
+// Edge is one machine that serves clients.
+type Edge struct {
+	IP   string `cbor:"1,keyasint"`
+	Zone string `cbor:"2,keyasint,omitempty"`
+}
+
+// Empty tells whether a fleet says nothing.
+func (f Fleet) Empty() bool { return f.Most == 0 }
+
 // Empty tells whether a notice says nothing.
 func (n Notice) Empty() bool {
-	return n.Revision == 0 && len(n.Replicas) == 0 && n.Fleet.Edges == 0 && len(n.Fleet.Lights) == 0
+	return n.Revision == 0 && len(n.Replicas) == 0 && n.Fleet.Empty()
 }
 
 // Book is what one follower holds.
@@ -60,7 +69,8 @@
 			fresh.Replicas = append(fresh.Replicas, r)
 		}
 	}
-	if n.Fleet.Edges > 0 && (n.Fleet.Edges != b.Fleet.Edges || !slices.Equal(n.Fleet.Lights, b.Fleet.Lights)) {
+	if f := n.Fleet; !f.Empty() && (f.Most != b.Fleet.Most || !slices.Equal(f.Edges, b.Fleet.Edges) ||
+		!slices.Equal(f.Lights, b.Fleet.Lights)) {
 		b.Fleet, fresh.Fleet = n.Fleet, n.Fleet
 	}
 	return fresh
--- a/decide/pilotage/pilotage.go
+++ b/decide/pilotage/pilotage.go
@@ -28,6 +28,7 @@
 	ratioShare   = 0.7 // of the ratio of further executions that is used: requests are counted a little differently by others
 	slackShare   = 0.6 // of the free ones, for the same reason
 	fallSpan     = 1000 * ms
+	fewerAfter   = 60000 * ms // the number of edges goes down only after that
 	fullCold     = 1 // no rule binds what a cold replica is sent
 )
 
@@ -84,7 +85,8 @@
 	workloads []balance.Workload
 	slots     map[string]int
 	used      [shards]bool
-	edges     int
+	edges     int // at the most of late
+	edgesAt   int64
 	known     map[string]muster.Record
 	budget    float64
 }
@@ -129,8 +131,9 @@
 			delete(p.known, r.ID)
 		}
 	}
-	if n.Fleet.Edges > 0 {
-		p.edges = n.Fleet.Edges
+	// Danger: lighthouses that have all just started know of few edges, and each of those would take the others' shares.
+	if m := n.Fleet.Most; m >= p.edges || m > 0 && now-p.edgesAt > fewerAfter {
+		p.edges, p.edgesAt = m, now
 	}
 	c.FurtherFree, c.Budget = p.Free(now)
 	return c
--- a/decide/pilotage/pilotage_test.go
+++ b/decide/pilotage/pilotage_test.go
@@ -44,7 +44,7 @@
 // are.
 func TestBudgetOfAll(t *testing.T) {
 	p := New(0, settings())
-	must.Zero(t, p.Take(1, notices.Notice{Fleet: notices.Fleet{Edges: 9}}).FurtherFree)
+	must.Zero(t, p.Take(1, notices.Notice{Fleet: notices.Fleet{Most: 9}}).FurtherFree)
 	free, changed := p.Free(11_000 * ms)
 	must.True(t, changed)
 	must.Positive(t, free)
--- a/deployment/berth/berth.go
+++ b/deployment/berth/berth.go
@@ -82,7 +82,7 @@
 const (
 	defaultBeatMs = 1000
 	defaultGraceS = 5
-	leastPorts    = 2
+	leastPorts    = 4
 )
 
 // FromEnvironment reads the file that the environment names.
@@ -174,4 +174,5 @@
 	PortLights  = 0 // lighthouses among themselves
 	PortNotices = 1 // where edges follow a lighthouse, or a cutter
 	PortPilot   = 2 // on loopback: where the pilot follows its cutter
+	PortLookout = 3 // datagrams: heartbeats of edges
 )
