--- a/carrier/crew/crew.go
+++ b/carrier/crew/crew.go
@@ -18,10 +18,11 @@
 
 // Main runs a daemon: run is to return once ctx is over, which SIGTERM ends. The exit code is 2 where the settings are wrong.
 func Main(program, purpose string, run func(ctx context.Context, s berth.Settings) error) {
-	os.Exit(start(program, purpose, run))
+	os.Exit(Start(program, purpose, os.Args[1:], run))
 }
 
-func start(program, purpose string, run func(ctx context.Context, s berth.Settings) error) int {
+// Start is Main for a process with arguments of its own; it returns the exit code.
+func Start(program, purpose string, args []string, run func(ctx context.Context, s berth.Settings) error) int {
 	flags := flag.NewFlagSet(program, flag.ContinueOnError)
 	check := flags.String("check", "", "read this settings `file`, say what is wrong with it and end")
 	flags.Usage = func() {
@@ -29,7 +30,7 @@
 			program, purpose, berth.Variable, program, program)
 		flags.PrintDefaults()
 	}
-	if err := flags.Parse(os.Args[1:]); err != nil {
+	if err := flags.Parse(args); err != nil {
 		return 2
 	}
 	if *check != "" {
--- /dev/null
+++ b/carrier/dinghy/dinghy.go
@@ -0,0 +1,106 @@
+// Package dinghy is the operators' way to the system: it calls control as operators do, and follows the news as an edge does,
+// without being one. It decides nothing.
+package dinghy
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/samber/oops"
+
+	"willowsill/carrier/beam"
+	"willowsill/carrier/hail"
+	"willowsill/decide/notices"
+)
+
+// ErrDinghy is the class of this package's errors.
+var ErrDinghy = oops.Code("keeper")
+
+const (
+	callWithin = 2 * time.Second
+	tryAgain   = 200 * time.Millisecond
+	followWait = 3 * time.Second
+)
+
+// Control calls one co-ordinator after the other until one gives a clear answer, or ctx ends.
+type Control struct{ Addresses []string }
+
+func (c *Control) call(ctx context.Context, method, path string, body []byte) (status int, answer []byte, err error) {
+	client := http.Client{Timeout: callWithin}
+	err = ErrDinghy.Errorf("no control address was given")
+	for n := 0; ctx.Err() == nil && len(c.Addresses) > 0; n++ {
+		address := c.Addresses[n%len(c.Addresses)]
+		var req *http.Request
+		if req, err = http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewReader(body)); err != nil {
+			return 0, nil, ErrDinghy.Wrapf(err, "%s", address)
+		}
+		req.Header.Set("Content-Type", "application/json")
+		var res *http.Response
+		if res, err = client.Do(req); err == nil {
+			answer, err = io.ReadAll(res.Body)
+			res.Body.Close()
+			if err == nil && res.StatusCode < http.StatusInternalServerError && res.StatusCode != http.StatusTooManyRequests &&
+				res.StatusCode != http.StatusRequestTimeout {
+				return res.StatusCode, answer, nil
+			}
+			if err == nil {
+				err = ErrDinghy.Errorf("%s answered %s: %s", address, res.Status, bytes.TrimSpace(answer))
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(tryAgain):
+		}
+	}
+	return 0, nil, ErrDinghy.Wrapf(err, "no clear answer")
+}
+
+// Read is the newest configuration.
+func (c *Control) Read(ctx context.Context) ([]byte, error) {
+	status, body, err := c.call(ctx, http.MethodGet, "/v1/configuration/read", nil)
+	if err == nil && status != http.StatusOK {
+		err = ErrDinghy.Errorf("status %d: %s", status, bytes.TrimSpace(body))
+	}
+	return body, err
+}
+
+// Send sends a configuration until it is acknowledged or refused.
+func (c *Control) Send(ctx context.Context, body []byte) error {
+	status, answer, err := c.call(ctx, http.MethodPost, "/v1/configuration/replace", body)
+	if err == nil && status != http.StatusOK {
+		err = ErrDinghy.Errorf("status %d: %s", status, bytes.TrimSpace(answer))
+	}
+	return err
+}
+
+// Follow gives take the whole book of a feeder and then what changes, until ctx ends or the feeder is silent; take returns
+// false to stop.
+func Follow(ctx context.Context, address string, take func(notices.Notice) bool) error {
+	l, err := hail.Dial(ctx, address)
+	if err != nil {
+		return ErrDinghy.Wrap(err)
+	}
+	defer l.Close()
+	defer context.AfterFunc(ctx, l.Close)()
+	said := time.Time{}
+	for ctx.Err() == nil {
+		if time.Since(said) > time.Second {
+			said = time.Now()
+			l.Say(beam.Hello{})
+		}
+		var p beam.Packet
+		if err := l.Receive(&p, followWait); err != nil {
+			if ctx.Err() != nil {
+				return nil
+			}
+			return ErrDinghy.Wrap(err)
+		}
+		if p.Notice != nil && !take(*p.Notice) {
+			return nil
+		}
+	}
+	return nil
+}
--- a/carrier/helm/helm.go
+++ b/carrier/helm/helm.go
@@ -85,7 +85,7 @@
 	defer end()
 	self := beam.Hello{Self: lantern.Sight{Edge: notices.Edge{IP: s.IP, Zone: s.Zone}}}
 	up := beam.Follower{Hello: func() beam.Hello { return self }, Take: h.take,
-		Addresses: func() []string { return []string{s.Inner("127.0.0.1", berth.PortPilot)} }}
+		Addresses: func() []string { return []string{s.Inner(s.Loopback(), berth.PortPilot)} }}
 	go up.Run(inner)
 	go h.budget(inner)
 	go h.tally(inner)
--- a/carrier/skiff/skiff.go
+++ b/carrier/skiff/skiff.go
@@ -59,7 +59,7 @@
 func Run(ctx context.Context, s berth.Settings) error {
 	k := &Skiff{settings: s, base: time.Now().Add(-time.Hour), book: notices.NewBook(), lookout: lookout.New(s.IP),
 		below: map[string]sight{}}
-	pilot, err := hail.Listen(s.Inner("127.0.0.1", berth.PortPilot))
+	pilot, err := hail.Listen(s.Inner(s.Loopback(), berth.PortPilot))
 	if err != nil {
 		return ErrSkiff.Wrap(err)
 	}
--- /dev/null
+++ b/cmd/keeper/main.go
@@ -0,0 +1,295 @@
+// Keeper is the operators' client: it checks configurations and settings files, sends and reads configurations, compares them,
+// explains where a request goes, and shows what a lighthouse or a cutter tells its followers.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/go-faster/jx"
+
+	"willowsill/carrier/dinghy"
+	"willowsill/decide/chart"
+	"willowsill/decide/muster"
+	"willowsill/decide/notices"
+	"willowsill/deployment/berth"
+)
+
+type command struct {
+	name, args, does, example string
+	run                       func(ctx context.Context, f *flags, args []string) error
+}
+
+type flags struct {
+	*flag.FlagSet
+	control  string
+	notices  string
+	revision string
+	within   time.Duration
+	json     bool
+	out      io.Writer
+}
+
+func (f *flags) addresses() *dinghy.Control {
+	return &dinghy.Control{Addresses: strings.FieldsFunc(f.control, func(r rune) bool { return r == ',' })}
+}
+
+var commands = []command{
+	{"check", "FILE", "says what is wrong with a configuration (JSON) or a settings file (TOML)", "keeper check next.json", check},
+	{"read", "", "prints the newest configuration", "keeper -control 10.0.0.4:8080 read", read},
+	{"send", "FILE", "sends a configuration until it is acknowledged or refused", "keeper -control 10.0.0.4:8080 -revision auto send next.json", send},
+	{"diff", "A B", "says what configuration B has otherwise than A; - stands for the newest", "keeper -control 10.0.0.4:8080 diff - next.json", diff},
+	{"explain", "HOST PATH", "says which route of the newest configuration takes a request, and to which services", "keeper -control 10.0.0.4:8080 explain hall.example /scan/x", explain},
+	{"show", "", "shows what a lighthouse or a cutter tells its followers", "keeper -notices 10.0.0.4:7081 show", show},
+	{"watch", "", "the same, and then a line a change", "keeper -notices 10.0.0.4:7081 watch", watch},
+}
+
+func main() { os.Exit(start(os.Args[1:], os.Stdout, os.Stderr)) }
+
+func start(args []string, out, errs io.Writer) int {
+	f := &flags{FlagSet: flag.NewFlagSet("keeper", flag.ContinueOnError), out: out}
+	f.SetOutput(errs)
+	f.StringVar(&f.control, "control", "", "control `addresses` of lighthouses, separated by commas")
+	f.StringVar(&f.notices, "notices", "", "`address` where a lighthouse or a cutter is followed: its IP and the second internal port")
+	f.StringVar(&f.revision, "revision", "", "for send: the `number` to send under instead of the file's; auto for one above the newest")
+	f.DurationVar(&f.within, "within", 10*time.Second, "how long to try")
+	f.BoolVar(&f.json, "json", false, "print JSON")
+	f.Usage = func() {
+		fmt.Fprintln(errs, "keeper is the operators' client of willowsill.")
+		fmt.Fprintln(errs)
+		for _, c := range commands {
+			fmt.Fprintf(errs, "  keeper [flags] %s %s\n      %s\n      %s\n", c.name, c.args, c.does, c.example)
+		}
+		fmt.Fprintln(errs)
+		f.PrintDefaults()
+	}
+	if err := f.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return 0
+		}
+		return 2
+	}
+	at := slices.IndexFunc(commands, func(c command) bool { return c.name == f.Arg(0) })
+	if at < 0 || f.NArg()-1 != len(strings.Fields(commands[at].args)) {
+		f.Usage()
+		return 2
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	if commands[at].name != "watch" {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, f.within)
+		defer cancel()
+	}
+	if err := commands[at].run(ctx, f, f.Args()[1:]); err != nil {
+		fmt.Fprintln(errs, err)
+		if errors.As(err, &usage{}) {
+			return 2
+		}
+		return 1
+	}
+	return 0
+}
+
+// usage marks what is the caller's to mend: exit code 2, and 1 for all else.
+type usage struct{ error }
+
+func wrong(err error) error { return usage{err} }
+
+func load(ctx context.Context, f *flags, file string) (*chart.Chart, []byte, error) {
+	var body []byte
+	var err error
+	if file == "-" {
+		body, err = f.addresses().Read(ctx)
+	} else {
+		body, err = os.ReadFile(file)
+	}
+	if err != nil {
+		return nil, nil, err
+	}
+	c, err := chart.Read(body)
+	if err != nil {
+		return nil, nil, wrong(fmt.Errorf("%s: %w", file, err))
+	}
+	return c, body, nil
+}
+
+func check(ctx context.Context, f *flags, args []string) error {
+	if strings.HasSuffix(args[0], ".toml") {
+		if _, err := berth.Read(args[0]); err != nil {
+			return wrong(err)
+		}
+	} else if _, _, err := load(ctx, f, args[0]); err != nil {
+		return err
+	}
+	fmt.Fprintln(f.out, args[0], "is in order")
+	return nil
+}
+
+func read(ctx context.Context, f *flags, _ []string) error {
+	body, err := f.addresses().Read(ctx)
+	if err == nil {
+		_, err = fmt.Fprintf(f.out, "%s\n", body)
+	}
+	return err
+}
+
+func send(ctx context.Context, f *flags, args []string) error {
+	c, body, err := load(ctx, f, args[0])
+	if err != nil {
+		return err
+	}
+	revision := c.Revision
+	switch f.revision {
+	case "":
+	case "auto":
+		newest, _, err := load(ctx, f, "-")
+		if err != nil {
+			return err
+		}
+		revision = newest.Revision + 1
+	default:
+		if revision, err = strconv.ParseUint(f.revision, 10, 64); err != nil {
+			return wrong(fmt.Errorf("-revision: %w", err))
+		}
+	}
+	if body, err = renumber(body, revision); err != nil {
+		return err
+	}
+	if err := f.addresses().Send(ctx, body); err != nil {
+		return err
+	}
+	fmt.Fprintf(f.out, "revision %d is acknowledged\n", revision)
+	return nil
+}
+
+// renumber writes a configuration with another revision; all else stays byte by byte.
+func renumber(body []byte, revision uint64) ([]byte, error) {
+	e := jx.Encoder{}
+	e.ObjStart()
+	err := jx.DecodeBytes(body).Obj(func(d *jx.Decoder, key string) error {
+		raw, err := d.Raw()
+		if err != nil {
+			return err
+		}
+		e.FieldStart(key)
+		if key == "revision" {
+			e.UInt64(revision)
+		} else {
+			e.Raw(raw)
+		}
+		return nil
+	})
+	e.ObjEnd()
+	return e.Bytes(), err
+}
+
+func diff(ctx context.Context, f *flags, args []string) error {
+	a, _, err := load(ctx, f, args[0])
+	if err != nil {
+		return err
+	}
+	b, _, err := load(ctx, f, args[1])
+	if err != nil {
+		return err
+	}
+	lines := chart.Diff(a, b)
+	if f.json {
+		return json.NewEncoder(f.out).Encode(lines)
+	}
+	for _, l := range lines {
+		fmt.Fprintln(f.out, l)
+	}
+	return nil
+}
+
+func explain(ctx context.Context, f *flags, args []string) error {
+	c, _, err := load(ctx, f, "-")
+	if err != nil {
+		return err
+	}
+	path, _, _ := strings.Cut(args[1], "?")
+	r := c.Find(args[0], path)
+	if r == nil {
+		return fmt.Errorf("revision %d has no route for %s%s: it is answered 404", c.Revision, args[0], path)
+	}
+	if f.json {
+		return json.NewEncoder(f.out).Encode(map[string]any{"revision": c.Revision, "route": r})
+	}
+	kind := "safe: may run more than once"
+	if r.Unsafe {
+		kind = "unsafe: runs at most once a try"
+	}
+	fmt.Fprintf(f.out, "revision %d, route %s (%s%s)\n%s; %d ms at most, %d ms for the full worth, %d replicas a try\n", c.Revision, r.Name,
+		r.Host, r.Prefix, kind, r.DeadlineMs, r.TargetMs, r.Tries)
+	if len(r.Fanout) > 0 {
+		fmt.Fprintf(f.out, "one replica of each of %s; the %d greatest records, from %g of the shards at least\n",
+			strings.Join(r.Fanout, ", "), r.ResultCount, r.MinCoverage)
+	}
+	for _, t := range r.Targets {
+		fmt.Fprintf(f.out, "service %s, weight %g\n", t.Service, t.Weight)
+	}
+	return nil
+}
+
+var phases = map[muster.Phase]string{muster.Ready: "ready", muster.Draining: "draining", muster.Silent: "silent", muster.Gone: "gone"}
+
+func show(ctx context.Context, f *flags, _ []string) error {
+	return dinghy.Follow(ctx, f.notices, func(n notices.Notice) bool {
+		if f.json {
+			json.NewEncoder(f.out).Encode(n)
+			return false
+		}
+		slices.SortFunc(n.Replicas, func(a, b muster.Record) int {
+			return strings.Compare(a.Service+a.ID, b.Service+b.ID)
+		})
+		fmt.Fprintf(f.out, "revision %d (%d bytes), %d edges (%d at the most of late), %d lighthouses, %d replicas\n", n.Revision, len(n.Body),
+			len(n.Fleet.Edges), n.Fleet.Most, len(n.Fleet.Lights), len(n.Replicas))
+		w := tabwriter.NewWriter(f.out, 0, 4, 2, ' ', 0)
+		for _, ip := range n.Fleet.Lights {
+			fmt.Fprintf(w, "lighthouse\t%s\n", ip)
+		}
+		for _, e := range n.Fleet.Edges {
+			fmt.Fprintf(w, "edge\t%s\t%s\n", e.IP, e.Zone)
+		}
+		for _, r := range n.Replicas {
+			fmt.Fprintf(w, "replica\t%s\t%s\t%s\t%s\t%s\tcall %d\n", r.ID, r.Service, r.Zone, r.Address, phases[r.Phase], r.Seq)
+		}
+		w.Flush()
+		return false
+	})
+}
+
+func watch(ctx context.Context, f *flags, _ []string) error {
+	book := notices.NewBook()
+	return dinghy.Follow(ctx, f.notices, func(n notices.Notice) bool {
+		fresh := book.Take(n)
+		at := time.Now().Format(time.RFC3339)
+		if f.json {
+			json.NewEncoder(f.out).Encode(fresh)
+			return true
+		}
+		if fresh.Revision > 0 {
+			fmt.Fprintf(f.out, "%s revision %d\n", at, fresh.Revision)
+		}
+		for _, r := range fresh.Replicas {
+			fmt.Fprintf(f.out, "%s replica %s of %s at %s is %s\n", at, r.ID, r.Service, r.Address, phases[r.Phase])
+		}
+		if !fresh.Fleet.Empty() {
+			fmt.Fprintf(f.out, "%s %d edges, lighthouses %s\n", at, len(fresh.Fleet.Edges), strings.Join(fresh.Fleet.Lights, " "))
+		}
+		return true
+	})
+}
--- a/cmd/willowsill/demo.go
+++ b/cmd/willowsill/demo.go
@@ -22,6 +22,7 @@
 
 	"willowsill/balance"
 	"willowsill/deployment"
+	"willowsill/lab/rehearsal"
 	"willowsill/operator"
 	"willowsill/replica"
 	"willowsill/standin"
@@ -37,6 +38,7 @@
 	demoPatience    = 1500 * time.Millisecond
 	demoSlack       = 50 * time.Millisecond // limits on sockets are so much longer
 	demoGoal        = 800 * time.Millisecond
+	rehearsed       = 200 // queries a phase of the whole system
 )
 
 // phase is a stretch of the demonstration and what came of it.
@@ -51,7 +53,7 @@
 }
 
 func demonstrating() *cobra.Command {
-	var withStore, asJSON bool
+	var withStore, asJSON, system bool
 	var each time.Duration
 	var sites int
 	c := &cobra.Command{
@@ -60,7 +62,7 @@
 		Long: "demo starts replicas, a discovery and three aggregators on loopback, asks queries of them, makes one\n" +
 			"replica fail and mends it. With --store the aggregators share what they find through a stand-in of a\n" +
 			"Redis server, which stalls and vanishes on the way.",
-		Example: "  willowsill demo\n  willowsill demo --store --json\n  willowsill demo --sites 2",
+		Example: "  willowsill demo\n  willowsill demo --store --json\n  willowsill demo --sites 2\n  willowsill demo --system",
 		Args:    cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if each < 200*time.Millisecond || each > time.Minute {
@@ -69,6 +71,8 @@
 			var phases []phase
 			var err error
 			switch {
+			case system:
+				return rehearse(c, asJSON)
 			case sites == 1:
 				phases, err = demonstrate(c.Context(), withStore, each)
 			case sites == 2 && !withStore:
@@ -96,12 +100,29 @@
 		},
 	}
 	c.Flags().BoolVar(&withStore, "store", false, "share what is found through a stand-in store")
+	c.Flags().BoolVar(&system, "system", false, "the whole system: lighthouses, pilots and cutters as processes, one of each killed")
 	c.Flags().IntVar(&sites, "sites", 1, "two: one goes dark, and its queries are carried to the other")
 	c.Flags().DurationVar(&each, "each", 2*time.Second, "how long each phase takes")
 	c.Flags().BoolVar(&asJSON, "json", false, "print JSON")
 	return c
 }
 
+// part plays one process of the whole system's demonstration, where this process was started for that.
+func part() bool { return rehearsal.Part() }
+
+// rehearse plays the whole system with copies of this program.
+func rehearse(c *cobra.Command, asJSON bool) error {
+	phases, err := rehearsal.Run(c.Context(), rehearsed)
+	if err != nil {
+		return coded{err, 1}
+	}
+	if asJSON {
+		return writeJSON(c.OutOrStdout(), phases)
+	}
+	rehearsal.Print(c.OutOrStdout(), phases)
+	return nil
+}
+
 // fleet is what the demonstration starts; stop ends all of it.
 type fleet struct {
 	fronts []string
--- a/cmd/willowsill/demo_off.go
+++ b/cmd/willowsill/demo_off.go
@@ -15,3 +15,5 @@
 			return coded{errors.New("this build has no demonstration; it needs one without the tag platform"), 2}
 		}}
 }
+
+func part() bool { return false }
--- a/cmd/willowsill/main.go
+++ b/cmd/willowsill/main.go
@@ -39,6 +39,9 @@
 )
 
 func main() {
+	if part() { // one process of the demonstration of the whole system
+		return
+	}
 	// Danger: a SIGHUP that nobody hears ends the process, so one is heard from the first to the last.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
--- a/decide/lantern/lantern.go
+++ b/decide/lantern/lantern.go
@@ -602,6 +602,9 @@
 
 // sight takes in that an edge was heard of. own tells that no other lighthouse has it from elsewhere.
 func (l *Lantern) sight(s Sight, own bool) {
+	if s.Edge.IP == "" { // an operator who looks on
+		return
+	}
 	e := l.edges[s.Edge.IP]
 	if e == nil {
 		e = &edge{by: map[string]int64{}}
--- a/decide/pilotage/pilotage.go
+++ b/decide/pilotage/pilotage.go
@@ -29,7 +29,7 @@
 	slackShare   = 0.6 // of the free ones, for the same reason
 	fallSpan     = 1000 * ms
 	fewerAfter   = 60000 * ms // the number of edges goes down only after that
-	fullCold     = 1 // no rule binds what a cold replica is sent
+	fullCold     = 1          // no rule binds what a cold replica is sent
 )
 
 // Deployment is what the module is told at the start.
--- a/decide/register/register_test.go
+++ b/decide/register/register_test.go
@@ -259,3 +259,48 @@
 	late, _, _ := other.Step(Message{Kind: Accept, Ballot: Ballot{7, "p"}})
 	must.Eq(t, Refused, late.Kind)
 }
+
+// TestBallotsOfTwoLives: a proposer that is no member keeps nothing on a disk. Its second life begins with the same numbers, and
+// what the first had half written must not pass for what the second wrote.
+func TestBallotsOfTwoLives(t *testing.T) {
+	seeds := Value{Members: []string{"a", "b", "c"}}
+	disks := map[string]*Disk{}
+	for _, n := range seeds.Members {
+		disks[n] = &Disk{State{Value: seeds}, true}
+	}
+	half := func() float64 { return 0.5 }
+	// drive carries a proposer's messages to those disks that answer, until it asks for a message that stop says is the last.
+	drive := func(p *Proposer, out Out, reach func(to string, m Message) bool) (done []Done) {
+		for len(out.To) > 0 {
+			var next Out
+			for _, to := range out.To {
+				if reach(to, out.Send) {
+					a, _, _ := disks[to].Step(out.Send)
+					o := p.Step(0, to, a)
+					done = append(done, o.Done...)
+					if len(o.To) > 0 {
+						next = o
+					}
+				}
+			}
+			out = next
+		}
+		return done
+	}
+	first := NewProposer("d/1", seeds, half)
+	_, out := first.Edit(0, put(5, "x"))
+	drive(first, out, func(to string, m Message) bool { return to == "a" || to == "b" && m.Kind != Accept })
+	must.Eq(t, "x", string(disks["a"].Value.Body))
+	second := NewProposer("d/2", seeds, half)
+	_, out = second.Edit(0, put(5, "y"))
+	done := drive(second, out, func(to string, _ Message) bool { return to != "a" })
+	must.SliceLen(t, 1, done)
+	must.Eq(t, "y", string(done[0].Value.Body))
+	reader := NewProposer("e/1", seeds, half)
+	_, out = reader.Edit(0, func(v Value) (Value, bool) { return v, false })
+	notC := func(to string, _ Message) bool { return to != "c" }
+	must.SliceEmpty(t, drive(reader, out, notC)) // it may stand, and may not
+	done = drive(reader, reader.Tick(300*ms), notC)
+	must.SliceLen(t, 1, done)
+	must.Eq(t, "y", string(done[0].Value.Body))
+}
--- a/deployment/berth/berth.go
+++ b/deployment/berth/berth.go
@@ -160,6 +160,14 @@
 	return net.JoinHostPort(ip, strconv.Itoa(s.Ports[0]+port))
 }
 
+// Loopback is where the processes of this machine meet: a machine that is itself played on a loopback address has that one.
+func (s *Settings) Loopback() string {
+	if ip := net.ParseIP(s.IP); ip.IsLoopback() {
+		return s.IP
+	}
+	return "127.0.0.1"
+}
+
 // SeedIPs are the machines of the seeds.
 func (s *Settings) SeedIPs() (ips []string) {
 	for _, seed := range s.Seeds {
--- /dev/null
+++ b/front/quay/quay_test.go
@@ -0,0 +1,165 @@
+package quay
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"willowsill/balance"
+	"willowsill/carrier/gangway"
+	"willowsill/decide/chart"
+	"willowsill/decide/pilotage"
+	"willowsill/node"
+)
+
+const configuration = `{"revision":7,"routes":[
+{"name":"scan","host":"h","path-prefix":"/a/","route-kind":"safe","deadline-ms":1200,"target-ms":200,"fanout":["s0","s1","s2"],"max-tries":2,"result-count":2,"min-coverage":0.6},
+{"name":"debit","host":"h","path-prefix":"/b/","route-kind":"unsafe","deadline-ms":4000,"service":"s0"}],
+"services":[{"name":"s0"},{"name":"s1"},{"name":"s2"}],"limits":{"max-body-bytes":10}}`
+
+// core answers as it is told to, and keeps what it was asked.
+type core struct {
+	asked   node.Query
+	answers map[int]*gangway.Answer
+	final   balance.Final
+	wait    int64
+}
+
+func (c *core) Serve(_ context.Context, q node.Query) (node.Answer, bool) {
+	c.asked = q
+	a := node.Answer{Final: c.final, ComeBack: c.wait}
+	r := q.Load.(*gangway.Request)
+	for _, p := range q.Parts {
+		if got := c.answers[p.Shard]; got != nil {
+			r.Answers[p.Shard] = got
+			if got.Status == http.StatusOK {
+				a.Values = append(a.Values, node.Value{Shard: p.Shard})
+			}
+		}
+	}
+	return a, true
+}
+
+func quayOf(t *testing.T, c *core) *Quay {
+	ch, err := chart.Read([]byte(configuration))
+	must.NoError(t, err)
+	q := &Quay{Core: c, Now: func() int64 { return 1000 }}
+	q.Serve(&pilotage.State{Chart: ch, Rows: map[string]int{"scan": 4, "debit": 9}, Slots: map[string]int{"s0": 0, "s1": 1, "s2": 2}})
+	return q
+}
+
+func request(method, target, body string) *http.Request {
+	r := httptest.NewRequest(method, target, strings.NewReader(body))
+	r.Host, r.RequestURI = "h", target
+	r.Header.Set(gangway.HeaderAttempt, "try-1")
+	r.Header.Set(gangway.HeaderDeadline, "700")
+	r.Header.Set("X-Till", "9")
+	r.Header.Set("Connection", "X-Hop")
+	r.Header.Set("X-Hop", "1")
+	r.Header.Set(gangway.HeaderTarget, "forged")
+	return r
+}
+
+func part(seal string, records ...string) *gangway.Answer {
+	return &gangway.Answer{Status: http.StatusOK, Seal: seal, Whole: true, Body: []byte(strings.Join(records, ""))}
+}
+
+func record(c byte) string { return strings.Repeat(string(c), 16) }
+
+// TestGatheredAnswer: the greatest records of the parts that are in, their seals, and how many are missing.
+func TestGatheredAnswer(t *testing.T) {
+	failed := &gangway.Answer{Status: 500, Seal: "bad", Whole: true}
+	c := &core{final: balance.Partial, answers: map[int]*gangway.Answer{0: part("x", record('b'), record('d')), 1: failed,
+		2: part("y", record('d'), record('a'), "rest")}}
+	w := httptest.NewRecorder()
+	quayOf(t, c).ServeHTTP(w, request("GET", "/a/q?x=1", ""))
+	must.Eq(t, 200, w.Code)
+	must.Eq(t, "x, y", w.Header().Get(headerParts))
+	must.Eq(t, "1", w.Header().Get(headerMissing))
+	must.Eq(t, record('d')+record('d'), w.Body.String())
+	must.Eq(t, 4, c.asked.Workload)
+	must.SliceLen(t, 3, c.asked.Parts)
+	must.Eq(t, 1000+700*millisecond, c.asked.Until)
+}
+
+// TestWhatReplicasGet: the request unchanged, but for what concerns one connection or is this side's to say.
+func TestWhatReplicasGet(t *testing.T) {
+	c := &core{answers: map[int]*gangway.Answer{0: {Status: 200, Seal: "s", Whole: true, Body: []byte("ok"),
+		Header: http.Header{"Willowsill-Replica-Seal": {"s"}, "Connection": {"close"}, "X-More": {"1", "2"}}}}}
+	w := httptest.NewRecorder()
+	quayOf(t, c).ServeHTTP(w, request("POST", "/b/a%2Fb?x=%20", "body"))
+	must.Eq(t, 200, w.Code)
+	must.Eq(t, "ok", w.Body.String())
+	must.Eq(t, "", w.Header().Get("Connection"))
+	must.SliceLen(t, 2, w.Header()["X-More"])
+	r := c.asked.Load.(*gangway.Request)
+	head := string(r.Head)
+	must.StrHasPrefix(t, "POST /b/a%2Fb?x=%20 HTTP/1.1\r\nHost: h\r\n", head)
+	must.StrContains(t, head, gangway.HeaderAttempt+": try-1\r\n")
+	must.StrContains(t, head, "X-Till: 9\r\n")
+	must.StrContains(t, head, "Content-Length: 4\r\n")
+	for _, not := range []string{"X-Hop", "forged", gangway.HeaderDeadline} {
+		must.StrNotContains(t, head, not)
+	}
+	must.Eq(t, "body", string(r.Body))
+}
+
+// TestRefusals: each answer of the system's own, and what it promises.
+func TestRefusals(t *testing.T) {
+	declined := &core{final: balance.Declined, wait: int64(1500 * time.Millisecond)}
+	forfeited := &core{final: balance.Forfeited}
+	failed := &core{final: balance.Forfeited, answers: map[int]*gangway.Answer{0: {Status: 500, Seal: "s", Whole: true, Body: []byte("no")}}}
+	turned := &core{final: balance.Declined, answers: map[int]*gangway.Answer{0: {Status: 421, Whole: true}}}
+	for name, c := range map[string]struct {
+		core   *core
+		change func(*http.Request)
+		want   int
+	}{
+		"declined":           {declined, func(*http.Request) {}, 503},
+		"may have run":       {forfeited, func(*http.Request) {}, 502},
+		"a replica's own":    {failed, func(*http.Request) {}, 500},
+		"another replica's":  {turned, func(*http.Request) {}, 503},
+		"no route":           {declined, func(r *http.Request) { r.RequestURI = "/c/" }, 404},
+		"another host":       {declined, func(r *http.Request) { r.Host = "other" }, 404},
+		"no id":              {declined, func(r *http.Request) { r.Header.Del(gangway.HeaderAttempt) }, 400},
+		"odd deadline":       {declined, func(r *http.Request) { r.Header.Set(gangway.HeaderDeadline, "soon") }, 400},
+		"too long":           {declined, func(r *http.Request) { r.ContentLength = 11 }, 413},
+		"too long in chunks": {declined, func(r *http.Request) { r.ContentLength = -1; r.Body = io.NopCloser(bytes.NewReader(make([]byte, 11))) }, 413},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := request("POST", "/b/x", "body")
+			c.change(r)
+			w := httptest.NewRecorder()
+			quayOf(t, c.core).ServeHTTP(w, r)
+			must.Eq(t, c.want, w.Code)
+			if c.want == 503 && c.core == declined {
+				must.Eq(t, "1.500", w.Header().Get("Retry-After"))
+			}
+		})
+	}
+	w := httptest.NewRecorder()
+	(&Quay{Now: func() int64 { return 0 }}).ServeHTTP(w, request("GET", "/a/", "")) // before any configuration
+	must.Eq(t, 503, w.Code)
+}
+
+// TestLimitsThatChange: a new connection comes under the new limits, and one that is open keeps those that it came under.
+func TestLimitsThatChange(t *testing.T) {
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "ok") })
+	s := &Servers{Handler: h}
+	one, other := chart.Limits{HeaderBytes: 1 << 10}, chart.Limits{HeaderBytes: 1 << 10, IdleTimeoutMs: 50}
+	s.Limit(nil, one)
+	s.Limit(nil, one)
+	must.SliceLen(t, 1, s.All())
+	s.Limit(nil, other)
+	must.SliceLen(t, 2, s.All())
+	must.Eq(t, 50*time.Millisecond, s.All()[1].IdleTimeout)
+	must.Eq(t, idleDefault, s.All()[0].IdleTimeout)
+}
--- /dev/null
+++ b/lab/rehearsal/rehearsal.go
@@ -0,0 +1,349 @@
+// Package rehearsal plays the whole system on loopback addresses with real processes: lighthouses, pilots and their cutters,
+// stand-in replicas, an operator and clients. One of each is killed on the way, and what clients saw is counted.
+package rehearsal
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"text/tabwriter"
+	"time"
+
+	"willowsill/carrier/crew"
+	"willowsill/carrier/helm"
+	"willowsill/carrier/skiff"
+	"willowsill/carrier/tower"
+	"willowsill/deployment/berth"
+	"willowsill/standin/moored"
+)
+
+// Variable names the part that a child process plays.
+const Variable = "WILLOWSILL_REHEARSAL_PART"
+
+const (
+	lights     = 3
+	pilots     = 2
+	shards     = 3
+	holders    = 2 // of each shard, and of the ledger
+	work       = 8 * time.Millisecond
+	beat       = 300 * time.Millisecond
+	clients    = 8
+	deadlineMs = 1500
+	firstPort  = 17080
+	startWait  = 20 * time.Second
+	settleWait = 1200 * time.Millisecond // after a loss, before what follows is counted apart
+)
+
+// Phase is a stretch of the rehearsal and what came of it.
+type Phase struct {
+	Name     string         `json:"name"`
+	Answers  map[string]int `json:"answers"`
+	Missing  int            `json:"parts_missing"`
+	MedianMS float64        `json:"median_ms"`
+	WorstMS  float64        `json:"worst_ms"`
+}
+
+// Part runs one process of the rehearsal, where this process is one; it tells whether it was.
+func Part() bool {
+	switch os.Getenv(Variable) {
+	case "lighthouse":
+		os.Exit(crew.Start("lighthouse", "plays a part", nil, tower.Run))
+	case "cutter":
+		os.Exit(crew.Start("cutter", "plays a part", nil, skiff.Run))
+	case "pilot":
+		os.Exit(crew.Start("pilot", "plays a part", nil, helm.Run))
+	}
+	return false
+}
+
+// stage holds what runs.
+type stage struct {
+	dir      string
+	exe      string
+	children map[string]*exec.Cmd
+	replicas []*moored.Replica
+	control  []string
+	fronts   []string
+	ready    []string
+}
+
+// Run plays it with copies of this program, queries each a phase, and returns what came of each phase.
+func Run(ctx context.Context, queries int) ([]Phase, error) {
+	dir, err := os.MkdirTemp("", "rehearsal")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	exe, err := os.Executable()
+	if err != nil {
+		return nil, err
+	}
+	s := &stage{dir: dir, exe: exe, children: map[string]*exec.Cmd{}}
+	defer s.strike()
+	for i := range lights {
+		s.control = append(s.control, fmt.Sprintf("127.0.1.%d:%d", i+1, firstPort+10))
+	}
+	for i := range lights {
+		if err := s.start("lighthouse", fmt.Sprintf("127.0.1.%d", i+1)); err != nil {
+			return nil, err
+		}
+	}
+	for i := range pilots {
+		ip := fmt.Sprintf("127.0.2.%d", i+1)
+		s.fronts = append(s.fronts, fmt.Sprintf("%s:%d", ip, firstPort+11))
+		s.ready = append(s.ready, fmt.Sprintf("%s:%d", ip, firstPort+12))
+		for _, role := range []string{"cutter", "pilot"} {
+			if err := s.start(role, ip); err != nil {
+				return nil, err
+			}
+		}
+	}
+	for i := range (shards + 1) * holders {
+		service := fmt.Sprint("shard-", i/holders)
+		if i/holders == shards {
+			service = "ledger"
+		}
+		r := &moored.Replica{ID: fmt.Sprint("i-", i), Service: service, Zone: "hall", Work: work, Beat: beat, Control: s.control}
+		if err := r.Start("127.0.3.1:0"); err != nil {
+			return nil, err
+		}
+		s.replicas = append(s.replicas, r)
+	}
+	if err := s.configure(1, ""); err != nil {
+		return nil, err
+	}
+	if err := s.wait(); err != nil {
+		return nil, err
+	}
+	phases := []Phase{s.play(ctx, "all is well", "/scan/x", queries)}
+	s.kill("lighthouse", "127.0.1.1")
+	if err := s.configure(2, "later"); err != nil {
+		return phases, err
+	}
+	time.Sleep(settleWait)
+	phases = append(phases, s.play(ctx, "a lighthouse was killed, then a route added", "/later/x", queries))
+	s.kill("cutter", "127.0.2.1")
+	phases = append(phases, s.play(ctx, "a cutter was killed", "/scan/x", queries))
+	s.replicas[0].Kill()
+	phases = append(phases, s.play(ctx, "a replica was killed", "/scan/x", queries))
+	s.kill("pilot", "127.0.2.1")
+	phases = append(phases, s.play(ctx, "a pilot was killed", "/debit/x", queries))
+	return phases, ctx.Err()
+}
+
+// settings writes a process's settings file.
+func (s *stage) settings(role, ip string) (string, error) {
+	var b strings.Builder
+	data := filepath.Join(s.dir, role+ip)
+	if err := os.MkdirAll(data, 0o700); err != nil {
+		return "", err
+	}
+	fmt.Fprintf(&b, "node-name = %q\nip = %q\nzone = \"hall\"\ninternal-ports = [%d, %d]\nseed-nodes = [", role+"-"+ip, ip, firstPort,
+		firstPort+9)
+	for _, c := range s.control {
+		fmt.Fprintf(&b, "%q,", c)
+	}
+	fmt.Fprintf(&b, "]\nbootstrap = true\nbeat-interval-ms = %d\n", beat.Milliseconds())
+	if role == "lighthouse" {
+		fmt.Fprintf(&b, "data-dir = %q\n", data)
+	}
+	fmt.Fprintf(&b, "[bind-addrs]\n")
+	switch role {
+	case "lighthouse":
+		fmt.Fprintf(&b, "control = \"%s:%d\"\n", ip, firstPort+10)
+	case "pilot":
+		fmt.Fprintf(&b, "front = \"%s:%d\"\nreadiness = \"%s:%d\"\n", ip, firstPort+11, ip, firstPort+12)
+	}
+	fmt.Fprintf(&b, "[limits]\nmemory-mb = 256\n[bounds]\ngrace-s = 2\nretry-ratio = 0.2\nretry-window-s = 10\nretry-slack = 40\n")
+	file := filepath.Join(data, "local.toml")
+	return file, os.WriteFile(file, []byte(b.String()), 0o600)
+}
+
+func (s *stage) start(role, ip string) error {
+	file, err := s.settings(role, ip)
+	if err != nil {
+		return err
+	}
+	log, err := os.Create(filepath.Join(s.dir, role+ip+".log"))
+	if err != nil {
+		return err
+	}
+	defer log.Close()
+	c := exec.Command(s.exe)
+	c.Env = append(os.Environ(), Variable+"="+role, berth.Variable+"="+file)
+	c.Stdout, c.Stderr = log, log
+	if err := c.Start(); err != nil {
+		return err
+	}
+	s.children[role+ip] = c
+	return nil
+}
+
+func (s *stage) kill(role, ip string) {
+	c := s.children[role+ip]
+	delete(s.children, role+ip)
+	c.Process.Kill()
+	c.Wait()
+}
+
+// strike ends all.
+func (s *stage) strike() {
+	for _, r := range s.replicas {
+		r.Kill()
+	}
+	for _, c := range s.children {
+		c.Process.Kill()
+	}
+	for _, c := range s.children {
+		c.Wait()
+	}
+}
+
+// configure sends a configuration to one lighthouse after the other until it is acknowledged.
+func (s *stage) configure(revision int, added string) error {
+	var fan, services []string
+	for i := range shards {
+		fan = append(fan, fmt.Sprint("shard-", i))
+	}
+	for _, n := range append(slices.Clone(fan), "ledger") {
+		services = append(services, fmt.Sprintf(`{"name":%q,"health-path":"/health","max-conns":64}`, n))
+	}
+	names, _ := json.Marshal(fan)
+	scan := func(name string) string {
+		return fmt.Sprintf(`{"name":%q,"host":"hall.example","path-prefix":"/%s/","route-kind":"safe","deadline-ms":%d,"target-ms":200,"rank":1,"fanout":%s,"max-tries":2,"result-count":5,"min-coverage":0.6}`,
+			name, name, deadlineMs, names)
+	}
+	routes := []string{scan("scan"), fmt.Sprintf(`{"name":"debit","host":"hall.example","path-prefix":"/debit/","route-kind":"unsafe","deadline-ms":%d,"target-ms":400,"rank":0,"service":"ledger","max-tries":1}`, deadlineMs)}
+	if added != "" {
+		routes = append(routes, scan(added))
+	}
+	body := fmt.Sprintf(`{"revision":%d,"routes":[%s],"services":[%s],"limits":{"max-body-bytes":65536}}`, revision,
+		strings.Join(routes, ","), strings.Join(services, ","))
+	last := "nobody answered"
+	for until := time.Now().Add(startWait); time.Now().Before(until); {
+		for _, c := range s.control {
+			client := http.Client{Timeout: time.Second}
+			res, err := client.Post("http://"+c+"/v1/configuration/replace", "application/json", strings.NewReader(body))
+			if err != nil {
+				last = err.Error()
+				continue
+			}
+			text, _ := io.ReadAll(res.Body)
+			res.Body.Close()
+			if res.StatusCode == http.StatusOK {
+				return nil
+			}
+			last = fmt.Sprint(res.Status, " ", string(bytes.TrimSpace(text)))
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return fmt.Errorf("configuration %d was not taken: %s", revision, last)
+}
+
+// wait waits until all pilots are ready and know the replicas.
+func (s *stage) wait() error {
+	for until := time.Now().Add(startWait); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		n := 0
+		for _, r := range s.ready {
+			if res, err := http.Get("http://" + r + "/v1/readiness"); err == nil {
+				res.Body.Close()
+				if res.StatusCode == http.StatusOK {
+					n++
+				}
+			}
+		}
+		if n == len(s.ready) {
+			time.Sleep(2 * beat)
+			return nil
+		}
+	}
+	return fmt.Errorf("the pilots did not get ready")
+}
+
+// play asks queries of the pilots and counts the answers. A client whose pilot does not answer goes to the next.
+func (s *stage) play(ctx context.Context, name, path string, queries int) Phase {
+	p := Phase{Name: name, Answers: map[string]int{}}
+	var mu sync.Mutex
+	var times []time.Duration
+	var all sync.WaitGroup
+	ids := make(chan int)
+	client := &http.Client{Timeout: 2 * deadlineMs * time.Millisecond, Transport: &http.Transport{MaxIdleConnsPerHost: clients,
+		DialContext: (&net.Dialer{Timeout: time.Second}).DialContext}}
+	for range clients {
+		all.Go(func() {
+			for id := range ids {
+				began := time.Now()
+				answer, missing := s.ask(ctx, client, path, fmt.Sprintf("%s-%d-%d", strings.ReplaceAll(name, " ", "-"), began.UnixNano(), id), id)
+				mu.Lock()
+				p.Answers[answer]++
+				p.Missing += missing
+				times = append(times, time.Since(began))
+				mu.Unlock()
+			}
+		})
+	}
+	for id := range queries {
+		select {
+		case ids <- id:
+		case <-ctx.Done():
+		}
+	}
+	close(ids)
+	all.Wait()
+	slices.Sort(times)
+	if len(times) > 0 {
+		p.MedianMS = float64(times[len(times)/2].Microseconds()) / 1000
+		p.WorstMS = float64(times[len(times)-1].Microseconds()) / 1000
+	}
+	return p
+}
+
+func (s *stage) ask(ctx context.Context, client *http.Client, path, id string, first int) (answer string, missing int) {
+	answer = "no connection"
+	for try := range s.fronts {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+s.fronts[(first+try)%len(s.fronts)]+path, nil)
+		if err != nil {
+			return err.Error(), 0
+		}
+		req.Host = "hall.example"
+		req.Header.Set("Willowsill-Attempt-Id", fmt.Sprint(id, "-", try))
+		req.Header.Set("Willowsill-Deadline-Ms", fmt.Sprint(deadlineMs))
+		res, err := client.Do(req)
+		if err != nil {
+			continue
+		}
+		_, err = io.Copy(io.Discard, res.Body)
+		res.Body.Close()
+		if err != nil {
+			return "broken off", 0
+		}
+		fmt.Sscan(res.Header.Get("Willowsill-Missing-Parts"), &missing)
+		return res.Status, missing
+	}
+	return answer, 0
+}
+
+// Print writes phases as a table.
+func Print(out io.Writer, phases []Phase) {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(w, "phase\tanswers\tparts missing\tmedian ms\tworst ms")
+	for _, p := range phases {
+		var answers []string
+		for a, n := range p.Answers {
+			answers = append(answers, fmt.Sprint(n, " x ", a))
+		}
+		slices.Sort(answers)
+		fmt.Fprintf(w, "%s\t%s\t%d\t%.1f\t%.1f\n", p.Name, strings.Join(answers, ", "), p.Missing, p.MedianMS, p.WorstMS)
+	}
+	w.Flush()
+}
--- /dev/null
+++ b/lab/rehearsal/rehearsal_test.go
@@ -0,0 +1,30 @@
+package rehearsal
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestMain(m *testing.M) {
+	Part()
+	os.Exit(m.Run())
+}
+
+// TestRehearsal: with one of each killed, clients get their answers.
+func TestRehearsal(t *testing.T) {
+	phases, err := Run(t.Context(), 60)
+	must.NoError(t, err)
+	must.SliceLen(t, 5, phases)
+	for _, p := range phases {
+		served := 0
+		for a, n := range p.Answers {
+			if strings.HasPrefix(a, "200") {
+				served += n
+			}
+		}
+		must.GreaterEq(t, 50, served, must.Sprint(p))
+	}
+}
--- /dev/null
+++ b/standin/moored/moored.go
@@ -0,0 +1,131 @@
+// Package moored is a stand-in for a replica of the whole system, written from the operators' page: it serves HTTP/1.1, seals its
+// answers, sends heartbeats to control and says when it leaves. Faults are made by those who own it: it can be stopped dead.
+package moored
+
+import (
+	"bytes"
+	"context"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	records    = 6 // in a part
+	callWithin = time.Second
+)
+
+// Replica is one stand-in.
+type Replica struct {
+	ID, Service, Zone string
+	Work              time.Duration // that a request takes
+	Beat              time.Duration // between two heartbeats
+	Control           []string      // addresses, tried in order from the last that answered
+
+	Ran  atomic.Int64 // requests that were begun
+	seq  int64
+	at   int
+	ln   net.Listener
+	http *http.Server
+	stop context.CancelFunc
+}
+
+// Start listens on an address and begins to send heartbeats.
+func (r *Replica) Start(address string) error {
+	ln, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	r.ln, r.stop = ln, stop
+	r.http = &http.Server{Handler: r}
+	go r.http.Serve(ln)
+	go r.beats(ctx)
+	return nil
+}
+
+// Kill ends it without a word.
+func (r *Replica) Kill() {
+	r.stop()
+	r.http.Close()
+}
+
+// Leave says that it drains and then that it is gone; it tells whether both were acknowledged.
+func (r *Replica) Leave(drain time.Duration) bool {
+	r.stop()
+	ok := r.call("heartbeat", "draining")
+	time.Sleep(drain)
+	ok = r.call("departure", "") && ok
+	r.http.Close()
+	return ok
+}
+
+func (r *Replica) beats(ctx context.Context) {
+	for ctx.Err() == nil {
+		r.call("heartbeat", "ready")
+		select {
+		case <-ctx.Done():
+		case <-time.After(r.Beat):
+		}
+	}
+}
+
+// call calls one control address after the other until one acknowledges.
+func (r *Replica) call(what, phase string) bool {
+	r.seq++
+	var body []byte
+	if phase != "" {
+		body, _ = json.Marshal(map[string]any{"service": r.Service, "address": r.ln.Addr().String(), "zone": r.Zone, "revision": "v1",
+			"capacity": 4, "phase": phase, "warmup-left-ms": 0, "call-seq": r.seq})
+	}
+	client := http.Client{Timeout: callWithin}
+	for range r.Control {
+		res, err := client.Post("http://"+r.Control[r.at%len(r.Control)]+"/v1/replicas/"+r.ID+"/"+what, "application/json", bytes.NewReader(body))
+		if err == nil {
+			io.Copy(io.Discard, res.Body)
+			res.Body.Close()
+			if res.StatusCode/100 == 2 {
+				return true
+			}
+		}
+		r.at++
+	}
+	return false
+}
+
+// ServeHTTP runs a request, unless it is meant for another.
+func (r *Replica) ServeHTTP(w http.ResponseWriter, q *http.Request) {
+	w.Header().Set("Willowsill-Replica-Id", r.ID)
+	attempt := q.Header.Get("Willowsill-Attempt-Id")
+	w.Header().Set("Willowsill-Attempt-Id", attempt)
+	if q.URL.Path == "/health" {
+		return
+	}
+	if t := q.Header.Get("Willowsill-Target-Replica"); t != "" && t != r.ID {
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	if attempt == "" {
+		w.Header().Set("Willowsill-Not-Executed", "1")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	io.Copy(io.Discard, q.Body)
+	r.Ran.Add(1)
+	time.Sleep(r.Work)
+	body := make([]byte, 0, 16*records)
+	for range records {
+		body = binary.BigEndian.AppendUint64(body, rand.Uint64())
+		body = binary.BigEndian.AppendUint64(body, rand.Uint64())
+	}
+	w.Header().Set("Willowsill-Replica-Seal", fmt.Sprintf("%s.%s.%x", r.ID, attempt, rand.Uint32()))
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.Write(body)
+}
