Configurations travel packed, as patches, and never twice to one who holds them

Now it is packed, followers get a patch of what they hold, disks leave out the body that the asker has, what stands is told by its ballot, all is wanted twice a second at most, and heartbeats that say nothing new go on as id and number, every second one. A patch that fits nothing makes the follower take the whole book.

--- a/carrier/beam/beam.go
+++ b/carrier/beam/beam.go
@@ -115,9 +115,9 @@
 // Follower keeps one link to a feeder.
 type Follower struct {
 	Hello     func() Hello
-	Addresses func() []string // feeders to try, the best first
-	Take      func(notices.Notice)
-	Beat      func(settled bool) // a sign of life came, nil where nobody wants it
+	Addresses func() []string           // feeders to try, the best first
+	Take      func(notices.Notice) bool // false where it cannot be used and the whole book is needed
+	Beat      func(settled bool)        // a sign of life came, nil where nobody wants it
 	mu        sync.Mutex
 	settled   bool
 }
@@ -176,7 +176,10 @@
 		}
 		f.set(p.Settled)
 		if p.Notice != nil {
-			f.Take(*p.Notice)
+			if !f.Take(*p.Notice) {
+				klog.InfoS("the whole book is asked for again", "address", address)
+				return false
+			}
 		} else if f.Beat != nil {
 			f.Beat(p.Settled)
 		}
--- a/carrier/beam/beam_test.go
+++ b/carrier/beam/beam_test.go
@@ -73,7 +73,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	f := Follower{Hello: func() Hello { return Hello{} }, Addresses: func() []string { return []string{mute, cut, good} },
-		Take: func(notices.Notice) {}}
+		Take: func(notices.Notice) bool { return true }}
 	go f.Run(ctx)
 	for _, joined := range []chan struct{}{first, second, third} {
 		select {
--- a/carrier/helm/helm.go
+++ b/carrier/helm/helm.go
@@ -51,6 +51,7 @@
 	count    *counters.Counters
 
 	mu       sync.Mutex // guards pilotage and what is told to the node by it
+	book     *notices.Book
 	pilotage *pilotage.Pilotage
 	rows     []*counters.Workload
 	served   []balance.Workload
@@ -62,7 +63,7 @@
 // Run runs a pilot until ctx ends and then serves on for as long as clients come.
 func Run(ctx context.Context, s berth.Settings) error {
 	seed := rand.Uint64()
-	h := &Helm{settings: s, count: counters.New(nil)}
+	h := &Helm{settings: s, count: counters.New(nil), book: notices.NewBook()}
 	clock := node.NewClock()
 	h.pilotage = pilotage.New(clock.Now(), s)
 	h.node = node.New(node.Plan{Clock: clock, Deployment: deployment.Deployment{Deployment: pilotage.Deployment(s, seed)},
@@ -133,9 +134,10 @@
 }
 
 // take takes a notice from the cutter.
-func (h *Helm) take(n notices.Notice) {
+func (h *Helm) take(n notices.Notice) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	n = h.book.Take(n)
 	c := h.pilotage.Take(h.node.Now(), n)
 	if c.Err != nil {
 		klog.ErrorS(c.Err, "a configuration cannot be used", "revision", n.Revision)
@@ -158,6 +160,8 @@
 		klog.InfoS("serving", "revision", c.State.Chart.Revision, "routes", len(c.State.Chart.Routes))
 		h.knows.Store(true)
 	}
+	h.book.Forget()
+	return !h.book.Behind
 }
 
 // news is what the node is told of replicas.
--- a/carrier/skiff/skiff.go
+++ b/carrier/skiff/skiff.go
@@ -121,15 +121,15 @@
 }
 
 // take takes a notice in and passes on what is new in it.
-func (k *Skiff) take(n notices.Notice) {
+func (k *Skiff) take(n notices.Notice) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	fresh := k.book.Take(n)
 	if fresh.Empty() {
-		return
+		return !k.book.Behind
 	}
 	if fresh.Revision > 0 {
-		klog.InfoS("a configuration has come", "revision", fresh.Revision, "bytes", len(fresh.Body))
+		klog.InfoS("a configuration has come", "revision", fresh.Revision, "bytes", len(fresh.Raw), "sent", len(fresh.Body)+len(fresh.Patch))
 	}
 	if f := fresh.Fleet; !f.Empty() {
 		ips := make([]string, 0, len(f.Edges))
@@ -140,6 +140,8 @@
 	}
 	k.pilot.Publish(&fresh, k.up.Settled())
 	k.relay.Publish(&fresh, k.up.Settled())
+	k.book.Forget()
+	return !k.book.Behind
 }
 
 // attend feeds one follower.
--- a/carrier/tower/resources.go
+++ b/carrier/tower/resources.go
@@ -13,6 +13,7 @@
 	"willowsill/decide/chart"
 	"willowsill/decide/lantern"
 	"willowsill/decide/muster"
+	"willowsill/decide/notices"
 )
 
 const (
@@ -150,6 +151,12 @@
 	switch {
 	case call == "read" && r.Method == http.MethodGet:
 		a, ok := h.t.call(r.Context(), h.t.lantern.Read)
+		if ok && a.Status == http.StatusOK {
+			if a.Body, ok = notices.Unpack(a.Body); !ok {
+				refuse(w, http.StatusInternalServerError, "the configuration held here cannot be unpacked")
+				return
+			}
+		}
 		answer(w, a, ok)
 	case call == "replace" && r.Method == http.MethodPost:
 		h.replace(w, r)
@@ -174,7 +181,8 @@
 		refuse(w, http.StatusBadRequest, err.Error())
 		return
 	}
-	a, ok := h.t.call(r.Context(), func(now int64, id uint64) lantern.Out { return h.t.lantern.Put(now, id, c.Revision, body) })
+	packed := notices.Pack(body)
+	a, ok := h.t.call(r.Context(), func(now int64, id uint64) lantern.Out { return h.t.lantern.Put(now, id, c.Revision, packed) })
 	klog.InfoS("a configuration was sent", "revision", c.Revision, "routes", len(c.Routes), "status", a.Status, "reason", a.Reason)
 	answer(w, a, ok)
 }
--- a/decide/lantern/lantern.go
+++ b/decide/lantern/lantern.go
@@ -27,12 +27,15 @@
 	roomMember   = 4000 * ms  // a newcomer waits so long for such a place before the members become more
 	goneAfter    = 30000 * ms // a lighthouse that is no member and unheard for so long is forgotten
 	edgeWithin   = 20000 * ms // an edge heard of within it counts
-	edgeQuiet    = 3000 * ms  // one that is suspected and unheard for so long does not
+	edgeQuiet    = 7000 * ms  // one that is suspected and unheard for so long does not
 	suspicion    = 4000 * ms  // a watcher's word on another counts for so long
 	suspectedBy  = 2          // watchers, or all that there are
 	mostKept     = 60000 * ms // the number of edges for budgets goes down only after that
-	edgesEvery   = 900 * ms   // between two lists of what was heard of edges
-	silentBeats  = 4          // heartbeats left out, and a replica has fallen silent
+	edgesEvery   = 900 * ms   // between two lists of lighthouses, and of what is new of edges
+	edgeAgain    = 5000 * ms  // an edge of which nothing is new is told of again after that
+	wantEvery    = 500 * ms   // between two questions for all that another lighthouse knows
+	beatsPassed  = 2          // heartbeats of a replica of which the others are told one
+	silentBeats  = 5          // heartbeats left out, and a replica has fallen silent
 	keepGone     = 60000 * ms
 	saveAgain    = 200 * ms // after a save that failed
 	listEvery    = 500 * ms // between two saves for the list of replicas alone
@@ -48,6 +51,14 @@
 	Ack      uint64            `cbor:"6,keyasint,omitempty"`
 	Want     bool              `cbor:"7,keyasint,omitempty"` // wants all records and what stands
 	Stands   *register.Value   `cbor:"8,keyasint,omitempty"` // a value known to stand
+	Stood    register.Ballot   `cbor:"9,keyasint,omitempty"` // what was taken under this ballot stands
+	Beats    []Beat            `cbor:"10,keyasint,omitempty"`
+}
+
+// Beat tells that a replica was heard which says what it said before.
+type Beat struct {
+	ID  string `cbor:"1,keyasint"`
+	Seq uint64 `cbor:"2,keyasint"`
 }
 
 // Hello tells how a lighthouse is.
@@ -127,7 +138,7 @@
 	notices.Edge
 	heard int64
 	by    map[string]int64 // who suspects it, and when that was last said
-	told  bool             // the other lighthouses know of it
+	told  int64            // when the other lighthouses were last told of it
 	said  []string         // whom it suspects
 }
 
@@ -164,6 +175,8 @@
 	tickets  []*ticket
 	asks     uint64
 	pass     map[string]muster.Record // for the next batch
+	passed   map[string]int64         // when the others were last told of a replica
+	wantAt   int64
 	began    int64
 	now      int64
 
@@ -185,7 +198,8 @@
 // New makes a lighthouse.
 func New(now int64, s Start) *Lantern {
 	l := &Lantern{Start: s, list: muster.New(silentBeats*s.BeatEvery, keepGone), book: notices.NewBook(),
-		peers: map[string]*peer{}, edges: map[string]*edge{}, pass: map[string]muster.Record{}, began: now, now: now}
+		peers: map[string]*peer{}, edges: map[string]*edge{}, pass: map[string]muster.Record{}, passed: map[string]int64{},
+		began: now, now: now}
 	seeds := slices.Clone(s.Seeds)
 	slices.Sort(seeds)
 	seeds = slices.Compact(seeds)
@@ -204,6 +218,7 @@
 	}
 	l.proposer = register.NewProposer(s.IP+"/"+s.Life, known, s.Draw)
 	l.proposer.Seen(l.disk.Promised)
+	l.proposer.Hold(l.disk.State)
 	for _, m := range slices.Concat(seeds, known.Disks()) {
 		l.meet(m)
 	}
@@ -332,6 +347,7 @@
 		return
 	}
 	l.dirty = l.dirty || save
+	l.proposer.Hold(l.disk.State)
 	// Danger: an answer that leaves before what it tells is on disk would be forgotten with the power.
 	after := uint64(0)
 	switch {
@@ -351,6 +367,7 @@
 func (l *Lantern) carry(o register.Out) {
 	for _, d := range o.Done {
 		l.stand(d.Value)
+		l.send(Word{Stood: d.Ballot}, l.all()...)
 		l.finish(d)
 	}
 	if len(o.To) > 0 {
@@ -383,14 +400,17 @@
 		l.meet(m)
 	}
 	l.tell(l.book.Take(notices.Notice{Revision: v.Revision, Body: v.Body}))
-	l.send(Word{Stands: &v}, l.all()...)
 	l.fleet()
 }
 
 // tell adds to what goes to those who follow.
 func (l *Lantern) tell(n notices.Notice) {
 	if n.Revision > 0 {
-		l.out.Notice.Revision, l.out.Notice.Body = n.Revision, n.Body
+		o := &l.out.Notice
+		if o.Revision > 0 { // a patch of what was not told yet is none
+			n.Body, n.Base, n.Patch = l.book.Whole().Body, 0, nil
+		}
+		o.Revision, o.Body, o.Base, o.Patch, o.Raw = n.Revision, n.Body, n.Base, n.Patch, n.Raw
 	}
 	l.out.Notice.Replicas = append(l.out.Notice.Replicas, n.Replicas...)
 	if !n.Fleet.Empty() {
@@ -408,8 +428,16 @@
 		return
 	}
 	r, _ = l.list.Get(r.ID)
-	if pass {
-		l.pass[r.ID] = r
+	if pass && (changed || l.now-l.passed[r.ID] > (2*beatsPassed-1)*l.BeatEvery/2) {
+		l.passed[r.ID] = l.now
+		p := r
+		if _, waits := l.pass[r.ID]; !changed && !waits && r.Phase == muster.Ready {
+			p = muster.Record{ID: r.ID, Seq: r.Seq} // says what it said before
+		}
+		l.pass[r.ID] = p
+	}
+	if r.Phase == muster.Gone {
+		delete(l.passed, r.ID)
 	}
 	if changed {
 		l.listDirty = true
@@ -537,6 +565,20 @@
 	for _, r := range w.Records {
 		l.take(r, false)
 	}
+	for _, b := range w.Beats {
+		r, known := l.list.Get(b.ID)
+		if !known || r.Phase > muster.Ready {
+			l.want(w.From)
+			continue
+		}
+		r.Seq = max(r.Seq, b.Seq)
+		l.take(r, false)
+	}
+	if w.Stood.N > 0 && w.Stood == l.disk.Accepted {
+		l.stand(l.disk.Value)
+	} else if w.Stood.N > 0 && w.Stood.Compare(l.disk.Accepted) > 0 {
+		l.want(w.From)
+	}
 	if w.Ask > 0 {
 		l.send(Word{Ack: w.Ask}, w.From)
 	}
@@ -575,7 +617,17 @@
 		l.meet(ip)
 	}
 	if h.Revision > l.stands.Revision || h.Epoch > l.stands.Epoch || l.list.Count() == 0 {
-		l.send(Word{Want: true}, w.From)
+		l.want(w.From)
+	}
+}
+
+// want asks one lighthouse for all that it knows, now and then.
+//
+// Danger: one that is behind hears of it from all the others at once, and each would send it the whole configuration.
+func (l *Lantern) want(from string) {
+	if l.now >= l.wantAt {
+		l.wantAt = l.now + wantEvery
+		l.send(Word{Want: true}, from)
 	}
 }
 
@@ -615,8 +667,12 @@
 	if at < e.heard {
 		return
 	}
+	if own && !slices.Equal(e.said, s.Suspects) {
+		e.told = 0
+	} else if !own {
+		e.told = l.now
+	}
 	e.Edge, e.heard, e.said = s.Edge, at, s.Suspects
-	e.told = e.told && !own
 	for _, ip := range s.Suspects {
 		if o := l.edges[ip]; o != nil {
 			o.by[s.Edge.IP] = at
@@ -687,16 +743,16 @@
 	if now >= l.helloAt {
 		l.helloAt = now + helloEvery
 		h := Hello{Whole: l.disk.Whole, Epoch: l.stands.Epoch, Revision: l.stands.Revision, Leaving: l.leaving}
-		for ip := range l.peers {
-			if l.live(ip) {
-				h.Lights = append(h.Lights, ip)
-			}
-		}
 		if now >= l.edgesAt {
 			l.edgesAt = now + edgesEvery
+			for ip := range l.peers {
+				if l.live(ip) {
+					h.Lights = append(h.Lights, ip)
+				}
+			}
 			for _, e := range l.edges {
-				if !e.told {
-					e.told = true
+				if now-e.told > edgeAgain && now-e.heard < edgeAgain {
+					e.told = now
 					h.Edges = append(h.Edges, Sight{e.Edge, e.said, now - e.heard})
 				}
 			}
@@ -708,7 +764,15 @@
 	if now >= l.passAt {
 		l.passAt = now + passEvery
 		if len(l.pass) > 0 {
-			l.send(Word{Records: slices.Collect(maps.Values(l.pass))}, l.all()...)
+			var w Word
+			for _, r := range l.pass {
+				if r.Service == "" && r.Phase == muster.Ready {
+					w.Beats = append(w.Beats, Beat{r.ID, r.Seq})
+				} else {
+					w.Records = append(w.Records, r)
+				}
+			}
+			l.send(w, l.all()...)
 			clear(l.pass)
 		}
 		listening := l.settled && now-l.began > silentBeats*l.BeatEvery
--- a/decide/lantern/lantern_test.go
+++ b/decide/lantern/lantern_test.go
@@ -9,6 +9,7 @@
 	"github.com/shoenig/test/must"
 
 	"willowsill/decide/muster"
+	"willowsill/decide/notices"
 	"willowsill/decide/register"
 )
 
@@ -20,13 +21,14 @@
 // tower is a lighthouse of the play: its disk outlives it.
 type tower struct {
 	*Lantern
-	up    bool
-	life  int
-	saved *Save
-	list  []muster.Record
-	stuck bool // its disk answers nothing
-	next  int64
-	told  uint64 // the highest revision that its followers were told
+	up       bool
+	life     int
+	saved    *Save
+	list     []muster.Record
+	stuck    bool // its disk answers nothing
+	next     int64
+	follower *notices.Book
+	told     uint64 // the highest revision that its followers were told
 }
 
 type event struct {
@@ -74,6 +76,8 @@
 		s.State, s.Stood, s.List = &state, x.saved.Stood, x.list
 	}
 	x.Lantern = New(b.now, s)
+	x.follower = notices.NewBook()
+	x.follower.Take(x.Whole())
 }
 
 func (b *bay) after(d int64, do func()) {
@@ -123,10 +127,12 @@
 	if n := o.Notice; n.Revision > 0 {
 		must.GreaterEq(b.t, x.told, n.Revision, must.Sprint("followers were taken back"))
 		x.told = n.Revision
+		x.follower.Take(n) // one who follows holds what the lighthouse holds
+		must.Eq(b.t, x.book.Raw, x.follower.Raw)
 		if was, ok := b.body[n.Revision]; ok {
-			must.Eq(b.t, was, string(n.Body), must.Sprint("a number with two contents"))
+			must.Eq(b.t, was, string(n.Raw), must.Sprint("a number with two contents"))
 		}
-		b.body[n.Revision] = string(n.Body)
+		b.body[n.Revision] = string(n.Raw)
 	}
 }
 
@@ -156,7 +162,7 @@
 
 func (b *bay) put(name string, revision uint64, body string) uint64 {
 	b.tickets++
-	b.carry(name, b.towers[name].Put(b.now, b.tickets, revision, []byte(body)))
+	b.carry(name, b.towers[name].Put(b.now, b.tickets, revision, notices.Pack([]byte(body))))
 	return b.tickets
 }
 
@@ -165,7 +171,9 @@
 	id := b.tickets
 	b.carry(name, b.towers[name].Read(b.now, id))
 	b.run(1500 * ms)
-	return b.answers[id]
+	a := b.answers[id]
+	a.Body, _ = notices.Unpack(a.Body)
+	return a
 }
 
 func (b *bay) beat(name string, r muster.Record) uint64 {
@@ -215,7 +223,7 @@
 		func(*Word) (int, int64) { return 0, 0 },
 		func(*Word) (int, int64) { return 2, 0 },
 		func(*Word) (int, int64) { return 1, 700 * ms },
-		func(w *Word) (int, int64) { w.Stands, w.Hello = nil, nil; return 1, 0 },
+		func(w *Word) (int, int64) { w.Stands, w.Hello, w.Stood = nil, nil, register.Ballot{}; return 1, 0 },
 	}
 	step := 1
 	if testing.Short() {
--- a/decide/notices/notices.go
+++ b/decide/notices/notices.go
@@ -15,7 +15,10 @@
 type Notice struct {
 	Whole    bool            `cbor:"1,keyasint,omitempty"`
 	Revision uint64          `cbor:"2,keyasint,omitempty"` // of Body
-	Body     []byte          `cbor:"3,keyasint,omitempty"` // the configuration as the operator sent it
+	Body     []byte          `cbor:"3,keyasint,omitempty"` // the configuration, packed; or
+	Base     uint64          `cbor:"6,keyasint,omitempty"` // the revision that Patch makes it of
+	Patch    []byte          `cbor:"7,keyasint,omitempty"`
+	Raw      []byte          `cbor:"-"` // as the operator sent it; of what Take returns
 	Replicas []muster.Record `cbor:"4,keyasint,omitempty"`
 	Fleet    Fleet           `cbor:"5,keyasint,omitempty"`
 }
@@ -44,8 +47,10 @@
 // Book is what one follower holds.
 type Book struct {
 	Revision uint64
-	Body     []byte
+	Raw      []byte // the configuration as the operator sent it
 	Fleet    Fleet
+	Behind   bool // a patch came for a revision that is not held: the whole book is needed
+	packed   []byte
 	replicas map[string]muster.Record
 }
 
@@ -56,9 +61,8 @@
 //
 // Danger: a feeder that is behind must not bring back an older configuration, nor a replica that is leaving.
 func (b *Book) Take(n Notice) (fresh Notice) {
-	if len(n.Body) > 0 && n.Revision > b.Revision {
-		b.Revision, b.Body = n.Revision, n.Body
-		fresh.Revision, fresh.Body = n.Revision, n.Body
+	if n.Revision > b.Revision && len(n.Body)+len(n.Patch) > 0 {
+		b.revise(n, &fresh)
 	}
 	for _, r := range n.Replicas {
 		was, known := b.replicas[r.ID]
@@ -76,9 +80,35 @@
 	return fresh
 }
 
+// revise takes a configuration in. Those who follow hold the one before, so a patch is enough for them where it is shorter.
+func (b *Book) revise(n Notice, fresh *Notice) {
+	raw, ok := []byte(nil), false
+	switch {
+	case len(n.Body) > 0:
+		raw, ok = Unpack(n.Body)
+	case n.Base == b.Revision:
+		raw, ok = Apply(b.Raw, n.Patch)
+	}
+	if !ok {
+		b.Behind = true
+		return
+	}
+	fresh.Revision, fresh.Raw, fresh.Base, fresh.Patch = n.Revision, raw, n.Base, n.Patch
+	if len(n.Body) > 0 {
+		fresh.Base, fresh.Patch = b.Revision, Patch(b.Raw, raw)
+		if len(fresh.Patch) >= len(n.Body) || b.Revision == 0 {
+			fresh.Base, fresh.Patch, fresh.Body = 0, nil, n.Body
+		}
+	}
+	b.Revision, b.Raw, b.packed, b.Behind = n.Revision, raw, n.Body, false
+}
+
 // Whole is the whole book.
 func (b *Book) Whole() Notice {
-	n := Notice{Whole: true, Revision: b.Revision, Body: b.Body, Fleet: b.Fleet}
+	if b.packed == nil && b.Revision > 0 {
+		b.packed = Pack(b.Raw)
+	}
+	n := Notice{Whole: true, Revision: b.Revision, Body: b.packed, Fleet: b.Fleet}
 	for _, r := range b.replicas {
 		n.Replicas = append(n.Replicas, r)
 	}
--- a/decide/notices/notices_test.go
+++ b/decide/notices/notices_test.go
@@ -1,9 +1,12 @@
 package notices
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
 
 	"willowsill/decide/muster"
 )
@@ -13,13 +16,13 @@
 	up := muster.Record{ID: "i-1", Service: "s", Address: "a:1", Seq: 3}
 	leaving := up
 	leaving.Phase, leaving.Seq = muster.Draining, 4
-	fresh := b.Take(Notice{Revision: 5, Body: []byte("five"), Replicas: []muster.Record{up}})
+	fresh := b.Take(Notice{Revision: 5, Body: Pack([]byte("five")), Replicas: []muster.Record{up}})
 	must.Eq(t, 5, fresh.Revision)
 	must.SliceLen(t, 1, fresh.Replicas)
 	must.SliceLen(t, 1, b.Take(Notice{Replicas: []muster.Record{leaving}}).Replicas)
 	// A feeder that is behind says nothing new.
-	must.True(t, b.Take(Notice{Whole: true, Revision: 4, Body: []byte("four"), Replicas: []muster.Record{up}}).Empty())
-	must.Eq(t, "five", string(b.Body))
+	must.True(t, b.Take(Notice{Whole: true, Revision: 4, Body: Pack([]byte("four")), Replicas: []muster.Record{up}}).Empty())
+	must.Eq(t, "five", string(b.Raw))
 	// Nor does one that says again what is known.
 	must.True(t, b.Take(b.Whole()).Empty())
 	// A follower of the follower ends up with the same.
@@ -27,3 +30,50 @@
 	next.Take(b.Whole())
 	must.Eq(t, b.Whole(), next.Whole())
 }
+
+// TestPatch: a patch makes just what it was made for, is short where little changed, and is told apart where it does not fit.
+func TestPatch(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		piece := rapid.StringMatching(`[a-c]{0,60}`)
+		pieces := rapid.SliceOfN(piece, 0, 20).Draw(t, "pieces")
+		a := strings.Join(pieces, "|")
+		rapid.Permutation(pieces).Draw(t, "order")
+		if len(pieces) > 0 {
+			pieces[rapid.IntRange(0, len(pieces)-1).Draw(t, "at")] = piece.Draw(t, "new")
+		}
+		b := strings.Join(pieces, "|")
+		got, ok := Apply([]byte(a), Patch([]byte(a), []byte(b)))
+		must.True(t, ok)
+		must.Eq(t, b, string(got))
+		Apply([]byte(b), rapid.SliceOf(rapid.Byte()).Draw(t, "junk")) // must not panic
+	})
+	var long strings.Builder
+	for i := range 3000 {
+		fmt.Fprintf(&long, `{"name":"r-%d","host":"h%d","path-prefix":"/x%d/"},`, i*7919, i%5, i*104729)
+	}
+	a := long.String()
+	b := strings.Replace(a, `"r-7919"`, `"r-other"`, 1)
+	must.Less(t, 100, len(Patch([]byte(a), []byte(b))))
+	must.Less(t, len(a)/4, len(Pack([]byte(a))))
+}
+
+// TestBehind: a follower that does not hold the base says so, and a whole book mends it.
+func TestBehind(t *testing.T) {
+	feeder, follower := NewBook(), NewBook()
+	var b strings.Builder
+	for i := range 500 {
+		fmt.Fprint(&b, i*i*7919)
+	}
+	long := b.String()
+	feeder.Take(Notice{Revision: 1, Body: Pack([]byte(long + "one"))})
+	follower.Take(feeder.Whole())
+	second := feeder.Take(Notice{Revision: 2, Body: Pack([]byte("x" + long + "two"))})
+	third := feeder.Take(Notice{Revision: 3, Body: Pack([]byte("y" + long + "three"))})
+	must.Nil(t, third.Body)
+	must.True(t, follower.Take(third).Empty())
+	must.True(t, follower.Behind)
+	must.Eq(t, 2, follower.Take(second).Revision)
+	must.Eq(t, "y"+long+"three", string(follower.Take(third).Raw))
+	must.False(t, follower.Behind)
+	must.Eq(t, feeder.Whole(), follower.Whole())
+}
--- /dev/null
+++ b/decide/notices/patch.go
@@ -0,0 +1,110 @@
+package notices
+
+import (
+	"bytes"
+	"compress/flate"
+	"encoding/binary"
+	"io"
+)
+
+const (
+	block    = 32       // bytes that are looked up; shorter stretches in common are sent anew
+	bodyMost = 64 << 20 // bytes of a configuration
+	multiple = 0x9e3779b1
+)
+
+// Pack makes a configuration short for the wire and the disk: routes repeat each other's words.
+func Pack(body []byte) []byte {
+	var b bytes.Buffer
+	w, _ := flate.NewWriter(&b, flate.DefaultCompression)
+	w.Write(body)
+	w.Close()
+	return b.Bytes()
+}
+
+// Unpack is the way back; false where the bytes are no packed configuration.
+func Unpack(packed []byte) ([]byte, bool) {
+	body, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(packed)), bodyMost))
+	return body, err == nil
+}
+
+// Patch says how to make b of a: stretches of a, by offset and length, and new bytes between them. The blocks of a are found
+// again at any offset of b by a sum that rolls.
+func Patch(a, b []byte) []byte {
+	at := make(map[uint32]int, len(a)/block)
+	for i := 0; i+block <= len(a); i += block {
+		s := sum(a[i : i+block])
+		if _, ok := at[s]; !ok {
+			at[s] = i
+		}
+	}
+	var out []byte
+	literal := 0
+	flush := func(end int) {
+		out = binary.AppendUvarint(out, uint64(end-literal))
+		out = append(out, b[literal:end]...)
+	}
+	top := uint32(1)
+	for range block {
+		top *= multiple
+	}
+	s := uint32(0)
+	fresh := true
+	for i := 0; i+block <= len(b); {
+		if fresh {
+			s, fresh = sum(b[i:i+block]), false
+		}
+		if from, ok := at[s]; ok && bytes.Equal(a[from:from+block], b[i:i+block]) {
+			n := block
+			for from+n < len(a) && i+n < len(b) && a[from+n] == b[i+n] {
+				n++
+			}
+			for from > 0 && i > literal && a[from-1] == b[i-1] {
+				from, i, n = from-1, i-1, n+1
+			}
+			flush(i)
+			out = binary.AppendUvarint(out, uint64(from))
+			out = binary.AppendUvarint(out, uint64(n))
+			i += n
+			literal, fresh = i, true
+			continue
+		}
+		if i+block < len(b) {
+			s = s*multiple + uint32(b[i+block]) - top*uint32(b[i])
+		}
+		i++
+	}
+	flush(len(b))
+	return out
+}
+
+func sum(b []byte) (s uint32) {
+	for _, c := range b {
+		s = s*multiple + uint32(c)
+	}
+	return s
+}
+
+// Apply makes b of a and a patch; false where the patch is none for a.
+func Apply(a, patch []byte) (b []byte, ok bool) {
+	for {
+		n, k := binary.Uvarint(patch)
+		if k <= 0 || n > uint64(len(patch)-k) {
+			return nil, false
+		}
+		b, patch = append(b, patch[k:k+int(n)]...), patch[k+int(n):]
+		if len(patch) == 0 {
+			return b, true
+		}
+		from, k := binary.Uvarint(patch)
+		if k <= 0 {
+			return nil, false
+		}
+		patch = patch[k:]
+		n, k = binary.Uvarint(patch)
+		if k <= 0 || from > uint64(len(a)) || n > uint64(len(a))-from || len(b)+int(n) > bodyMost {
+			return nil, false
+		}
+		b, patch = append(b, a[from:from+n]...), patch[k:]
+	}
+}
--- a/decide/pilotage/pilotage.go
+++ b/decide/pilotage/pilotage.go
@@ -111,8 +111,8 @@
 
 // Take takes a notice.
 func (p *Pilotage) Take(now int64, n notices.Notice) (c Change) {
-	if len(n.Body) > 0 && (p.chart == nil || n.Revision > p.chart.Revision) {
-		next, err := chart.Read(n.Body)
+	if len(n.Raw) > 0 && (p.chart == nil || n.Revision > p.chart.Revision) {
+		next, err := chart.Read(n.Raw)
 		if err != nil {
 			c.Err = err
 		} else {
--- a/decide/pilotage/pilotage_test.go
+++ b/decide/pilotage/pilotage_test.go
@@ -28,16 +28,16 @@
 // TestRowsStay: a route keeps its row, with what was learnt in it, for as long as it is there.
 func TestRowsStay(t *testing.T) {
 	p := New(0, settings())
-	c := p.Take(0, notices.Notice{Revision: 1, Body: body(1, "a", "b")})
+	c := p.Take(0, notices.Notice{Revision: 1, Raw: body(1, "a", "b")})
 	must.NoError(t, c.Err)
 	a, b := c.State.Rows["a"], c.State.Rows["b"]
-	c = p.Take(0, notices.Notice{Revision: 2, Body: body(2, "b", "c")})
+	c = p.Take(0, notices.Notice{Revision: 2, Raw: body(2, "b", "c")})
 	must.Eq(t, b, c.State.Rows["b"])
 	must.Eq(t, a, c.State.Rows["c"]) // of the one that has gone
 	must.SliceLen(t, 2, c.Workloads)
 	must.Eq(t, 0.5, c.Workloads[b].Floor)
 	must.Eq(t, balance.Repeatable, c.Workloads[b].Effect)
-	must.Nil(t, p.Take(0, notices.Notice{Revision: 1, Body: body(1, "a")}).State)
+	must.Nil(t, p.Take(0, notices.Notice{Revision: 1, Raw: body(1, "a")}).State)
 }
 
 // TestBudgetOfAll: an edge that has just started has no free further executions, and all edges together never more than there
@@ -58,7 +58,7 @@
 		id := fmt.Sprint("i-", i)
 		p.Take(0, notices.Notice{Replicas: []muster.Record{{ID: id, Service: fmt.Sprint("t", i), Address: "a:1", Seq: 1}}})
 		p.Take(0, notices.Notice{Replicas: []muster.Record{{ID: id, Phase: muster.Gone, Seq: 2}}})
-		p.Take(0, notices.Notice{Revision: uint64(i + 1), Body: body(i+1, "a")})
+		p.Take(0, notices.Notice{Revision: uint64(i + 1), Raw: body(i+1, "a")})
 	}
 	must.MapLen(t, 2, p.slots)
 }
--- a/decide/register/proposer.go
+++ b/decide/register/proposer.go
@@ -17,10 +17,11 @@
 // change; then the value that stands is confirmed.
 type Edit func(Value) (Value, bool)
 
-// Done is what became of an edit: the value that stands now, known to be on a majority.
+// Done is what became of an edit: the value that stands now, known to be on a majority, and the ballot that it was taken under.
 type Done struct {
-	ID    uint64
-	Value Value
+	ID     uint64
+	Ballot Ballot
+	Value  Value
 }
 
 // Out is what a step asks for.
@@ -48,6 +49,7 @@
 // Proposer carries edits through rounds, all that wait in one.
 type Proposer struct {
 	name     string // of this life of the process: no two lives share ballots
+	held     State  // whose body is here
 	known    Value  // the latest value seen; its members are asked first
 	draw     func() float64
 	phase    phase
@@ -80,6 +82,13 @@
 	}
 }
 
+// Hold tells of a state held here, so that its body need not come again.
+func (p *Proposer) Hold(s State) {
+	if s.Accepted.Compare(p.held.Accepted) > 0 && p.phase == idle {
+		p.held = s
+	}
+}
+
 // Seen tells of a ballot, so that the next is above it.
 func (p *Proposer) Seen(b Ballot) { p.highest = max(p.highest, b.N) }
 
@@ -108,7 +117,7 @@
 	}
 	p.round++
 	p.phase, p.answers, p.due = asking, map[string]State{}, now+resendAfter
-	return Out{To: p.known.Disks(), Send: Message{Kind: Query, Round: p.round}}
+	return Out{To: p.known.Disks(), Send: Message{Kind: Query, Round: p.round, Have: p.held.Accepted}}
 }
 
 // prepare starts the round proper.
@@ -116,13 +125,19 @@
 	p.highest++
 	p.ballot = Ballot{p.highest, p.name}
 	p.phase, p.answers, p.due = preparing, map[string]State{}, now+resendAfter
-	return Out{To: p.known.Disks(), Send: Message{Kind: Prepare, Ballot: p.ballot}}
+	return Out{To: p.known.Disks(), Send: Message{Kind: Prepare, Ballot: p.ballot, Have: p.held.Accepted}}
 }
 
 // Step takes an answer of a disk.
 func (p *Proposer) Step(now int64, from string, m Message) Out {
 	p.Seen(m.State.Promised)
 	p.Seen(m.State.Accepted)
+	if m.Same {
+		if m.State.Accepted != p.held.Accepted {
+			return Out{} // an answer to a question of before
+		}
+		m.State.Value.Body = p.held.Value.Body
+	}
 	switch {
 	case m.Kind == Holds && p.phase == asking && m.Round == p.round:
 		p.answers[from] = m.State
@@ -172,7 +187,7 @@
 	best, enough, more := p.top()
 	if !enough {
 		if len(more.To) > 0 {
-			more.Send = Message{Kind: Query, Round: p.round}
+			more.Send = Message{Kind: Query, Round: p.round, Have: p.held.Accepted}
 		}
 		return more
 	}
@@ -183,6 +198,7 @@
 	}
 	stands := best.Value.quorum(p.holding(best.Accepted))
 	if !changes && stands {
+		p.held = State{Accepted: best.Accepted, Value: best.Value}
 		return p.finish(now, best.Value)
 	}
 	if !changes {
@@ -203,7 +219,7 @@
 	best, enough, more := p.top()
 	if !enough {
 		if len(more.To) > 0 {
-			more.Send = Message{Kind: Prepare, Ballot: p.ballot}
+			more.Send = Message{Kind: Prepare, Ballot: p.ballot, Have: p.held.Accepted}
 		}
 		return more
 	}
@@ -236,7 +252,7 @@
 	if !p.next.quorum(in) || !p.read().quorum(in) {
 		return Out{}
 	}
-	p.known = p.next
+	p.known, p.held = p.next, State{Accepted: p.ballot, Value: p.next}
 	if len(p.next.Prior) > 0 { // the members' change stands now; one more round lets the old ones go
 		p.refused, p.stood = 0, p.ballot
 		return p.prepare(now)
@@ -250,7 +266,7 @@
 func (p *Proposer) finish(now int64, v Value) Out {
 	out := Out{}
 	for _, e := range p.running {
-		out.Done = append(out.Done, Done{e.id, v})
+		out.Done = append(out.Done, Done{e.id, p.held.Accepted, v})
 	}
 	p.running, p.refused, p.phase = nil, 0, idle
 	p.known = v
@@ -274,9 +290,9 @@
 		if _, enough, _ := p.top(); enough {
 			return p.prepare(now)
 		}
-		return Out{To: missing(has, p.known.Disks()), Send: Message{Kind: Query, Round: p.round}}
+		return Out{To: missing(has, p.known.Disks()), Send: Message{Kind: Query, Round: p.round, Have: p.held.Accepted}}
 	case preparing:
-		return Out{To: missing(has, p.known.Disks()), Send: Message{Kind: Prepare, Ballot: p.ballot}}
+		return Out{To: missing(has, p.known.Disks()), Send: Message{Kind: Prepare, Ballot: p.ballot, Have: p.held.Accepted}}
 	case accepting:
 		return Out{To: missing(func(m string) bool { return p.accepted[m] }, p.targets(p.read())),
 			Send: Message{Kind: Accept, Ballot: p.ballot, Value: p.next}}
--- a/decide/register/register.go
+++ b/decide/register/register.go
@@ -60,6 +60,8 @@
 	Ballot Ballot `cbor:"2,keyasint,omitempty"`
 	Round  uint64 `cbor:"3,keyasint,omitempty"` // of a Query, handed back
 	State  State  `cbor:"4,keyasint,omitempty"`
+	Have   Ballot `cbor:"6,keyasint,omitempty"` // of a question: what the asker holds; what was accepted under it comes without its body
+	Same   bool   `cbor:"7,keyasint,omitempty"` // of an answer: it came so
 	Value  Value  `cbor:"5,keyasint,omitempty"`
 }
 
@@ -85,7 +87,7 @@
 		}
 		save = m.Ballot != d.Promised
 		d.Promised = m.Ballot
-		return Message{Kind: Promised, Ballot: m.Ballot, State: d.State}, save, true
+		return d.told(m, Message{Kind: Promised, Ballot: m.Ballot}), save, true
 	case Accept:
 		if m.Ballot.Compare(d.Promised) < 0 {
 			return Message{Kind: Refused, Ballot: m.Ballot, State: State{Promised: d.Promised}}, false, true
@@ -94,11 +96,20 @@
 		d.Promised, d.Accepted, d.Value = m.Ballot, m.Ballot, m.Value
 		return Message{Kind: Accepted, Ballot: m.Ballot}, save, true
 	case Query:
-		return Message{Kind: Holds, Round: m.Round, State: d.State}, false, true
+		return d.told(m, Message{Kind: Holds, Round: m.Round}), false, true
 	}
 	return Message{}, false, false
 }
 
+// told puts the state into an answer.
+func (d *Disk) told(question, answer Message) Message {
+	answer.State = d.State
+	if question.Have == d.Accepted && len(d.Value.Body) > 0 {
+		answer.State.Value.Body, answer.Same = nil, true
+	}
+	return answer
+}
+
 // majority tells whether more than half of members are in.
 func majority(members []string, in func(string) bool) bool {
 	n := 0
