What has been silent for long is gone everywhere; a feeder's whole book undoes another's silence

Cause, found by reading: edges and the lantern's book kept replicas that crashed for good for as long as they ran; and an edge that moved from a lighthouse which had called a replica silent to one that had not would keep it struck off, since that one tells only what changes. Tests for both.

--- a/decide/lantern/lantern.go
+++ b/decide/lantern/lantern.go
@@ -760,6 +760,7 @@
 		}
 		l.send(Word{Hello: &h}, l.all()...)
 		l.forget()
+		l.book.Forget()
 	}
 	if now >= l.passAt {
 		l.passAt = now + passEvery
@@ -778,7 +779,7 @@
 		listening := l.settled && now-l.began > silentBeats*l.BeatEvery
 		for _, r := range l.list.Tick(now, listening) {
 			l.listDirty = true
-			l.log("a replica has fallen silent", "replica", r.ID, "service", r.Service)
+			l.log("a replica has fallen silent", "replica", r.ID, "service", r.Service, "gone", r.Phase == muster.Gone)
 			l.tell(l.book.Take(notices.Notice{Replicas: []muster.Record{r}}))
 		}
 	}
--- a/decide/muster/muster.go
+++ b/decide/muster/muster.go
@@ -94,7 +94,8 @@
 	return true, changed
 }
 
-// Tick marks who has fallen silent since the last call, and returns their records. listening tells whether this co-ordinator
+// Tick marks who has fallen silent since the last call, or been silent for so long that it is gone, and returns their
+// records. listening tells whether this co-ordinator
 // is in a state to hear them.
 //
 // Danger: a co-ordinator that stood still or was cut off has heard nobody. Were the replicas blamed for that, all would be
@@ -106,6 +107,10 @@
 		if e.Phase == Gone || e.Phase == Silent {
 			if now-e.heard > m.KeepGone {
 				delete(m.entries, id)
+				if e.Phase == Silent { // edges must not keep for ever what will never come back
+					e.Phase = Gone
+					changed = append(changed, e.Record)
+				}
 			}
 			continue
 		}
--- a/decide/muster/muster_test.go
+++ b/decide/muster/muster_test.go
@@ -50,6 +50,14 @@
 	must.SliceEmpty(t, m.Tick(10*second, true))
 	must.SliceLen(t, 1, m.Tick(14*second, true))
 	must.Zero(t, m.Count())
+	other := New(4*second, 60*second)
+	other.Take(0, r)
+	other.Tick(5*second, true)
+	must.SliceEmpty(t, other.Tick(60*second, true))
+	gone := other.Tick(61*second, true)
+	must.SliceLen(t, 1, gone)
+	must.Eq(t, Gone, gone[0].Phase)
+	must.SliceEmpty(t, other.All())
 	_, changed := m.Take(14*second, r)
 	must.False(t, changed) // an old call that comes late
 	r.Seq = 2
--- a/decide/notices/notices.go
+++ b/decide/notices/notices.go
@@ -61,12 +61,16 @@
 //
 // Danger: a feeder that is behind must not bring back an older configuration, nor a replica that is leaving.
 func (b *Book) Take(n Notice) (fresh Notice) {
+	fresh.Whole = n.Whole
 	if n.Revision > b.Revision && len(n.Body)+len(n.Patch) > 0 {
 		b.revise(n, &fresh)
 	}
 	for _, r := range n.Replicas {
 		was, known := b.replicas[r.ID]
-		if known && !r.Newer(was) {
+		// Danger: the feeder before may have called a replica silent by the very call that this one heard. That one is told of
+		// here for what it says next alone, and would stay struck off.
+		unsaid := n.Whole && was.Phase == muster.Silent && r.Phase == muster.Ready && r.Seq == was.Seq
+		if known && !r.Newer(was) && !unsaid {
 			continue
 		}
 		if b.replicas[r.ID] = r; !known || !r.Same(was) {
--- a/decide/pilotage/pilotage.go
+++ b/decide/pilotage/pilotage.go
@@ -120,9 +120,6 @@
 		}
 	}
 	for _, r := range n.Replicas {
-		if was, ok := p.known[r.ID]; ok && !r.Newer(was) {
-			continue
-		}
 		if p.known[r.ID] = r; r.Service != "" {
 			p.Slot(r.Service)
 			c.Replicas = append(c.Replicas, r)
