Read again: one place each for questions, served rows, followers' words; no patch made of nothing

Behaviour as before. The register's questions stood at six places and are made by one function; a round of several edits told the others once an edit that it stands, now once; a book made a patch of an empty configuration at each start only to throw it away; the rehearsal had a sender of configurations of its own beside the keeper's; the pilot told the node what is served at two places, and two carriers put a follower's words together.

--- a/carrier/beam/beam.go
+++ b/carrier/beam/beam.go
@@ -40,6 +40,9 @@
 	Below []lantern.Sight `cbor:"2,keyasint,omitempty"`
 }
 
+// All are the follower and those below it.
+func (h Hello) All() []lantern.Sight { return append(h.Below, h.Self) }
+
 // Feed is the set of those who follow.
 type Feed struct {
 	mu    sync.Mutex
--- a/carrier/helm/helm.go
+++ b/carrier/helm/helm.go
@@ -151,7 +151,7 @@
 		}
 	}
 	if c.State != nil || c.Budget {
-		h.node.Serving(node.Serving{Workloads: h.served, Rows: h.rows, FurtherFree: c.FurtherFree})
+		h.serving(c.FurtherFree)
 	}
 	if len(c.Replicas) > 0 {
 		h.node.News(context.Background(), h.news(c.Replicas))
@@ -166,6 +166,11 @@
 	return !h.book.Behind
 }
 
+// serving tells the node what is served, and this edge's free further executions.
+func (h *Helm) serving(free float64) {
+	h.node.Serving(node.Serving{Workloads: h.served, Rows: h.rows, FurtherFree: free})
+}
+
 // news is what the node is told of replicas.
 func (h *Helm) news(records []muster.Record) (n roster.News) {
 	for _, r := range records {
@@ -192,7 +197,7 @@
 		case <-t.C:
 			h.mu.Lock()
 			if free, changed := h.pilotage.Free(h.node.Now()); changed {
-				h.node.Serving(node.Serving{Workloads: h.served, Rows: h.rows, FurtherFree: free})
+				h.serving(free)
 			}
 			h.mu.Unlock()
 		}
--- a/carrier/skiff/skiff.go
+++ b/carrier/skiff/skiff.go
@@ -153,7 +153,7 @@
 	}, func(h beam.Hello) {
 		k.mu.Lock()
 		defer k.mu.Unlock()
-		for _, s := range append(h.Below, h.Self) {
+		for _, s := range h.All() {
 			if s.Edge.IP != k.settings.IP {
 				k.below[s.Edge.IP] = sight{s, time.Now()}
 			}
--- a/carrier/tower/tower.go
+++ b/carrier/tower/tower.go
@@ -169,7 +169,7 @@
 	}
 	if !o.Notice.Empty() {
 		n := o.Notice
-		t.feed.Publish(&n, t.lantern.Settled())
+		t.feed.Publish(&n, t.settled.Load())
 	}
 }
 
@@ -208,7 +208,7 @@
 			return lantern.Out{}
 		}
 	}, func(h beam.Hello) {
-		for _, s := range append(h.Below, h.Self) {
+		for _, s := range h.All() {
 			t.inputs <- func(now int64) lantern.Out { return t.lantern.Edge(now, s) }
 		}
 	})
--- a/decide/lantern/lantern.go
+++ b/decide/lantern/lantern.go
@@ -370,9 +370,11 @@
 func (l *Lantern) carry(o register.Out) {
 	for _, d := range o.Done {
 		l.stand(d.Value)
-		l.send(Word{Stood: d.Ballot}, l.all()...)
 		l.finish(d)
 	}
+	if n := len(o.Done); n > 0 { // all of one round
+		l.send(Word{Stood: o.Done[n-1].Ballot}, l.all()...)
+	}
 	if len(o.To) > 0 {
 		m := o.Send
 		l.send(Word{Register: &m}, o.To...)
--- a/decide/notices/notices.go
+++ b/decide/notices/notices.go
@@ -101,9 +101,11 @@
 	}
 	fresh.Revision, fresh.Raw, fresh.Base, fresh.Patch = n.Revision, raw, n.Base, n.Patch
 	if len(n.Body) > 0 {
-		fresh.Base, fresh.Patch = b.Revision, Patch(b.Raw, raw)
-		if len(fresh.Patch) >= len(n.Body) || b.Revision == 0 {
-			fresh.Base, fresh.Patch, fresh.Body = 0, nil, n.Body
+		fresh.Body = n.Body
+		if b.Revision > 0 {
+			if patch := Patch(b.Raw, raw); len(patch) < len(n.Body) {
+				fresh.Base, fresh.Patch, fresh.Body = b.Revision, patch, nil
+			}
 		}
 	}
 	b.Revision, b.Raw, b.packed, b.Behind = n.Revision, raw, n.Body, false
--- a/decide/register/proposer.go
+++ b/decide/register/proposer.go
@@ -121,7 +121,7 @@
 	}
 	p.round++
 	p.phase, p.answers, p.due = asking, map[string]State{}, now+resendAfter
-	return Out{To: p.known.Disks(), Send: Message{Kind: Query, Round: p.round, Have: p.held.Accepted}}
+	return Out{To: p.known.Disks(), Send: p.question()}
 }
 
 // prepare starts the round proper.
@@ -129,7 +129,15 @@
 	p.highest++
 	p.ballot = Ballot{p.highest, p.name}
 	p.phase, p.answers, p.due = preparing, map[string]State{}, now+resendAfter
-	return Out{To: p.known.Disks(), Send: Message{Kind: Prepare, Ballot: p.ballot, Have: p.held.Accepted}}
+	return Out{To: p.known.Disks(), Send: p.question()}
+}
+
+// question is what disks are asked in this phase.
+func (p *Proposer) question() Message {
+	if p.phase == asking {
+		return Message{Kind: Query, Round: p.round, Have: p.held.Accepted}
+	}
+	return Message{Kind: Prepare, Ballot: p.ballot, Have: p.held.Accepted}
 }
 
 // Step takes an answer of a disk.
@@ -192,7 +200,7 @@
 	best, enough, more := p.top()
 	if !enough {
 		if len(more.To) > 0 {
-			more.Send = Message{Kind: Query, Round: p.round, Have: p.held.Accepted}
+			more.Send = p.question()
 		}
 		return more
 	}
@@ -224,7 +232,7 @@
 	best, enough, more := p.top()
 	if !enough {
 		if len(more.To) > 0 {
-			more.Send = Message{Kind: Prepare, Ballot: p.ballot, Have: p.held.Accepted}
+			more.Send = p.question()
 		}
 		return more
 	}
@@ -292,13 +300,13 @@
 	has := func(m string) bool { _, ok := p.answers[m]; return ok }
 	p.due = now + resendAfter
 	switch p.phase {
-	case asking:
-		if _, enough, _ := p.top(); enough {
-			return p.prepare(now)
+	case asking, preparing:
+		if p.phase == asking {
+			if _, enough, _ := p.top(); enough {
+				return p.prepare(now)
+			}
 		}
-		return Out{To: missing(has, p.known.Disks()), Send: Message{Kind: Query, Round: p.round, Have: p.held.Accepted}}
-	case preparing:
-		return Out{To: missing(has, p.known.Disks()), Send: Message{Kind: Prepare, Ballot: p.ballot, Have: p.held.Accepted}}
+		return Out{To: missing(has, p.known.Disks()), Send: p.question()}
 	case accepting:
 		return Out{To: missing(func(m string) bool { return p.accepted[m] }, p.targets(p.read())),
 			Send: Message{Kind: Accept, Ballot: p.ballot, Value: p.next}}
--- a/lab/rehearsal/rehearsal.go
+++ b/lab/rehearsal/rehearsal.go
@@ -4,7 +4,6 @@
 package rehearsal
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -21,6 +20,7 @@
 	"time"
 
 	"willowsill/carrier/crew"
+	"willowsill/carrier/dinghy"
 	"willowsill/carrier/helm"
 	"willowsill/carrier/skiff"
 	"willowsill/carrier/tower"
@@ -230,25 +230,13 @@
 	}
 	body := fmt.Sprintf(`{"revision":%d,"routes":[%s],"services":[%s],"limits":{"max-body-bytes":65536}}`, revision,
 		strings.Join(routes, ","), strings.Join(services, ","))
-	last := "nobody answered"
-	for until := time.Now().Add(startWait); time.Now().Before(until); {
-		for _, c := range s.control {
-			client := http.Client{Timeout: time.Second}
-			res, err := client.Post("http://"+c+"/v1/configuration/replace", "application/json", strings.NewReader(body))
-			if err != nil {
-				last = err.Error()
-				continue
-			}
-			text, _ := io.ReadAll(res.Body)
-			res.Body.Close()
-			if res.StatusCode == http.StatusOK {
-				return nil
-			}
-			last = fmt.Sprint(res.Status, " ", string(bytes.TrimSpace(text)))
-		}
-		time.Sleep(100 * time.Millisecond)
+	ctx, stop := context.WithTimeout(context.Background(), startWait)
+	defer stop()
+	control := dinghy.Control{Addresses: s.control}
+	if err := control.Send(ctx, []byte(body)); err != nil {
+		return fmt.Errorf("configuration %d was not taken: %w", revision, err)
 	}
-	return fmt.Errorf("configuration %d was not taken: %s", revision, last)
+	return nil
 }
 
 // wait waits until all pilots are ready and know the replicas.
