--- a/decide/controller/controller.go
+++ b/decide/controller/controller.go
@@ -40,6 +40,7 @@
 	keepGone       = 60000 * ms
 	saveAgain      = 200 * ms // after a save that failed
 	listEvery      = 500 * ms // between two saves for the list of replicas alone
+	committedEvery = 500 * ms // between two saves for the revision known to stand alone
 )
 
 type peer struct {
@@ -103,6 +104,8 @@
 	leavers             leavers
 	listAt              int64
 	dirty               bool   // the state differs from what was handed out to be saved
+	committedUnsaved    bool   // the revision known to stand is in no save yet
+	committedSaveAt     int64  // when a save may be made for that alone
 	saving              uint64 // number of the save under way, 0 for none
 	saves               uint64
 	saveAt              int64 // not before, after a failure
@@ -198,9 +201,10 @@
 // done ends a call: what has to be saved is handed out, and what may leave does.
 func (c *Controller) done() Out {
 	listDue := c.listDue()
-	if (c.dirty || listDue) && c.saving == 0 && c.now >= c.saveAt && c.disk.CaughtUp {
+	if (c.dirty || listDue || c.committedDue()) && c.saving == 0 && c.now >= c.saveAt && c.disk.CaughtUp {
 		c.saves++
 		c.saving, c.dirty = c.saves, false
+		c.committedUnsaved, c.committedSaveAt = false, c.now+committedEvery
 		c.out.Save = &Save{Number: c.saves, State: c.disk.State, CommittedRevision: c.committed.Revision}
 		if listDue {
 			c.listDirty, c.listAt, c.savingList = false, c.now+listEvery, true
@@ -374,9 +378,13 @@
 	}
 	if c.dirty && c.saving == 0 {
 		next = min(next, max(c.saveAt, c.now))
-	} else if c.listDirty && c.saving == 0 {
+	}
+	if c.listDirty && c.saving == 0 {
 		next = min(next, max(c.saveAt, c.listAt, c.now))
 	}
+	if c.committedUnsaved && c.saving == 0 {
+		next = min(next, max(c.saveAt, c.committedSaveAt, c.now))
+	}
 	if c.saving == 0 && c.leaverWaits() {
 		next = min(next, max(c.saveAt, c.leavers.saveAt, c.now))
 	}
--- a/decide/controller/disk.go
+++ b/decide/controller/disk.go
@@ -94,6 +94,10 @@
 	}
 }
 
+// committedDue tells whether the revision known to stand is to be saved though nothing else is. The list of replicas
+// stays out of such a save: it may be megabytes, and a change of the configuration does not touch it.
+func (c *Controller) committedDue() bool { return c.committedUnsaved && c.now >= c.committedSaveAt }
+
 // commit takes in a value that is known to be committed, and the ballot under which it is.
 func (c *Controller) commit(v register.Value, ballot register.Ballot) {
 	c.lease.Commit(ballot)
@@ -107,7 +111,7 @@
 		c.log("members", "epoch", v.Epoch, "members", v.Members)
 	}
 	if v.Revision > c.committed.Revision {
-		c.listDirty = true // that it stands goes to disk with the next save
+		c.committedUnsaved = true // that it stands goes to disk with the next save
 		c.log("configuration stands", "revision", v.Revision, "bytes", len(v.Body))
 	}
 	c.committed = v
