A change of the configuration writes no list of replicas to disk

Test: TestChangesSaveNoList plays 20 changes at five controllers beside 30 replicas that are heard: no list is saved, each disk names the revision, and after a loss of all power each controller tells it at once.

Ruled out: leaving the revision to the next save of the state (without a further change there is none, and after a loss of all power nothing would be told at once).

--- /dev/null
+++ b/decide/controller/saves_test.go
@@ -0,0 +1,46 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestChangesSaveNoList: a change of the configuration writes no list of replicas to any disk, and that its revision
+// stands is on each disk soon, so that it is told at once after a loss of all power.
+func TestChangesSaveNoList(t *testing.T) {
+	const (
+		changes  = 20
+		replicas = 30
+	)
+	b := newCluster(t, 5)
+	b.run(4000 * ms)
+	heard := func(seq uint64) {
+		for i := range replicas {
+			r := readyReplica(fmt.Sprint("i-", i))
+			r.Seq = seq
+			b.beat(b.names[i%5], r)
+		}
+	}
+	heard(1)
+	b.run(2000 * ms)
+	for _, name := range b.names {
+		must.SliceLen(t, replicas, b.servers[name].list)
+		b.servers[name].lists = 0
+	}
+	for revision := range uint64(changes) {
+		must.Eq(t, statusOK, b.untilAnswered(b.put(b.names[revision%5], revision+1, fmt.Sprint("body ", revision))))
+		heard(revision + 2)
+		b.run(1000 * ms)
+	}
+	for _, name := range b.names {
+		must.Eq(t, 0, b.servers[name].lists, must.Sprint("lists saved by ", name))
+		must.Eq(t, changes, b.servers[name].saved.CommittedRevision)
+		must.SliceLen(t, replicas, b.servers[name].list)
+	}
+	b.powerLost()
+	for _, name := range b.names {
+		must.Eq(t, changes, b.servers[name].follower.Revision)
+	}
+}
