Each program of the system tells its own figures as text, where it is told to

Change: transport/metrics serves them in Prometheus' exposition format by VictoriaMetrics/metrics (smaller than client_golang: no registry, no protobuf), gathered when asked for. The controller's loop is asked by way of its inputs, for a second at most. A route that takes the row of another in the proxy begins its counts at 0 (the rows of counts are renewed as a copy, for the node reads the former ones).

Tests: text at the moment of the question, labels that are gone, ports that are taken, wrong endpoints, a loop that is stuck, rows that pass on. Not in the deploy file yet: whether it costs anything there is measured next.

--- a/decide/registry/registry.go
+++ b/decide/registry/registry.go
@@ -22,6 +22,19 @@
 	Gone   // has said so
 )
 
+// String names the phase.
+func (p Phase) String() string {
+	switch p {
+	case Ready:
+		return "ready"
+	case Draining:
+		return "draining"
+	case Silent:
+		return "silent"
+	}
+	return "gone"
+}
+
 // Record is what is known of one replica, by one of its calls.
 type Record struct {
 	ID       string `cbor:"1,keyasint"`
@@ -168,6 +181,15 @@
 	return true
 }
 
+// Phases counts the replicas by phase.
+func (reg *Registry) Phases() map[Phase]int {
+	counts := map[Phase]int{}
+	for _, e := range reg.entries {
+		counts[e.Phase]++
+	}
+	return counts
+}
+
 // Count is how many are not gone.
 func (reg *Registry) Count() (n int) {
 	for _, e := range reg.entries {
--- a/deployment/settings/settings.go
+++ b/deployment/settings/settings.go
@@ -37,6 +37,7 @@
 	BeatMs       int64             `toml:"beat-interval-ms"`
 	Rules        []string          `toml:"active-rules"`
 	ConfigMode   string            `toml:"config_mode"`
+	Metrics      string            `toml:"metrics"` // PORT/PATH where the process tells its own figures; empty for nowhere
 	Zones        map[string]string `toml:"zones"`
 	Bind         Bind              `toml:"bind-addrs"`
 	Limits       Limits            `toml:"limits"`
--- /dev/null
+++ b/front/proxyserver/figures_test.go
@@ -0,0 +1,80 @@
+package proxyserver
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"willowsill/decide/clusterstate"
+	"willowsill/decide/routingtable"
+	"willowsill/deployment"
+	"willowsill/deployment/settings"
+	"willowsill/front/clienthttp"
+	"willowsill/internal/counters"
+	"willowsill/node"
+	"willowsill/transport/metrics"
+	"willowsill/transport/replicahttp"
+)
+
+// idleServer is a proxy without sockets, agent and replicas.
+func idleServer(t *testing.T) *Server {
+	set := settings.Settings{IP: "127.0.0.1"}
+	clock := node.NewClock()
+	s := &Server{settings: set, counters: counters.New(nil), state: clusterstate.NewState(), table: routingtable.New(clock.Now(), set),
+		servers: &clienthttp.Servers{}, handler: &clienthttp.Handler{}}
+	s.node = node.New(node.Plan{Clock: clock, Deployment: deployment.Deployment{Deployment: routingtable.Deployment(set, 1)},
+		Terms: deployment.Terms{MostHeld: maxHeld}, Count: s.counters, Log: zap.NewNop(), Ask: func() {},
+		Carry: func(tell func(any), now func() int64) node.Carrier {
+			s.pool = replicahttp.NewPool(tell, now)
+			return s.pool
+		}})
+	t.Cleanup(s.node.Close)
+	return s
+}
+
+func (s *Server) takeRoutes(t *testing.T, revision int, routes string) {
+	raw := fmt.Appendf(nil, `{"revision":%d,"routes":[%s],"services":[{"name":"s"}]}`, revision, routes)
+	must.True(t, s.take(clusterstate.Update{Revision: uint64(revision), Body: clusterstate.Pack(raw)}))
+}
+
+func route(name string) string {
+	return fmt.Sprintf(`{"name":%q,"host":"h","path-prefix":"/%s/","deadline-ms":1000,"service":"s"}`, name, name)
+}
+
+// TestFiguresByRoute: counts are told by the names of the routes, and those of a route that takes the row of one that was
+// taken out begin at 0.
+func TestFiguresByRoute(t *testing.T) {
+	s := idleServer(t)
+	figures := httptest.NewServer(metrics.Handler("/metrics", s.figures))
+	defer figures.Close()
+	told := func() string {
+		response, err := http.Get(figures.URL + "/metrics")
+		must.NoError(t, err)
+		defer response.Body.Close()
+		body, err := io.ReadAll(response.Body)
+		must.NoError(t, err)
+		return string(body)
+	}
+	must.StrContains(t, told(), "willowsill_configuration_revision 0\n")
+	s.takeRoutes(t, 3, route("scan"))
+	s.rows[s.rowOf["scan"]].Whole.Add(7)
+	s.counters.Executions.Sent.Add(9)
+	text := told()
+	must.StrContains(t, text, "willowsill_queries_total{route=\"scan\",outcome=\"whole\"} 7\n")
+	must.StrContains(t, text, "willowsill_executions_sent_total 9\n")
+	must.StrContains(t, text, "willowsill_configuration_revision 3\n")
+	row := s.rowOf["scan"]
+	s.takeRoutes(t, 4, route("debit"))
+	must.Eq(t, row, s.rowOf["debit"])
+	text = told()
+	must.StrContains(t, text, "willowsill_queries_total{route=\"debit\",outcome=\"whole\"} 0\n")
+	must.StrNotContains(t, text, "scan")
+	s.rows[row].Whole.Add(1)
+	s.takeRoutes(t, 5, route("debit")+","+route("scan"))
+	must.StrContains(t, told(), "willowsill_queries_total{route=\"debit\",outcome=\"whole\"} 1\n")
+}
--- a/front/proxyserver/proxyserver.go
+++ b/front/proxyserver/proxyserver.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -28,6 +29,7 @@
 	"willowsill/internal/counters"
 	"willowsill/node"
 	"willowsill/transport/discovery"
+	"willowsill/transport/metrics"
 	"willowsill/transport/replicahttp"
 	"willowsill/transport/watch"
 )
@@ -60,6 +62,7 @@
 	fresh     clusterstate.Freshness // as the agent said it at freshAt
 	freshAt   int64
 	rows      []*counters.Workload
+	rowOf     map[string]int // the row of each route that is served, by name
 	served    []balance.Workload
 
 	knows   atomic.Bool // a configuration and a snapshot were there once
@@ -95,6 +98,7 @@
 	go up.Run(inner)
 	go s.budget(inner)
 	go s.tally(inner)
+	metrics.Serve(inner, local.Metrics, s.figures)
 	go (&http.Server{Handler: http.HandlerFunc(s.ready), ReadHeaderTimeout: time.Second}).Serve(ready)
 	go s.accept(front)
 	<-ctx.Done()
@@ -182,9 +186,7 @@
 	}
 	if change.State != nil {
 		s.served = change.Workloads
-		for len(s.rows) < len(change.Workloads) {
-			s.rows = append(s.rows, &counters.Workload{})
-		}
+		s.renewRows(change.State.Rows)
 	}
 	if change.State != nil || change.Budget {
 		s.serving(change.FurtherFree)
@@ -203,6 +205,20 @@
 	return !s.state.Behind
 }
 
+// renewRows gives each route that is new, or has taken another's row, counts that begin at 0.
+func (s *Server) renewRows(rowOf map[string]int) {
+	s.rows = slices.Clone(s.rows) // the node reads the former one
+	for len(s.rows) < len(s.served) {
+		s.rows = append(s.rows, &counters.Workload{})
+	}
+	for route, row := range rowOf {
+		if former, served := s.rowOf[route]; !served || former != row {
+			s.rows[row] = &counters.Workload{}
+		}
+	}
+	s.rowOf = rowOf
+}
+
 // serving tells the node which workloads are served, and how many retries this edge may make beyond its ratio.
 func (s *Server) serving(free float64) {
 	s.node.Serving(node.Serving{Workloads: s.served, Rows: s.rows, FurtherFree: free})
--- a/transport/controlserver/controlserver.go
+++ b/transport/controlserver/controlserver.go
@@ -22,6 +22,7 @@
 	"willowsill/decide/lease"
 	"willowsill/decide/registry"
 	"willowsill/deployment/settings"
+	"willowsill/transport/metrics"
 	"willowsill/transport/peer"
 	"willowsill/transport/statestore"
 	"willowsill/transport/watch"
@@ -100,6 +101,7 @@
 	go peer.Serve(followers, s.follower)
 	go s.save(store)
 	go s.feed.Beats(inner, s.freshness)
+	metrics.Serve(inner, local.Metrics, s.figures)
 	httpServer := &http.Server{Handler: s.handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes}
 	go func() {
--- /dev/null
+++ b/transport/controlserver/figures.go
@@ -0,0 +1,52 @@
+package controlserver
+
+import (
+	"fmt"
+	"time"
+
+	"willowsill/decide/controller"
+	"willowsill/decide/registry"
+	"willowsill/transport/metrics"
+)
+
+// figuresTimeout bounds how long a question for figures waits for the loop.
+const figuresTimeout = time.Second
+
+// figures tells this process's own figures: the loop is asked for what it knows, since it alone may look.
+func (s *Server) figures(told metrics.Figures) {
+	answer := make(chan controller.Figures, 1)
+	ask := func(int64) controller.Out {
+		answer <- s.controller.Figures()
+		return controller.Out{}
+	}
+	timeout := time.After(figuresTimeout)
+	select {
+	case s.inputs <- ask:
+	case <-timeout:
+		told.Flag("willowsill_controller_up", false)
+		return
+	}
+	select {
+	case f := <-answer:
+		told.Flag("willowsill_controller_up", true)
+		tell(told, f)
+		told.Gauge("willowsill_followers", float64(s.feed.Count()))
+	case <-timeout:
+		told.Flag("willowsill_controller_up", false)
+	}
+}
+
+func tell(told metrics.Figures, f controller.Figures) {
+	told.Flag("willowsill_controller_in_contact", f.InContact)
+	told.Flag("willowsill_controller_disk_caught_up", f.CaughtUp)
+	told.Gauge("willowsill_membership_epoch", float64(f.Epoch))
+	told.Gauge("willowsill_configuration_revision", float64(f.Revision))
+	told.Gauge("willowsill_members", float64(f.Members))
+	told.Gauge("willowsill_controllers_known", float64(f.Controllers))
+	told.Gauge("willowsill_edges", float64(f.Edges))
+	told.Gauge("willowsill_calls_waiting", float64(f.Calls))
+	told.Counter("willowsill_saves_total", int64(f.Saves))
+	for _, phase := range []registry.Phase{registry.Ready, registry.Draining, registry.Silent, registry.Gone} {
+		told.Gauge(fmt.Sprintf("willowsill_replicas{phase=%q}", phase), float64(f.Replicas[phase]))
+	}
+}
--- a/transport/controlserver/resources_test.go
+++ b/transport/controlserver/resources_test.go
@@ -10,10 +10,11 @@
 
 	"willowsill/decide/controller"
 	"willowsill/deployment/settings"
+	"willowsill/transport/metrics"
 )
 
 // newTestServer is a server whose controller is its only member; it has no sockets and its disk saves at once.
-func newTestServer(t *testing.T, mode string) http.Handler {
+func newTestServer(t *testing.T, mode string) *Server {
 	s := &Server{settings: settings.Settings{ConfigMode: mode}, calls: map[uint64]chan controller.Answer{},
 		inputs: make(chan func(int64) controller.Out, inputQueue), saves: make(chan controller.Save, 1)}
 	s.controller = controller.New(0, controller.Start{IP: "10.0.0.1", Life: "1", Seeds: []string{"10.0.0.1"}, Bootstrap: true,
@@ -43,7 +44,7 @@
 			}
 		}
 	}()
-	return s.handler()
+	return s
 }
 
 func replace(handler http.Handler, revision, service string) int {
@@ -57,7 +58,7 @@
 // number is refused.
 func TestOrdersByHTTP(t *testing.T) {
 	for _, mode := range []string{"", configModeHighest} {
-		handler := newTestServer(t, mode)
+		handler := newTestServer(t, mode).handler()
 		must.Eq(t, 200, replace(handler, "7", "one"))
 		must.Eq(t, 200, replace(handler, "7", "one"))
 		must.Eq(t, 409, replace(handler, "7", "other"))
@@ -70,9 +71,25 @@
 // TestUnknownModeConfirmsNothing: where configurations are ordered in a way that is not known here, no order is
 // confirmed, and none is refused for good.
 func TestUnknownModeConfirmsNothing(t *testing.T) {
-	handler := newTestServer(t, "match")
+	handler := newTestServer(t, "match").handler()
 	must.Eq(t, 501, replace(handler, "7", "one"))
 	w := httptest.NewRecorder()
 	handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/configuration/read", nil))
 	must.Eq(t, 404, w.Code)
 }
+
+// TestFigures: what the loop knows is told as it stands, and a loop that is stuck is told as such and holds nobody.
+func TestFigures(t *testing.T) {
+	s := newTestServer(t, "")
+	must.Eq(t, http.StatusOK, replace(s.handler(), "7", "s"))
+	text := func(s *Server) string {
+		w := httptest.NewRecorder()
+		metrics.Handler("/metrics", s.figures).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+		return w.Body.String()
+	}
+	told := text(s)
+	must.StrContains(t, told, "willowsill_controller_up 1\n")
+	must.StrContains(t, told, "willowsill_configuration_revision 7\n")
+	must.StrContains(t, told, "willowsill_replicas{phase=\"ready\"} 0\n")
+	must.Eq(t, "willowsill_controller_up 0\n", text(&Server{inputs: make(chan func(int64) controller.Out)}))
+}
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -14,6 +14,7 @@
 
 	"willowsill/deployment/settings"
 	"willowsill/transport/logs"
+	"willowsill/transport/metrics"
 )
 
 // Main runs a daemon: run is to return once ctx is over, which SIGTERM ends. The exit code is 2 where the
@@ -28,9 +29,10 @@
 	received := catchSignals()
 	flags := flag.NewFlagSet(program, flag.ContinueOnError)
 	check := flags.String("check", "", "read this settings `file`, say what is wrong with it and end")
+	endpoint := flags.String("metrics", "", "tell the process's own figures at `PORT/PATH`, as in 9464/metrics")
 	flags.Usage = func() {
-		fmt.Fprintf(flags.Output(), "%s %s, as the settings file named by %s says.\n\n  %s\n  %s --check /etc/willowsill/local.toml\n\n",
-			program, purpose, settings.Variable, program, program)
+		fmt.Fprintf(flags.Output(), "%s %s, as the settings file named by %s says.\n\n  %s\n  %s --check /etc/willowsill/local.toml\n  %s --metrics 9464/metrics\n\n",
+			program, purpose, settings.Variable, program, program, program)
 		flags.PrintDefaults()
 	}
 	if err := flags.Parse(args); err != nil {
@@ -48,6 +50,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
+	if *endpoint != "" {
+		if _, err := metrics.ParseEndpoint(*endpoint); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 2
+		}
+		s.Metrics = *endpoint
+	}
 	logs.Begin(program, s)
 	defer logs.End()
 	go rereadSettings(received.reload, s.File)
--- a/transport/daemon/daemon_test.go
+++ b/transport/daemon/daemon_test.go
@@ -140,3 +140,19 @@
 	c.expect("leaving")
 	c.expectOrderlyEnd()
 }
+
+// TestMetricsEndpoint: where the process tells its figures comes from its arguments, or else from its settings; what is no
+// PORT/PATH ends the start with 2.
+func TestMetricsEndpoint(t *testing.T) {
+	told := ""
+	note := func(_ context.Context, s settings.Settings) error {
+		told = s.Metrics
+		return nil
+	}
+	t.Setenv(settings.Variable, settingsFile(t))
+	must.Zero(t, Start("test", "notes", []string{"--metrics", "9464/metrics"}, note))
+	must.Eq(t, "9464/metrics", told)
+	must.Zero(t, Start("test", "notes", nil, note))
+	must.Eq(t, "", told)
+	must.Eq(t, 2, Start("test", "notes", []string{"--metrics", "metrics"}, note))
+}
--- /dev/null
+++ b/transport/metrics/metrics.go
@@ -0,0 +1,98 @@
+// Package metrics serves a process's own figures over HTTP, as text in the exposition format of Prometheus. Figures are
+// gathered when they are asked for and at no other time. It decides nothing.
+package metrics
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/samber/oops"
+	"k8s.io/klog/v2"
+)
+
+// ErrMetrics is the class of this package's errors.
+var ErrMetrics = oops.Code("metrics")
+
+const (
+	readTimeout = 2 * time.Second // of a request
+	idleTimeout = 15 * time.Second
+	maxPort     = 65535
+)
+
+// Endpoint is where figures are served.
+type Endpoint struct {
+	Port int
+	Path string // begins with a slash
+}
+
+// ParseEndpoint reads an endpoint written as PORT/PATH.
+func ParseEndpoint(text string) (Endpoint, error) {
+	port, path, found := strings.Cut(text, "/")
+	number, err := strconv.Atoi(port)
+	if !found || err != nil || number < 1 || number > maxPort {
+		return Endpoint{}, ErrMetrics.Errorf("%q is not PORT/PATH, as in 9464/metrics", text)
+	}
+	return Endpoint{Port: number, Path: "/" + path}, nil
+}
+
+// Figures are what a process tells at one moment.
+type Figures struct{ set *metrics.Set }
+
+// Gauge tells a value that may fall. The name may hold labels, as in queue_length{route="scan"}.
+func (f Figures) Gauge(name string, value float64) { f.set.GetOrCreateGauge(name, nil).Set(value) }
+
+// Flag tells a gauge of 1 or 0.
+func (f Figures) Flag(name string, value bool) {
+	number := 0.0
+	if value {
+		number = 1
+	}
+	f.Gauge(name, number)
+}
+
+// Counter tells a count since the start of the process.
+func (f Figures) Counter(name string, value int64) {
+	f.set.GetOrCreateCounter(name).Set(uint64(max(value, 0)))
+}
+
+// Source gathers the figures of a process. It is called from any goroutine.
+type Source func(Figures)
+
+// Handler answers GET at the endpoint's path with what the source gathers.
+func Handler(path string, source Source) http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+path, func(w http.ResponseWriter, _ *http.Request) {
+		// A set of its own each time: labels that are gone, such as routes, are told no longer.
+		set := metrics.NewSet()
+		source(Figures{set})
+		w.Header().Set("Content-Type", "text/plain; version=0.0.4; charset=utf-8")
+		set.WritePrometheus(w)
+	})
+	return mux
+}
+
+// Serve serves figures at an endpoint written as PORT/PATH until ctx ends; an empty one serves none. A port that cannot
+// be had is logged and changes nothing else: a process without its figures still serves.
+func Serve(ctx context.Context, endpoint string, source Source) {
+	if endpoint == "" {
+		return
+	}
+	at, err := ParseEndpoint(endpoint)
+	if err != nil {
+		klog.ErrorS(err, "no figures are served")
+		return
+	}
+	listener, err := net.Listen("tcp", net.JoinHostPort("", strconv.Itoa(at.Port)))
+	if err != nil {
+		klog.ErrorS(ErrMetrics.Wrap(err), "no figures are served")
+		return
+	}
+	server := &http.Server{Handler: Handler(at.Path, source), ReadTimeout: readTimeout, IdleTimeout: idleTimeout}
+	go server.Serve(listener)
+	context.AfterFunc(ctx, func() { server.Close() })
+}
--- /dev/null
+++ b/transport/metrics/metrics_test.go
@@ -0,0 +1,70 @@
+package metrics
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+func TestParseEndpoint(t *testing.T) {
+	for text, want := range map[string]Endpoint{"9464/metrics": {9464, "/metrics"}, "80/": {80, "/"}, "7080/a/b": {7080, "/a/b"}} {
+		got, err := ParseEndpoint(text)
+		must.NoError(t, err)
+		must.Eq(t, want, got)
+	}
+	for _, text := range []string{"", "metrics", "9464", "/metrics", "0/metrics", "70000/metrics", "x/metrics"} {
+		_, err := ParseEndpoint(text)
+		must.ErrorContains(t, err, "PORT/PATH", must.Sprint(text))
+	}
+}
+
+func get(t *testing.T, url string) (int, string) {
+	response, err := http.Get(url)
+	must.NoError(t, err)
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	must.NoError(t, err)
+	return response.StatusCode, string(body)
+}
+
+// TestFiguresAreOfTheMoment: each request is told what stands then; a label that has gone is told no longer.
+func TestFiguresAreOfTheMoment(t *testing.T) {
+	route, taken, gathered := "scan", int64(3), 0
+	server := httptest.NewServer(Handler("/metrics", func(f Figures) {
+		gathered++
+		f.Counter(fmt.Sprintf("queries_total{route=%q}", route), taken)
+		f.Flag("ready", taken == 3)
+		f.Gauge("free", 0.5)
+	}))
+	defer server.Close()
+	must.Zero(t, gathered)
+	status, body := get(t, server.URL+"/metrics")
+	must.Eq(t, 200, status)
+	must.Eq(t, "free 0.5\nqueries_total{route=\"scan\"} 3\nready 1\n", body)
+	route, taken = "debit", 4
+	_, body = get(t, server.URL+"/metrics")
+	must.Eq(t, "free 0.5\nqueries_total{route=\"debit\"} 4\nready 0\n", body)
+	status, _ = get(t, server.URL+"/else")
+	must.Eq(t, 404, status)
+	must.Eq(t, 2, gathered)
+}
+
+// TestPortThatIsTaken: a process whose port for figures is taken goes on without them, and one that is told of no
+// endpoint listens nowhere.
+func TestPortThatIsTaken(t *testing.T) {
+	taken, err := net.Listen("tcp", ":0")
+	must.NoError(t, err)
+	defer taken.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	endpoint := fmt.Sprintf("%d/metrics", taken.Addr().(*net.TCPAddr).Port)
+	Serve(ctx, endpoint, func(Figures) { t.Error("asked for figures") })
+	Serve(ctx, "", func(Figures) { t.Error("asked for figures") })
+	Serve(ctx, "nonsense", func(Figures) { t.Error("asked for figures") })
+}
