--- a/front/proxyserver/proxyserver.go
+++ b/front/proxyserver/proxyserver.go
@@ -98,7 +98,7 @@
 	go up.Run(inner)
 	go s.budget(inner)
 	go s.tally(inner)
-	metrics.Serve(inner, local.Metrics, s.figures)
+	metrics.Serve(inner, local.IP, local.Metrics, s.figures)
 	go (&http.Server{Handler: http.HandlerFunc(s.ready), ReadHeaderTimeout: time.Second}).Serve(ready)
 	go s.accept(front)
 	<-ctx.Done()
--- a/internal/house/packages_test.go
+++ b/internal/house/deploy_test.go
@@ -1,6 +1,7 @@
 package house
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -8,6 +9,8 @@
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/shoenig/test/must"
+
+	"willowsill/transport/metrics"
 )
 
 // namedPackages finds the list of Debian packages in a page.
@@ -45,3 +48,29 @@
 		must.Eq(t, lists[0], list)
 	}
 }
+
+// TestEndpointsOfFigures: where the deploy file says that a role tells its figures is where its command line has it tell
+// them, and two roles on one machine have ports of their own, apart from those that the platform gives.
+func TestEndpointsOfFigures(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/system.toml")
+	must.NoError(t, err)
+	var deploy struct {
+		Roles map[string]struct {
+			Run     string `toml:"run"`
+			On      string `toml:"on"`
+			Metrics string `toml:"metrics"`
+		} `toml:"roles"`
+	}
+	must.NoError(t, toml.Unmarshal(text, &deploy))
+	must.MapLen(t, 3, deploy.Roles)
+	taken := map[string]string{}
+	for name, role := range deploy.Roles {
+		endpoint, err := metrics.ParseEndpoint(role.Metrics)
+		must.NoError(t, err)
+		must.StrHasSuffix(t, " --metrics "+role.Metrics, role.Run)
+		must.Greater(t, 9000, endpoint.Port, must.Sprint("the platform gives ports from 7000 to 8999"))
+		place := fmt.Sprint(role.On, ":", endpoint.Port)
+		must.MapNotContainsKey(t, taken, place, must.Sprint(name, " and ", taken[place]))
+		taken[place] = name
+	}
+}
--- a/transport/agentserver/agentserver.go
+++ b/transport/agentserver/agentserver.go
@@ -82,7 +82,7 @@
 	go s.hear()
 	go s.watch(inner)
 	go s.upstream.Run(inner)
-	metrics.Serve(inner, local.Metrics, s.figures)
+	metrics.Serve(inner, local.IP, local.Metrics, s.figures)
 	<-ctx.Done()
 	// Danger: a proxy that ends in order serves on for a while, and must hear what changes meanwhile.
 	until := time.Now().Add(time.Duration(local.Bounds.GraceS*float64(time.Second)) - graceMargin)
--- a/transport/controlserver/controlserver.go
+++ b/transport/controlserver/controlserver.go
@@ -101,7 +101,7 @@
 	go peer.Serve(followers, s.follower)
 	go s.save(store)
 	go s.feed.Beats(inner, s.freshness)
-	metrics.Serve(inner, local.Metrics, s.figures)
+	metrics.Serve(inner, local.IP, local.Metrics, s.figures)
 	httpServer := &http.Server{Handler: s.handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes}
 	go func() {
--- a/transport/metrics/metrics.go
+++ b/transport/metrics/metrics.go
@@ -76,9 +76,9 @@
 	return mux
 }
 
-// Serve serves figures at an endpoint written as PORT/PATH until ctx ends; an empty one serves none. A port that cannot
-// be had is logged and changes nothing else: a process without its figures still serves.
-func Serve(ctx context.Context, endpoint string, source Source) {
+// Serve serves figures at an address of this machine and an endpoint written as PORT/PATH until ctx ends; an empty one
+// serves none. A port that cannot be had is logged and changes nothing else: a process without its figures still serves.
+func Serve(ctx context.Context, ip, endpoint string, source Source) {
 	if endpoint == "" {
 		return
 	}
@@ -87,7 +87,7 @@
 		klog.ErrorS(err, "no figures are served")
 		return
 	}
-	listener, err := net.Listen("tcp", net.JoinHostPort("", strconv.Itoa(at.Port)))
+	listener, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(at.Port)))
 	if err != nil {
 		klog.ErrorS(ErrMetrics.Wrap(err), "no figures are served")
 		return
--- a/transport/metrics/metrics_test.go
+++ b/transport/metrics/metrics_test.go
@@ -58,13 +58,13 @@
 // TestPortThatIsTaken: a process whose port for figures is taken goes on without them, and one that is told of no
 // endpoint listens nowhere.
 func TestPortThatIsTaken(t *testing.T) {
-	taken, err := net.Listen("tcp", ":0")
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
 	defer taken.Close()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	endpoint := fmt.Sprintf("%d/metrics", taken.Addr().(*net.TCPAddr).Port)
-	Serve(ctx, endpoint, func(Figures) { t.Error("asked for figures") })
-	Serve(ctx, "", func(Figures) { t.Error("asked for figures") })
-	Serve(ctx, "nonsense", func(Figures) { t.Error("asked for figures") })
+	Serve(ctx, "127.0.0.1", endpoint, func(Figures) { t.Error("asked for figures") })
+	Serve(ctx, "127.0.0.1", "", func(Figures) { t.Error("asked for figures") })
+	Serve(ctx, "127.0.0.1", "nonsense", func(Figures) { t.Error("asked for figures") })
 }
