A replica's answer may have no length and end with its connection

Such an answer was refused (Reset), so that an unsafe call that had run and was answered got 502.

Change: it is whole where the replica closes in order. One that is reset, or whose connection this side closes, fails while it is read. New guard: a body without a length in which another answer's first line stands is nobody's, since surplus bytes of a replica in trouble would pass for the rest of it.

--- a/transport/replicahttp/connection.go
+++ b/transport/replicahttp/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -231,9 +232,10 @@
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusBadRequest
 }
 
-// readAnswer reads the next answer whole, and tells for how long the connection may be used again.
+// readAnswer reads the next answer whole, and tells for how long the connection may be used again. An answer without a
+// length is whole where the replica has closed the connection behind it in order.
 //
-// Danger: an answer without a length ends with its connection, and one that was broken off would look whole.
+// Danger: one that is reset on the way, or is given up by this side, would look whole; reading it fails then.
 func readAnswer(r *bufio.Reader, method string) (*answer, time.Duration, error) {
 	var res *http.Response
 	for {
@@ -248,9 +250,6 @@
 	if res.ProtoMajor != 1 || res.StatusCode < 200 {
 		return nil, 0, ErrReplica.Errorf("an answer of %s with status %d", res.Proto, res.StatusCode)
 	}
-	if res.ContentLength < 0 && len(res.TransferEncoding) == 0 {
-		return nil, 0, ErrReplica.Errorf("an answer without a length")
-	}
 	h := res.Header
 	if spliced(res) {
 		return nil, 0, ErrReplica.Errorf("an answer whose head is of two")
@@ -259,6 +258,9 @@
 	if err != nil {
 		return nil, 0, ErrReplica.Wrapf(err, "an answer that was broken off")
 	}
+	if endsWithConnection(res) && bytes.Contains(body, []byte(firstLine)) {
+		return nil, 0, ErrReplica.Errorf("an answer without a length, with another one behind it")
+	}
 	a := &answer{Answer: Answer{Status: res.StatusCode, Header: h, Body: body, Seal: h.Get(HeaderSeal), Whole: true,
 		Replica: h.Get(HeaderReplica)}, attempt: h.Get(HeaderAttempt), notExecuted: h.Get(HeaderNotExecuted) != "",
 		encoded: h.Get("Content-Encoding") != "" && !strings.EqualFold(h.Get("Content-Encoding"), "identity")}
@@ -277,6 +279,13 @@
 	return a, keep, nil
 }
 
+// endsWithConnection tells whether nothing but the end of its connection ends an answer's body.
+//
+// Danger: what a replica in trouble sends behind such an answer would pass for the rest of its body.
+func endsWithConnection(res *http.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0
+}
+
 // spliced tells whether the head of an answer was put together from those of two: it bears two first lines, or twice what an
 // answer bears once.
 //
