A query keeps the terms that it was taken on; rows of routes rest before others get them

Cause, found by a new test of the whole path that changes the configuration under a gathered answer: balance.Serve changed a row's terms in place, so queries under way went on by the next configuration's. A request whose body is still being read is handed over with its row even later.

New tests of the whole path in virtual time: deadlines handed on at both sends, answers by the route's time, max-tries, withdrawal within half a second, connections rested for four fifths of idle-timeout-ms, SIGTERM, one configuration an answer, least coverage, routes added later.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -93,15 +93,17 @@
 }
 
 // Serve states the workloads from now on: a row keeps what was learnt; terms may change and rows be added.
+// Danger: a row may pass to another route, and a once-only query under way would run again by its terms.
 func (a *Aggregator) Serve(now int64, workloads []Workload) {
 	a.Workloads, a.shortest = workloads, math.MaxInt64
 	for i, w := range workloads {
 		if i == len(a.workloads) {
-			added := &workload{row: int64(i), logs: newMean(timeSpan), taken: newMean(timeSpan)}
-			a.workloads = append(a.workloads, added)
+			logs, taken := newMean(timeSpan), newMean(timeSpan)
+			a.workloads = append(a.workloads, &workload{row: int64(i), logs: &logs, taken: &taken})
 		}
-		a.workloads[i].Workload, a.shortest = w, min(a.shortest, w.LatencyGoal)
-		a.workloads[i].look(now)
+		next := *a.workloads[i] // queries under way keep the terms that they were taken on
+		next.Workload, a.workloads[i], a.shortest = w, &next, min(a.shortest, w.LatencyGoal)
+		next.look(now)
 	}
 	a.rest = a.Rest()
 }
--- a/balance/replicastate.go
+++ b/balance/replicastate.go
@@ -71,7 +71,7 @@
 // workload is the table's row: what the module reads of a workload, and its recent part times.
 type workload struct {
 	Workload
-	logs, taken mean  // logarithms of the times of fulfilled parts; taken as the aggregator's
+	logs, taken *mean // logarithms of the times of fulfilled parts; taken as the aggregator's; of all terms
 	row, middle int64 // the row; the typical part time, about the median
 }
 
@@ -139,22 +139,19 @@
 	return int64(sum / n * float64(r.calls+1))
 }
 
-// bookIdle books a part that was sent on a connection which had been idle so long, lost on it or not.
+// bookIdle books a part sent on a connection that had been idle so long, lost on it or not. It finds the
+// shortest idle time after which too many are lost. Danger: something may forget idle connections on the way,
+// and drop or reset what is sent on one. Else new ones cost in vain.
 func (a *Aggregator) bookIdle(now, idle int64, lost float64) {
-	if n := bits.Len64(uint64(idle / idleLeast)); n > 0 {
-		a.idleTimes[min(n, idleLengths)-1].add(now, lost, 1)
-		a.limitIdle(now)
+	n := min(bits.Len64(uint64(idle/idleLeast)), idleLengths)
+	if n == 0 {
+		return
 	}
-}
-
-// limitIdle finds the shortest idle time after which too many parts are lost. Danger: something may
-// forget idle connections on the way, and drop or reset what is sent on one. Else new ones cost in vain.
-func (a *Aggregator) limitIdle(now int64) {
-	lost := 0.0
-	for i := idleLengths - 1; i >= 0; i-- { // what is lost after longer ones counts as well
+	a.idleTimes[n-1].add(now, lost, 1)
+	for all, i := 0.0, idleLengths-1; i >= 0; i-- { // what is lost after longer ones counts as well
 		if limit := int64(idleLeast) << i; a.idleTimes[i].of(now, 0) >= idleLost {
-			lost += a.idleTimes[i].sum.sum(now)
-			if lost >= idleSilences && (limit < a.idleLimit || now >= a.idleUntil) {
+			all += a.idleTimes[i].sum.sum(now)
+			if all >= idleSilences && (limit < a.idleLimit || now >= a.idleUntil) {
 				a.idleLimit, a.idleUntil = limit, now+idleHold
 			}
 		}
--- a/decide/routingtable/routingtable.go
+++ b/decide/routingtable/routingtable.go
@@ -33,6 +33,8 @@
 	fallSpan     = 1000 * ms
 	fewerAfter   = 60000 * ms // the number of edges goes down only after that
 	fullCold     = 1          // no rule binds what a cold replica is sent
+	rowRest      = 60000 * ms // a row that was given back is given to no other route before
+	freeGoal     = 60000 * ms // latency goal of such a row: what all workloads go by is the shortest goal of any
 )
 
 // Deployment returns what the module is told at the start.
@@ -98,7 +100,7 @@
 	began     int64
 	config    *routeconfig.Configuration
 	rows      map[string]int
-	free      []int
+	free      []freeRow // the longest free first
 	workloads []balance.Workload
 	slots     map[string]int
 	used      [shards]bool
@@ -170,7 +172,7 @@
 		if err != nil {
 			c.Err = err
 		} else {
-			t.serve(next, &c)
+			t.serve(now, next, &c)
 		}
 	}
 	for _, r := range n.Replicas {
@@ -198,30 +200,51 @@
 	return c
 }
 
-// serve puts a configuration in force: rows of routes and shards of services that stay keep their numbers.
-func (t *Table) serve(next *routeconfig.Configuration, c *Change) {
-	t.config = next
-	stays := map[string]bool{}
+// freeRow is a row that no route has any more, and since when.
+type freeRow struct {
+	row   int
+	since int64
+}
+
+// newRow returns a row for a route that has none.
+//
+// Danger: a request whose body is still being read was routed by the configuration before. Were its row given to another
+// route meanwhile, an unsafe request would be taken on that one's terms and could run twice.
+func (t *Table) newRow(now int64) int {
+	if len(t.free) > 0 && now-t.free[0].since >= rowRest {
+		row := t.free[0].row
+		t.free = t.free[1:]
+		return row
+	}
+	t.workloads = append(t.workloads, balance.Workload{})
+	return len(t.workloads) - 1
+}
+
+// giveBack gives the rows back of routes that are gone, or that may no longer be repeated as before.
+func (t *Table) giveBack(now int64, next *routeconfig.Configuration) {
+	stays := map[string]*routeconfig.Route{}
 	for i := range next.Routes {
-		stays[next.Routes[i].Name] = true
+		stays[next.Routes[i].Name] = &next.Routes[i]
 	}
 	for name, row := range t.rows {
-		if !stays[name] {
+		if r := stays[name]; r == nil || Workload(r).Effect != t.workloads[row].Effect {
 			delete(t.rows, name)
-			t.free = append(t.free, row)
+			t.free = append(t.free, freeRow{row, now})
+			t.workloads[row].LatencyGoal = freeGoal
 		}
 	}
+}
+
+// serve puts a configuration in force: rows of routes and shards of services that stay keep their numbers.
+func (t *Table) serve(now int64, next *routeconfig.Configuration, c *Change) {
+	t.config = next
 	t.workloads = slices.Clone(t.workloads)
+	t.giveBack(now, next)
 	for i := range next.Routes {
 		r := &next.Routes[i]
 		row, ok := t.rows[r.Name]
 		if !ok {
-			if n := len(t.free); n > 0 {
-				row, t.free = t.free[n-1], t.free[:n-1]
-			} else {
-				row = len(t.workloads)
-				t.workloads = append(t.workloads, balance.Workload{})
-			}
+			row = t.newRow(now)
 			t.rows[r.Name] = row
 		}
 		t.workloads[row] = Workload(r)
--- /dev/null
+++ b/front/proxyserver/path_test.go
@@ -0,0 +1,384 @@
+package proxyserver
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"willowsill/decide/clusterstate"
+	"willowsill/decide/registry"
+	"willowsill/front/clienthttp"
+	"willowsill/internal/pipes"
+	"willowsill/transport/replicahttp"
+)
+
+// Tests of the whole path of a request through a proxy: client's connection, handler, node, module, pool, replica. Time
+// is the bubble's own.
+
+// arrival is a request as it reached a replica.
+type arrival struct {
+	replica  string
+	attempt  string
+	deadline time.Duration // that was handed on
+	at       time.Time
+	left     time.Time // when the proxy closed the connection under it, zero where it did not
+}
+
+// behaviour is what a replica does with a request. It returns a status and a body of records; status 0 is no answer.
+type behaviour func(r *http.Request) (status int, body string)
+
+// proxyBubble is a proxy on pipes, with replicas.
+type proxyBubble struct {
+	*Server
+	t        *testing.T
+	network  *pipes.Network
+	front    *pipes.Listener
+	replicas []string
+	closers  []func()
+
+	mu       sync.Mutex
+	arrivals []*arrival
+}
+
+const frontAddress = "front:1"
+
+// inBubble plays a test with a proxy that serves the routes, and one replica of each service named.
+func inBubble(t *testing.T, routes string, replicas map[string]behaviour, play func(b *proxyBubble)) {
+	synctest.Test(t, func(t *testing.T) {
+		b := &proxyBubble{t: t, network: &pipes.Network{}}
+		b.Server = idleServer(t)
+		b.settings.Bounds.GraceS = 6
+		b.pool.Dial = b.network.Dial
+		b.front = b.network.Listen(frontAddress)
+		b.handler.Core, b.handler.Now = b.node, b.node.Now
+		b.servers, b.address = &clienthttp.Servers{Handler: b.handler}, b.front.Addr()
+		for service, answer := range replicas {
+			b.listen(service, answer)
+		}
+		b.configure(1, routes)
+		go b.servers.Accept(b.front)
+		defer b.end()
+		b.settle()
+		play(b)
+	})
+}
+
+func (b *proxyBubble) end() {
+	b.front.Close()
+	for _, server := range b.servers.All() {
+		server.Close()
+	}
+	for _, end := range b.closers {
+		end()
+	}
+	b.settle()
+}
+
+// settle lets what is under way come to its end.
+func (b *proxyBubble) settle() { time.Sleep(50 * time.Millisecond); synctest.Wait() }
+
+// listen starts a replica whose name is its service's, and with a number behind a dash for further ones.
+func (b *proxyBubble) listen(name string, answer behaviour) {
+	b.replicas = append(b.replicas, name)
+	l := b.network.Listen(name + ":80")
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		milliseconds, _ := strconv.Atoi(r.Header.Get(replicahttp.HeaderDeadline))
+		a := &arrival{replica: name, attempt: r.Header.Get(replicahttp.HeaderAttempt), deadline: time.Duration(milliseconds) * time.Millisecond, at: time.Now()}
+		b.mu.Lock()
+		b.arrivals = append(b.arrivals, a)
+		b.mu.Unlock()
+		io.Copy(io.Discard, r.Body)
+		status, body := answer(r)
+		if r.Context().Err() != nil {
+			b.mu.Lock()
+			a.left = time.Now()
+			b.mu.Unlock()
+		}
+		if status == 0 {
+			panic(http.ErrAbortHandler)
+		}
+		w.Header().Set(replicahttp.HeaderAttempt, a.attempt)
+		w.Header().Set(replicahttp.HeaderSeal, "seal-"+name)
+		w.WriteHeader(status)
+		io.WriteString(w, body)
+	})}
+	go server.Serve(l)
+	b.closers = append(b.closers, func() { server.Close() })
+}
+
+// configure puts routes in force over the replicas that listen.
+func (b *proxyBubble) configure(revision int, routes string) {
+	raw := fmt.Appendf(nil, `{"revision":%d,"routes":[%s],"services":[{"name":"s1"},{"name":"s2"},{"name":"s3"}],"limits":{"idle-timeout-ms":10000}}`,
+		revision, routes)
+	u := clusterstate.Update{Revision: uint64(revision), Body: clusterstate.Pack(raw), Fleet: clusterstate.Fleet{Most: 1}}
+	for _, name := range b.replicas {
+		service, _, _ := strings.Cut(name, "-")
+		u.Replicas = append(u.Replicas, registry.Record{ID: name, Service: service, Address: name + ":80", Seq: uint64(revision), Capacity: 4})
+	}
+	must.True(b.t, b.take(u))
+}
+
+// dial opens a client's connection.
+func (b *proxyBubble) dial() (net.Conn, *bufio.Reader) {
+	c, err := b.network.Dial(context.Background(), "", frontAddress)
+	must.NoError(b.t, err)
+	return c, bufio.NewReader(c)
+}
+
+// send writes one request; a pipe holds the writer up until it is read.
+func send(c net.Conn, path, attempt string, patienceMs int) {
+	go fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\n%s: %s\r\n%s: %d\r\n\r\n", path, replicahttp.HeaderAttempt, attempt, replicahttp.HeaderDeadline, patienceMs)
+}
+
+// receive reads one answer.
+func (b *proxyBubble) receive(r *bufio.Reader) (*http.Response, string) {
+	res, err := http.ReadResponse(r, nil)
+	must.NoError(b.t, err)
+	body, err := io.ReadAll(res.Body)
+	must.NoError(b.t, err)
+	return res, string(body)
+}
+
+// served is what reached replicas with an attempt id.
+func (b *proxyBubble) served(attempt string) (found []*arrival) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, a := range b.arrivals {
+		if a.attempt == attempt {
+			found = append(found, a)
+		}
+	}
+	return found
+}
+
+func wellAfter(d time.Duration) behaviour {
+	return func(*http.Request) (int, string) {
+		time.Sleep(d)
+		return http.StatusOK, strings.Repeat("r", 16)
+	}
+}
+
+func failsAfter(d time.Duration) behaviour {
+	return func(*http.Request) (int, string) {
+		time.Sleep(d)
+		return http.StatusInternalServerError, ""
+	}
+}
+
+func silent(r *http.Request) (int, string) {
+	<-r.Context().Done()
+	return 0, ""
+}
+
+const (
+	safeRoute     = `{"name":"safe","host":"h","path-prefix":"/safe/","deadline-ms":1000,"target-ms":500,"service":"s1","max-tries":2}`
+	unsafeRoute   = `{"name":"unsafe","host":"h","path-prefix":"/unsafe/","route-kind":"unsafe","deadline-ms":1000,"service":"s1","max-tries":1}`
+	gatheredRoute = `{"name":"all","host":"h","path-prefix":"/all/","deadline-ms":1000,"target-ms":500,"fanout":["s1","s2"],"max-tries":2,"result-count":4,"min-coverage":0.5}`
+	slack         = 100 * time.Millisecond
+	halfSecond    = 500 * time.Millisecond // within which the rules want an answer, or what was handed on withdrawn
+)
+
+// TestDeadlinesHandedOn: each send carries what is left of the client's time, and of the route's where that is shorter; a
+// second one ends no later than the first.
+func TestDeadlinesHandedOn(t *testing.T) {
+	for _, patience := range []int{700, 5000} {
+		replicas := map[string]behaviour{"s1": failsAfter(300 * time.Millisecond), "s1-2": failsAfter(300 * time.Millisecond)}
+		inBubble(t, safeRoute, replicas, func(b *proxyBubble) {
+			c, r := b.dial()
+			defer c.Close()
+			began := time.Now()
+			send(c, "/safe/x", "t1", patience)
+			b.receive(r)
+			sends := b.served("t1")
+			must.SliceLen(b.t, 2, sends)
+			limit := time.Duration(min(patience, 1000)) * time.Millisecond
+			for _, a := range sends {
+				must.Positive(b.t, a.deadline)
+				must.LessEq(b.t, limit, a.at.Add(a.deadline).Sub(began))
+				must.GreaterEq(b.t, limit-slack, a.at.Add(a.deadline).Sub(began))
+			}
+		})
+	}
+}
+
+// TestAnsweredByTheRoutesTime: a request whose replicas say nothing is answered at its route's deadline, however long its
+// client would wait; one that may have run is not promised that it has not.
+func TestAnsweredByTheRoutesTime(t *testing.T) {
+	for path, want := range map[string]int{"/safe/x": http.StatusServiceUnavailable, "/unsafe/x": http.StatusBadGateway, "/all/x": http.StatusServiceUnavailable} {
+		inBubble(t, safeRoute+","+unsafeRoute+","+gatheredRoute, map[string]behaviour{"s1": silent, "s1-2": silent, "s2": silent}, func(b *proxyBubble) {
+			c, r := b.dial()
+			defer c.Close()
+			began := time.Now()
+			send(c, path, "t1", 10_000)
+			res, _ := b.receive(r)
+			must.Eq(b.t, want, res.StatusCode, must.Sprint(path))
+			must.LessEq(b.t, time.Second, time.Since(began))
+			must.Eq(b.t, "", res.Header.Get(replicahttp.HeaderSeal))
+		})
+	}
+}
+
+// TestTriesOfARoute: one request runs at max-tries replicas at the most, each shard of a gathered one by itself.
+func TestTriesOfARoute(t *testing.T) {
+	failing := map[string]behaviour{}
+	for _, name := range []string{"s1", "s1-2", "s1-3", "s1-4", "s2"} {
+		failing[name] = failsAfter(10 * time.Millisecond)
+	}
+	inBubble(t, safeRoute+","+unsafeRoute+","+gatheredRoute, failing, func(b *proxyBubble) {
+		for path, most := range map[string]map[string]int{"/safe/x": {"s1": 2}, "/unsafe/x": {"s1": 1}, "/all/x": {"s1": 2, "s2": 2}} {
+			c, r := b.dial()
+			defer c.Close()
+			send(c, path, path, 1000)
+			b.receive(r)
+			runs := map[string]int{}
+			for _, a := range b.served(path) {
+				service, _, _ := strings.Cut(a.replica, "-")
+				runs[service]++
+			}
+			for service, n := range runs {
+				must.LessEq(b.t, most[service], n, must.Sprint(path, " at ", service))
+			}
+			must.MapNotEmpty(b.t, runs)
+			c.Close()
+		}
+	})
+}
+
+// TestWithdrawnWhenTheClientLeaves: what was handed on for a client that has left is withdrawn within half a second, and
+// nothing more is sent for it.
+func TestWithdrawnWhenTheClientLeaves(t *testing.T) {
+	for _, path := range []string{"/safe/x", "/all/x"} {
+		inBubble(t, safeRoute+","+gatheredRoute, map[string]behaviour{"s1": silent, "s1-2": silent, "s2": silent}, func(b *proxyBubble) {
+			c, _ := b.dial()
+			defer c.Close()
+			send(c, path, "t1", 5000)
+			b.settle()
+			sent := len(b.served("t1"))
+			must.Positive(b.t, sent)
+			left := time.Now()
+			c.Close()
+			time.Sleep(2 * time.Second)
+			must.SliceLen(b.t, sent, b.served("t1"))
+			for _, a := range b.served("t1") {
+				must.False(b.t, a.left.IsZero(), must.Sprint("never withdrawn"))
+				must.LessEq(b.t, halfSecond, a.left.Sub(left))
+			}
+		})
+	}
+}
+
+// TestRestedConnections: a client's connection that has rested for four fifths of idle-timeout-ms is taken up again.
+func TestRestedConnections(t *testing.T) {
+	inBubble(t, safeRoute, map[string]behaviour{"s1": wellAfter(10 * time.Millisecond)}, func(b *proxyBubble) {
+		c, r := b.dial()
+		defer c.Close()
+		for n := range 3 {
+			send(c, "/safe/x", fmt.Sprint("t", n), 900)
+			res, _ := b.receive(r)
+			must.Eq(b.t, http.StatusOK, res.StatusCode)
+			must.False(b.t, res.Close)
+			time.Sleep(8 * time.Second)
+		}
+	})
+}
+
+// TestLeavingInOrder: from SIGTERM on a proxy is not ready; what is under way is answered, what still comes is served and
+// told to close its connection, and the proxy ends within its grace.
+func TestLeavingInOrder(t *testing.T) {
+	well := wellAfter(200 * time.Millisecond)
+	inBubble(t, safeRoute, map[string]behaviour{"s1": well, "s1-2": well, "s1-3": well, "s1-4": well}, func(b *proxyBubble) {
+		under, underReader := b.dial()
+		defer under.Close()
+		idle, idleReader := b.dial()
+		defer idle.Close()
+		send(idle, "/safe/x", "first", 900)
+		res, _ := b.receive(idleReader)
+		must.False(b.t, res.Close)
+		send(under, "/safe/x", "under way", 900)
+		b.settle()
+		began := time.Now()
+		ended := make(chan time.Time, 1)
+		go func() {
+			b.leave(b.front)
+			ended <- time.Now()
+		}()
+		synctest.Wait()
+		must.False(b.t, b.readiness.Ready(b.node.Now()) && !b.leaving.Load())
+		fresh, freshReader := b.dial()
+		defer fresh.Close()
+		send(fresh, "/safe/x", "new", 900)
+		send(idle, "/safe/x", "kept", 900)
+		for name, r := range map[string]*bufio.Reader{"under way": underReader, "new": freshReader, "kept": idleReader} {
+			res, _ := b.receive(r)
+			must.Eq(b.t, http.StatusOK, res.StatusCode, must.Sprint(name))
+			must.True(b.t, res.Close || name == "under way", must.Sprint(name))
+		}
+		end := <-ended
+		must.LessEq(b.t, 6*time.Second, end.Sub(began))
+		_, err := b.network.Dial(context.Background(), "", frontAddress)
+		must.ErrorIs(b.t, err, pipes.ErrRefused)
+	})
+}
+
+// TestOneConfigurationAnAnswer: the parts of an answer, and how many are missing, are those of the configuration that it
+// began under, also where the shards change while it is out.
+func TestOneConfigurationAnAnswer(t *testing.T) {
+	slow := wellAfter(150 * time.Millisecond)
+	inBubble(t, gatheredRoute, map[string]behaviour{"s1": slow, "s2": failsAfter(0), "s3": slow}, func(b *proxyBubble) {
+		c, r := b.dial()
+		defer c.Close()
+		send(c, "/all/x", "t1", 5000)
+		b.settle()
+		b.configure(2, strings.Replace(gatheredRoute, `["s1","s2"]`, `["s3"]`, 1))
+		res, _ := b.receive(r)
+		must.Eq(b.t, http.StatusOK, res.StatusCode)
+		must.Eq(b.t, "seal-s1", res.Header.Get("Willowsill-Part-Seals"))
+		must.Eq(b.t, "1", res.Header.Get("Willowsill-Missing-Parts"))
+		send(c, "/all/x", "t2", 5000)
+		res, _ = b.receive(r)
+		must.Eq(b.t, "seal-s3", res.Header.Get("Willowsill-Part-Seals"))
+		must.Eq(b.t, "", res.Header.Get("Willowsill-Missing-Parts"))
+	})
+}
+
+// TestLeastCoverage: an answer from less than min-coverage of the shards is no success.
+func TestLeastCoverage(t *testing.T) {
+	route := strings.Replace(gatheredRoute, `"min-coverage":0.5`, `"min-coverage":0.9`, 1)
+	inBubble(t, route, map[string]behaviour{"s1": wellAfter(0), "s2": failsAfter(0)}, func(b *proxyBubble) {
+		c, r := b.dial()
+		defer c.Close()
+		send(c, "/all/x", "t1", 5000)
+		res, _ := b.receive(r)
+		must.Eq(b.t, http.StatusServiceUnavailable, res.StatusCode)
+	})
+}
+
+// TestRoutesAddedLater: requests on a route that was just added are served as those on the first.
+func TestRoutesAddedLater(t *testing.T) {
+	inBubble(t, safeRoute, map[string]behaviour{"s1": wellAfter(20 * time.Millisecond), "s2": wellAfter(20 * time.Millisecond)}, func(b *proxyBubble) {
+		c, r := b.dial()
+		defer c.Close()
+		for n := range 50 {
+			send(c, "/safe/x", fmt.Sprint("t", n), 900)
+			b.receive(r)
+		}
+		added := `{"name":"added","host":"h","path-prefix":"/added/","deadline-ms":1000,"target-ms":500,"service":"s2","max-tries":2}`
+		b.configure(2, safeRoute+","+added)
+		for n := range 50 {
+			send(c, "/added/x", fmt.Sprint("a", n), 900)
+			res, _ := b.receive(r)
+			must.Eq(b.t, http.StatusOK, res.StatusCode, must.Sprint(n))
+		}
+	})
+}
