--- a/decide/gather/gather_test.go
+++ b/decide/gather/gather_test.go
@@ -9,10 +9,19 @@
 	"pgregory.net/rapid"
 )
 
-// TestGreatest compares with sorting everything.
+// TestGreatest compares with sorting everything. Records differ in their last byte at times, and some are equal.
 func TestGreatest(t *testing.T) {
+	record := rapid.Custom(func(t *rapid.T) []byte {
+		r := make([]byte, RecordBytes)
+		r[0], r[RecordBytes-1] = rapid.ByteRange(0, 3).Draw(t, "first"), rapid.ByteRange(0, 3).Draw(t, "last")
+		return r
+	})
+	part := rapid.Custom(func(t *rapid.T) []byte {
+		whole := bytes.Join(rapid.SliceOfN(record, 0, 7).Draw(t, "records"), nil)
+		return append(whole, rapid.SliceOfN(rapid.Byte(), 0, RecordBytes-1).Draw(t, "rest")...)
+	})
 	rapid.Check(t, func(t *rapid.T) {
-		parts := rapid.SliceOfN(rapid.SliceOfN(rapid.ByteRange(0, 2), 0, 100), 0, 5).Draw(t, "parts")
+		parts := rapid.SliceOfN(part, 0, 5).Draw(t, "parts")
 		n := rapid.IntRange(0, 12).Draw(t, "n")
 		var all [][]byte
 		for _, p := range parts {
--- a/decide/routeconfig/routeconfig.go
+++ b/decide/routeconfig/routeconfig.go
@@ -87,18 +87,18 @@
 	return nil
 }
 
-// Pick is the service that a draw, 0 up to 1, falls on; a fanout has none to pick.
-func (r *Route) Pick(draw float64) string {
+// Pick is the service on whose share of the weights a position, 0 up to 1, falls; a fanout has none to pick.
+func (r *Route) Pick(position float64) string {
 	total := 0.0
 	for _, t := range r.Targets {
 		total += t.Weight
 	}
-	draw *= total
+	position *= total
 	for _, t := range r.Targets {
-		if t.Weight > 0 && draw < t.Weight {
+		if t.Weight > 0 && position < t.Weight {
 			return t.Service
 		}
-		draw -= t.Weight
+		position -= t.Weight
 	}
 	for _, t := range slices.Backward(r.Targets) {
 		if t.Weight > 0 {
--- a/decide/routingtable/routingtable.go
+++ b/decide/routingtable/routingtable.go
@@ -15,6 +15,7 @@
 	"willowsill/decide/clusterstate"
 	"willowsill/decide/registry"
 	"willowsill/decide/routeconfig"
+	"willowsill/decide/weightedsplit"
 	"willowsill/deployment/settings"
 )
 
@@ -76,11 +77,22 @@
 	return advice - int64(draw*float64(advice)/2)
 }
 
-// State is what a front needs to turn a request into a query. It is never changed in place.
+// State is what a front needs to turn a request into a query. It is never changed in place, but for the positions of
+// its splits.
 type State struct {
 	Config *routeconfig.Configuration
-	Rows   map[string]int // of each route, by name
-	Slots  map[string]int // of each service: the module's shard
+	Rows   map[string]int                     // of each route, by name
+	Slots  map[string]int                     // of each service: the module's shard
+	Splits map[string]*weightedsplit.Sequence // of each route with a weighted split, by name
+}
+
+// Service returns the service that a route's next request goes to; a fanout has none.
+func (s *State) Service(route *routeconfig.Route) string {
+	position := 0.0
+	if split := s.Splits[route.Name]; split != nil {
+		position = split.Next()
+	}
+	return route.Pick(position)
 }
 
 // Change is what an update changes for the module and the front.
@@ -107,6 +119,7 @@
 	edges     int // the highest number of edges of late
 	edgesAt   int64
 	known     map[string]registry.Record
+	splits    map[string]*weightedsplit.Sequence
 	shared    map[string]int // channels by service, as they were last told
 	budget    float64
 }
@@ -263,7 +276,7 @@
 			t.used[slot] = false
 		}
 	}
-	state := &State{Config: next, Rows: map[string]int{}, Slots: map[string]int{}}
+	state := &State{Config: next, Rows: map[string]int{}, Slots: map[string]int{}, Splits: t.splitsOf(next)}
 	for name, row := range t.rows {
 		state.Rows[name] = row
 	}
@@ -273,6 +286,23 @@
 	c.State, c.Workloads = state, t.workloads
 }
 
+// splitsOf returns the sequences of a configuration's weighted splits. One that was there before goes on: each change
+// of the configuration would otherwise begin it anew, and changes may come more often than requests.
+func (t *Table) splitsOf(next *routeconfig.Configuration) map[string]*weightedsplit.Sequence {
+	splits := map[string]*weightedsplit.Sequence{}
+	for i := range next.Routes {
+		r := &next.Routes[i]
+		if len(r.Targets) < 2 {
+			continue
+		}
+		if splits[r.Name] = t.splits[r.Name]; splits[r.Name] == nil {
+			splits[r.Name] = weightedsplit.New(t.settings.IP, r.Name)
+		}
+	}
+	t.splits = splits
+	return splits
+}
+
 // Free returns this edge's share of the retries beyond the ratio, and whether it has changed since the last call.
 //
 // Danger: an edge that starts anew does not know what it spent before, and one that does not know how many
--- a/decide/routingtable/routingtable_test.go
+++ b/decide/routingtable/routingtable_test.go
@@ -141,3 +141,22 @@
 	p.Take(0, clusterstate.Update{Fleet: clusterstate.Fleet{Most: 200}})
 	must.Eq(t, 1, p.Channels("s1"))
 }
+
+// TestSplitGoesOn: a weighted split is shared evenly over any run of requests, also where the configuration changes with
+// each of them.
+func TestSplitGoesOn(t *testing.T) {
+	const requests = 300
+	p := New(0, testSettings())
+	counts := map[string]int{}
+	for i := range requests {
+		raw := fmt.Appendf(nil, `{"revision":%d,"routes":[{"name":"split","host":"h","path-prefix":"/","deadline-ms":%d,
+"weighted-split":[{"service":"s1","weight":1},{"service":"s2","weight":3}]}],"services":[{"name":"s1"},{"name":"s2"}]}`, i+1, 1000+i)
+		c := p.Take(0, clusterstate.Update{Revision: uint64(i + 1), Raw: raw})
+		must.NoError(t, c.Err)
+		counts[c.State.Service(c.State.Config.Find("h", "/x"))]++
+	}
+	must.Between(t, requests/4-3, counts["s1"], requests/4+3)
+	must.MapLen(t, 1, p.splits)
+	p.Take(0, clusterstate.Update{Revision: requests + 1, Raw: body(requests+1, "a")})
+	must.MapEmpty(t, p.splits)
+}
--- a/front/clienthttp/clienthttp.go
+++ b/front/clienthttp/clienthttp.go
@@ -101,14 +101,13 @@
 	}
 	req := &replicahttp.Request{Attempt: attempt, Method: r.Method, Body: body, Head: head(r, target, len(body)),
 		Answers: map[int]*replicahttp.Answer{}}
-	draw := float64(uint32(xxhash.Sum64String(attempt))) / drawBits
 	query := node.Query{ID: attempt, Workload: state.Rows[route.Name], Until: until, Load: req}
 	if len(route.Fanout) > 0 {
 		for _, s := range route.Fanout {
 			query.Parts = append(query.Parts, node.Part{Shard: state.Slots[s], Weight: 1 / float64(len(route.Fanout))})
 		}
 	} else {
-		query.Parts = []node.Part{{Shard: state.Slots[route.Pick(draw)], Weight: 1}}
+		query.Parts = []node.Part{{Shard: state.Slots[state.Service(route)], Weight: 1}}
 	}
 	answer, here := q.Core.Serve(r.Context(), query)
 	if !here {
@@ -118,6 +117,7 @@
 		refuse(w, http.StatusBadGateway, 0)
 		return
 	}
+	draw := float64(uint32(xxhash.Sum64String(attempt))) / drawBits
 	answer.ComeBack = routingtable.ComeBack(answer.ComeBack, draw)
 	if len(route.Fanout) > 0 {
 		gathered(w, route, req, query.Parts, answer)
--- a/front/proxyserver/path_test.go
+++ b/front/proxyserver/path_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -308,13 +309,15 @@
 		send(under, "/safe/x", "under way", 900)
 		b.settle()
 		began := time.Now()
+		b.heard(clusterstate.Freshness{Known: true, Revision: 1})
+		must.Eq(b.t, http.StatusOK, b.readinessStatus())
 		ended := make(chan time.Time, 1)
 		go func() {
 			b.leave(b.front)
 			ended <- time.Now()
 		}()
 		synctest.Wait()
-		must.False(b.t, b.readiness.Ready(b.node.Now()) && !b.leaving.Load())
+		must.Eq(b.t, http.StatusServiceUnavailable, b.readinessStatus())
 		fresh, freshReader := b.dial()
 		defer fresh.Close()
 		send(fresh, "/safe/x", "new", 900)
@@ -324,13 +327,26 @@
 			must.Eq(b.t, http.StatusOK, res.StatusCode, must.Sprint(name))
 			must.True(b.t, res.Close || name == "under way", must.Sprint(name))
 		}
+		late, lateReader := b.dial()
+		defer late.Close()
+		time.Sleep(time.Until(began.Add(stayOpen - slack)))
+		send(late, "/safe/x", "late", 900) // is under way when the proxy takes no more
+		res, _ = b.receive(lateReader)
+		must.Eq(b.t, http.StatusOK, res.StatusCode)
 		end := <-ended
+		must.GreaterEq(b.t, stayOpen, end.Sub(began))
 		must.LessEq(b.t, 6*time.Second, end.Sub(began))
 		_, err := b.network.Dial(context.Background(), "", frontAddress)
 		must.ErrorIs(b.t, err, pipes.ErrRefused)
 	})
 }
 
+func (b *proxyBubble) readinessStatus() int {
+	w := httptest.NewRecorder()
+	b.ready(w, httptest.NewRequest(http.MethodGet, "/v1/readiness", nil))
+	return w.Code
+}
+
 // TestOneConfigurationAnAnswer: the parts of an answer, and how many are missing, are those of the configuration that it
 // began under, also where the shards change while it is out.
 func TestOneConfigurationAnAnswer(t *testing.T) {
@@ -382,3 +398,24 @@
 		}
 	})
 }
+
+// TestKeptConnectionsOverAChange: a configuration with other limits closes no connection that is open: what is under way on
+// it is answered, and so is what comes next.
+func TestKeptConnectionsOverAChange(t *testing.T) {
+	inBubble(t, safeRoute, map[string]behaviour{"s1": wellAfter(150 * time.Millisecond)}, func(b *proxyBubble) {
+		c, r := b.dial()
+		defer c.Close()
+		send(c, "/safe/x", "t1", 900)
+		b.settle()
+		raw := fmt.Appendf(nil, `{"revision":2,"routes":[%s],"services":[{"name":"s1"}],"limits":{"idle-timeout-ms":3000}}`, safeRoute)
+		must.True(b.t, b.take(clusterstate.Update{Revision: 2, Body: clusterstate.Pack(raw)}))
+		for _, attempt := range []string{"t2", ""} {
+			res, _ := b.receive(r)
+			must.Eq(b.t, http.StatusOK, res.StatusCode)
+			must.False(b.t, res.Close)
+			if attempt != "" {
+				send(c, "/safe/x", attempt, 900)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/lab/rules/all.go
@@ -0,0 +1,186 @@
+package rules
+
+import "willowsill/lab/modelcheck/planted"
+
+// Files that keep many rules.
+const (
+	connectionFile  = "transport/replicahttp/connection.go"
+	handlerFile     = "front/clienthttp/clienthttp.go"
+	serversFile     = "front/clienthttp/server.go"
+	proxyFile       = "front/proxyserver/proxyserver.go"
+	tableFile       = "decide/routingtable/routingtable.go"
+	routesFile      = "decide/routeconfig/routeconfig.go"
+	splitFile       = "decide/weightedsplit/weightedsplit.go"
+	gatherFile      = "decide/gather/gather.go"
+	moduleFile      = "balance/balance.go"
+	retryFile       = "balance/retry.go"
+	admissionFile   = "balance/admission.go"
+	replicasFile    = "balance/replicastate.go"
+	sendFile        = "node/send.go"
+	admitFile       = "node/admit.go"
+	controllerFile  = "decide/controller/controller.go"
+	callersFile     = "decide/controller/callers.go"
+	ordersFile      = "decide/controller/orders.go"
+	diskFile        = "decide/controller/disk.go"
+	contactFile     = "decide/controller/contact.go"
+	leaversFile     = "decide/controller/leavers.go"
+	proposerFile    = "decide/register/proposer.go"
+	registerFile    = "decide/register/register.go"
+	registryFile    = "decide/registry/registry.go"
+	stateFile       = "decide/clusterstate/clusterstate.go"
+	followerFile    = "decide/follower/follower.go"
+	readinessFile   = "decide/follower/readiness.go"
+	storeFile       = "transport/statestore/statestore.go"
+	daemonFile      = "transport/daemon/daemon.go"
+	resourcesFile   = "transport/controlserver/resources.go"
+	controlsim      = "lab/controlsim"
+	replicahttp     = "transport/replicahttp"
+	clienthttp      = "front/clienthttp"
+	proxyserver     = "front/proxyserver"
+	routingtable    = "decide/routingtable"
+	module          = "balance"
+	controllerTests = "decide/controller"
+)
+
+func broken(pkg, test string, edits ...planted.Edit) Break {
+	return Break{Edits: edits, Package: pkg, Test: test}
+}
+
+// All are the rules in force, in the order of the operators' pages.
+var All = []Rule{
+	// Requests and answers.
+	{"MIXED: seal", "a success goes out without the replica's seal", "an answer without one is a failure", files(connectionFile), kinds("any", "garble"),
+		broken(replicahttp, "TestWaysToEnd", edit(connectionFile, `case a.Status >= 200 && a.Status < 300 && a.Seal != "" &&`, `case a.Status >= 200 && a.Status < 300 &&`))},
+	{"MIXED: another's answer", "a client gets the answer to another request", "one request at a time on a connection, and the attempt id is compared", files(connectionFile), kinds("garble extra", "garble extra late", "idle_race"),
+		broken(replicahttp, "TestSurplusAnswers", edit(connectionFile, "if a.attempt != req.Attempt {", "if false {"))},
+	{"MIXED: two answers in one", "the body is not the replica's, but has another answer behind it", "a body that ends with its connection and holds a first line is nobody's", files(connectionFile), kinds("garble unframed", "garble extra"),
+		broken(replicahttp, "TestAnswerOfNobody", edit(connectionFile, "if endsWithConnection(res) && bytes.Contains(body, []byte(firstLine)) {", "if bytes.Contains(body, []byte(firstLine)) && false {"))},
+	{"MIXED: broken off", "an answer that was broken off, or reset on its way, looks whole", "the body is read whole, by length, by chunks, or up to an end in order", files(connectionFile), kinds("garble", "garble unframed", "srv_crash", "reset_conns"),
+		broken(proxyserver, "TestReplicaConnections/no length, reset, unsafe true, reused false", edit(connectionFile, "	body, err := io.ReadAll(io.LimitReader(res.Body, bodyMost+1))\n", "	body, err := io.ReadAll(io.LimitReader(res.Body, bodyMost+1))\n	err = nil\n"))},
+	{"MIXED: failure", "a failure bears a replica's seal and another status than that replica gave", "a replica's failure goes out as it is, own ones without any header of a replica", files(handlerFile), kinds("srv_grey errors", "garble"),
+		broken(clienthttp, "TestRefusals", edit(handlerFile, "	w.WriteHeader(got.Status)\n	w.Write(got.Body)\n", "	w.WriteHeader(max(got.Status, http.StatusBadGateway))\n	w.Write(got.Body)\n"))},
+	{"MIXED: nobody asked", "bytes go out that answer no request: a success for a client that has left", "a query without an answer ends as 502 and closes", files(handlerFile), kinds("retry_abuse", "node_freeze"),
+		broken(clienthttp, "TestClientLeaves", edit(handlerFile, "		w.Header().Set(\"Connection\", \"close\")\n		refuse(w, http.StatusBadGateway, 0)\n		return\n	}\n	draw", "		return\n	}\n	draw"))},
+	{"MIXED: parts", "a seal stands in Willowsill-Part-Seals that is no good answer to this request", "the parts that the module counts, and of these the successes", files(handlerFile), kinds("garble", "srv_grey errors"),
+		broken(clienthttp, "TestGatheredAnswer", edit(handlerFile, "got != nil && got.Status/100 == 2 {", "got != nil {"), edit(handlerFile, "for _, v := range a.Values {\n		if got := req.Answers[v.Shard];", "for shard := range req.Answers {\n		v := node.Value{Shard: shard}\n		if got := req.Answers[v.Shard];"))},
+	{"MIXED: missing parts", "the parts with Willowsill-Missing-Parts do not make up the set", "what is missing is counted from the parts of the query", files(handlerFile), kinds("srv_crash all", "srv_slow across"),
+		broken(clienthttp, "TestGatheredAnswer", edit(handlerFile, "missing := len(parts) - len(seals); missing > 0", "missing := len(parts) - len(seals); missing > 1"))},
+	{"MIXED: one configuration", "the parts are of no one configuration's set, or are judged by another's coverage", "a query keeps the shards and terms that it was taken on", files(moduleFile, handlerFile), kinds("reshard", "config_change", "config_storm"),
+		broken(proxyserver, "TestOneConfigurationAnAnswer", edit(moduleFile, "next := *a.workloads[i] //", "next := a.workloads[i] //"), edit(moduleFile, "a.shortest = w, &next, min(", "a.shortest = w, next, min("))},
+	{"MIXED: coverage", "an answer has less than min-coverage of the shards", "the floor of the route's workload", files(tableFile, admissionFile), kinds("srv_crash all", "srv_crash across"),
+		broken(proxyserver, "TestLeastCoverage", edit(tableFile, "w.Floor = min(max(r.MinCoverage, 1/float64(len(r.Fanout))), 1)", "w.Floor = 1 / float64(len(r.Fanout))"))},
+	{"MIXED: greatest records", "the body is not the greatest records of the named parts, falling", "a merge that keeps the greatest", files(gatherFile), kinds("any"),
+		broken("decide/gather", "TestGreatest", edit(gatherFile, "return bytes.Compare(b, a)", "return bytes.Compare(a, b)"))},
+	{"UNASKED: unchanged", "a replica runs a request whose method, path, query or body was changed", "the first line and headers go on as they came", files(handlerFile), kinds("any"),
+		broken(clienthttp, "TestWhatReplicasGet", edit(handlerFile, "target := r.RequestURI", "target := r.URL.Path"))},
+	{"UNASKED: smuggled", "a replica runs what was smuggled inside another request", "heads and bodies are read by net/http; what does not come whole goes nowhere", files(handlerFile), kinds("any"),
+		broken(clienthttp, "TestClientConnections", edit(handlerFile, `if attempt == "" || len(r.Header[replicahttp.HeaderAttempt]) > 1 {`, `if attempt == "" {`))},
+	{"UNASKED: rest of a body", "a replica that answered before a long body was in gets other bytes in that place", "writes go one after another, and a failed one closes the connection first", files(connectionFile), kinds("garble early"),
+		broken(replicahttp, "TestAnsweredBeforeItIsWritten", edit(connectionFile, "		c.end(e, notice{conn: c, result: failedWrite(n), err: err})\n		c.conn.Close()\n", "		c.end(e, notice{conn: c, result: failedWrite(n), err: err})\n"))},
+	{"TWICE: unsafe", "a request that is not repeatable runs more than once", "unsafe routes are once-only and have one execution", files(tableFile, retryFile), kinds("answer_lost", "reset_conns", "srv_grey reset"),
+		broken(proxyserver, "TestReplicaConnections/closed after the request, unsafe true, reused false", edit(tableFile, "w.Effect, w.MaxExecutions = balance.OnceOnly, 1", "w.Effect, w.MaxExecutions = balance.Repeatable, 2"))},
+	{"TWICE: terms", "the same, where a configuration gives the route's place to another route meanwhile", "queries keep their terms", files(moduleFile), kinds("config_change route", "big_config"),
+		broken(module, "TestScenarios/once-row", edit(moduleFile, "next := *a.workloads[i] //", "next := a.workloads[i] //"), edit(moduleFile, "a.shortest = w, &next, min(", "a.shortest = w, next, min("))},
+	{"TWICE: rows", "the same, where the request's body is still being read", "rows rest for a minute before another route gets them", files(tableFile), kinds("config_change route", "big_config"),
+		broken(routingtable, "TestRowsRest", edit(tableFile, "len(t.free) > 0 && now-t.free[0].since >= rowRest {", "len(t.free) > 0 {"))},
+	{"REFUSED: proof", "429, 503, 408 or 421 for a request that has run or will", "only a proof says that nothing ran", files(connectionFile), kinds("srv_grey shed", "srv_grey busy", "garble"),
+		broken(replicahttp, "TestOnlyAProofSaysNotRun", edit(connectionFile, "return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusBadRequest", "return true"))},
+	{"REFUSED: a replica's 503", "a replica's own 503 without a proof goes on as a promise", "it goes on as 502", files(handlerFile), kinds("srv_grey busy"),
+		broken(proxyserver, "TestReplicaConnections/503 of its own, unsafe true, reused false", edit(handlerFile, "got.Status == http.StatusServiceUnavailable && final != balance.Declined", "false"))},
+	{"REFUSED: declines", "a decline promises that nothing ran, and a part may have", "once-only queries with such a part are forfeited", files(admissionFile), kinds("answer_lost", "srv_crash"),
+		broken(module, "TestScenarios/once-only", edit(admissionFile, "if ran && q.workload.Effect != Repeatable {", "if false && ran {"))},
+	{"DENIED", "a 404 or another 4xx of one's own for what the configurations allow; one that knows none answers 503", "503 before there is a configuration", files(handlerFile), kinds("herd_kill", "power_off_all", "roll_term"),
+		broken(clienthttp, "TestRefusals", edit(handlerFile, "	if state == nil {\n		refuse(w, http.StatusServiceUnavailable, int64(time.Second))", "	if state == nil {\n		refuse(w, http.StatusNotFound, int64(time.Second))"))},
+	{"ROUTE: prefix", "a request goes to a service that its route does not name", "the longest prefix of the host", files(routesFile), kinds("config_change route", "big_config"),
+		broken("decide/routeconfig", "TestReadAndFind", edit(routesFile, "return len(b.Prefix) - len(a.Prefix)", "return len(a.Prefix) - len(b.Prefix)"))},
+	{"ROUTE: reused address", "a replica of another service, at the address of one that is gone, runs a request", "Willowsill-Target-Replica on every send", files(connectionFile), kinds("replace_with_reuse"),
+		broken(replicahttp, "TestPartAndAnswer", edit(connectionFile, "	buf = append(buf, c.line.id...)\n", ""))},
+	{"ROUTE: 421", "what another replica turned away is lost", "421 proves that nothing ran; the part goes elsewhere", files(connectionFile), kinds("replace_with_reuse"),
+		broken(replicahttp, "TestWaysToEnd", edit(connectionFile, "		return balance.ConnectFailed // another replica has the address\n", "		return balance.Errored\n"))},
+
+	// Leaving in order.
+	{"DRAIN: acknowledged", "a request reaches a replica later than drain-ms after its leaving was acknowledged, by whichever machine", "acknowledged on a majority's disks only", files(callersFile, leaversFile), kinds("scale_in", "release", "core_cut lure", "node_kill leader race drain"),
+		broken(controlsim, "TestWorse/departures", edit(callersFile, "if r.Phase == registry.Ready {\n		c.out", "if true {\n		c.out"))},
+	{"DRAIN: late words", "a heartbeat that comes seconds late brings a replica back that leaves", "what is leaving stays so", files(registryFile), kinds("scale_in", "release"),
+		broken(controlsim, "TestWorse/departures", edit(registryFile, "if o.Phase == Gone || o.Phase == Draining && r.Phase == Ready {", "if o.Phase == Draining && r.Phase == Ready {"))},
+	{"DRAIN: after a loss of power", "an acknowledged drain is forgotten", "answered once the list is saved", files(leaversFile), kinds("herd_kill off", "power_off_all", "node_kill meet drain"),
+		broken(controllerTests, "TestAcknowledgedDrainOutlivesPower", edit(leaversFile, "	return !unsaved && !saving\n", "	return !unsaved || !saving\n"))},
+	{"DRAIN: no new sends", "an edge goes on sending to a replica that drains", "only replicas that are up are eligible", files(moduleFile), kinds("scale_in", "release"),
+		broken(module, "TestScenarios/drain", edit(moduleFile, "= l.Standing == Up, l.Started", "= l.Standing != Gone, l.Started"))},
+	{"DRAIN: readiness", "proxies that were told to stop still call themselves ready 4 s later", "readiness goes first", files(proxyFile), kinds("roll_term", "roll_term busy"),
+		broken(proxyserver, "TestLeavingInOrder", edit(proxyFile, "	s.leaving.Store(true)\n", ""))},
+	{"LOST: under way at SIGTERM", "a request that was read ends without an answer around planned work", "what is under way is waited for, within the grace", files(proxyFile), kinds("roll_term busy"),
+		broken(proxyserver, "TestLeavingInOrder", edit(proxyFile, "server.Shutdown(wait)", "server.Close()"))},
+	{"LOST: sent after SIGTERM", "the platform sends for a while yet, and is not answered", "the listener stays open, and each answer closes its connection", files(proxyFile), kinds("roll_term", "scale_in"),
+		broken(proxyserver, "TestLeavingInOrder", edit(proxyFile, "	time.Sleep(min(stayOpen, time.Until(until)/2))\n	front.Close()\n", "	front.Close()\n"))},
+	{"LOST: signals", "SIGHUP, or SIGTERM once more, ends a process that starts or drains", "handlers that are never taken away", files(daemonFile), kinds("hup", "roll_term"),
+		broken("transport/daemon", "TestSignalsWhileLeaving", edit(daemonFile, "	signal.Notify(reload, syscall.SIGHUP)\n", ""))},
+	{"LOST: limits that change", "a configuration closes connections under requests", "an open connection keeps the server and the limits that it came under", files(serversFile), kinds("config_change idle", "config_storm"),
+		broken(proxyserver, "TestKeptConnectionsOverAChange", edit(serversFile, "	s.limits = l\n", "	s.limits = l\n	for _, former := range s.all {\n		former.Close()\n	}\n"))},
+	{"LOST: rested connections", "a kept connection is closed under a request that it was taken up for within four fifths of idle-timeout-ms", "the whole of idle-timeout-ms is waited", files(serversFile), kinds("config_change idle", "any"),
+		broken(proxyserver, "TestRestedConnections", edit(serversFile, "IdleTimeout: idle,", "IdleTimeout: idle / 2,"))},
+
+	// Configuration.
+	{"CONFIG: in force", "a machine in touch goes by an older version later than apply-ms after the acknowledgement", "freshness down to every edge; a feeder that is not fresh is left", files(followerFile, contactFile), kinds("core_cut", "core_cut one_way", "core_cut behind", "node_cut"),
+		broken(controlsim, "TestDays/point1", edit(followerFile, "if f.alternatives == 0 || f.fresh(now) || now-f.connectedAt < stay {", "if stay > 0 {"))},
+	{"CONFIG: never back", "a machine goes back in one life", "the highest revision wins, from any feeder", files(stateFile), kinds("core_cut behind", "core_cut both", "node_cut"),
+		broken("decide/clusterstate", "TestNeverBack", edit(stateFile, "if n.Revision > b.Revision && len(n.Body)+len(n.Patch) > 0 {", "if n.Revision > 0 && len(n.Body)+len(n.Patch) > 0 {"))},
+	{"CONFIG: invalid", "anything invalid is acknowledged or in force", "read and checked field by field before it is an order", files(resourcesFile, routesFile), kinds("bad_config"),
+		broken("transport/controlserver", "TestInvalidOrders", edit(routesFile, "	seen := map[place]string{}\n", "	seen := map[place]string{}\n	if len(c.Routes) > 0 {\n		return nil\n	}\n"))},
+	{"CONFIG: two contents", "other content under a version that is held is acknowledged, read back or obeyed", "a record of the orders and their sums in the register's value", files(ordersFile), kinds("config_race", "bad_config same_version", "core_cut race"),
+		broken(controllerTests, "TestLoserOfARaceStaysTheLoser", edit(ordersFile, "case known && sum != o.Sum:", "case known && sum != o.Sum && o.Revision > value.Revision:"))},
+	{"CONFIG: sent again", "an acknowledged change that is sent again is refused", "the record is looked at before the number", files(ordersFile), kinds("ack_lost", "config_storm"),
+		broken(controllerTests, "TestHundredsOfChanges", edit(ordersFile, "case known && sum != o.Sum:", "case known && sum != o.Sum || o.Revision < value.Revision:"))},
+	{"CONFIG: reads", "any machine, in touch or not, answers a read with an older version", "each read asks a majority", files(callersFile), kinds("core_cut split", "core_cut behind", "node_kill reader power"),
+		broken(controlsim, "TestWorse/halves", edit(callersFile, "	n, out := c.proposer.Edit(now, same)\n", "	if c.committed.Revision > 0 {\n		c.answer(t, statusOK, c.committed.Body, \"\")\n		return c.done()\n	}\n	n, out := c.proposer.Edit(now, same)\n"))},
+	{"CONFIG: two halves", "the counted machines are cut into halves, and one number gets two contents", "more than half of the members, of the former ones too", files(registerFile), kinds("core_cut split", "core_cut split meet", "core_cut split race"),
+		broken(controlsim, "TestWorse/halves", edit(registerFile, "return 2*n > len(members)", "return 2*n >= len(members)"))},
+	{"CONFIG: deadline-ms", "requests unanswered at deadline-ms have no answer half a second later", "a query ends with the shorter of the client's time and the route's", files(handlerFile, admissionFile), kinds("srv_grey hang", "srv_crash dark", "srv_slow"),
+		broken(proxyserver, "TestAnsweredByTheRoutesTime", edit(handlerFile, "until := came + route.DeadlineMs*millisecond", "until := came + 8*route.DeadlineMs*millisecond"))},
+	{"CONFIG: weights", "a part's share of 300 requests lies off its weight's", "a sequence of low discrepancy for each split", files(splitFile, tableFile), kinds("config_change weights"),
+		broken("decide/weightedsplit", "TestSharesInEveryWindow", edit(splitFile, "float64(count)*goldenRatio", "float64(xxhash.Sum64([]byte{byte(count), byte(count >> 8)}))/hashRange"))},
+	{"CONFIG: weights over changes", "the same, while changes come quickly", "a split's sequence goes on", files(tableFile), kinds("config_storm", "config_change weights"),
+		broken(routingtable, "TestSplitGoesOn", edit(tableFile, "if splits[r.Name] = t.splits[r.Name]; splits[r.Name] == nil {", "if splits[r.Name] == nil {"))},
+	{"CONFIG: routes added later", "they are served less than a quarter as often as the first", "a workload that is not known yet goes by its own goal", files(replicasFile), kinds("big_config", "config_change route"),
+		broken(proxyserver, "TestRoutesAddedLater", edit(replicasFile, "math.Log(float64(w.LatencyGoal)/priorShare)", "math.Log(float64(w.LatencyGoal)*priorShare)"))},
+
+	// Further tries.
+	{"BUDGET: a service", "retries of all machines exceed the ratio and the slack in some window", "a budget for each shard, with a span no longer than the window", files(retryFile), kinds("srv_crash", "srv_grey", "retry_abuse"),
+		broken(module, "TestScenarios/budget", edit(retryFile, "return !a.Budgeted || a.further[n].sum(now)+1 <=", "return !a.Budgeted || a.further[n].sum(now) <="))},
+	{"BUDGET: all machines", "the slack is spent by each machine", "an edge's share, none in its first window", files(tableFile), kinds("herd_kill", "add_nodes", "release"),
+		broken(routingtable, "TestBudgetOfAll", edit(tableFile, "share = slackShare * t.settings.Bounds.RetrySlack / float64(t.edges)", "share = slackShare * t.settings.Bounds.RetrySlack"))},
+	{"BUDGET: max-tries", "one try runs at more replicas than max-tries, each shard by itself", "the executions of a part are bounded by it", files(tableFile, retryFile), kinds("srv_grey errors", "garble"),
+		broken(proxyserver, "TestTriesOfARoute", edit(tableFile, "MaxExecutions: r.Tries}", "MaxExecutions: r.Tries + 1}"))},
+	{"BUDGET: time handed on", "a replica is handed more time than is left, at a second send too", "what is left at the send", files(sendFile), kinds("srv_grey", "srv_slow"),
+		broken(proxyserver, "TestDeadlinesHandedOn", edit(sendFile, "wait := (s.CutAt - now) / waitUnit", "wait := (s.CutAt - q.came) / waitUnit"))},
+	{"BUDGET: the client's time", "the deadline handed on is longer than the client's", "the client's deadline bounds the query", files(handlerFile), kinds("any"),
+		broken(proxyserver, "TestDeadlinesHandedOn", edit(handlerFile, "until = min(until, came+n*millisecond)", "until = max(until, came+n*millisecond)"))},
+	{"GONE: withdrawn", "replicas are at work half a second after the client has left", "a client's leaving ends its query and closes what is out", files(handlerFile, admitFile), kinds("retry_abuse", "burst"),
+		broken(proxyserver, "TestWithdrawnWhenTheClientLeaves", edit(handlerFile, "q.Core.Serve(r.Context(), query)", "q.Core.Serve(context.WithoutCancel(r.Context()), query)"))},
+	{"GONE: no further sends", "requests reach a replica after their client has left", "what was not written is withdrawn", files(admitFile), kinds("retry_abuse", "srv_crash dark"),
+		broken("node", "TestNothingAfterTheAnswer", edit(admitFile, "if !e.over && n.pool.Withdraw(e.ticket) {", "if !e.over && false {"))},
+
+	// After a loss.
+	{"LOST: acknowledged", "what was acknowledged no longer exists after the closing fault", "answers leave after the sync", files(diskFile), kinds("power_off_all", "wipe_after_ack", "after_ack_kill timed", "herd_kill taken all"),
+		broken(controlsim, "TestWorse/dark", edit(diskFile, "	if after == 0 {\n", "	if after >= 0 {\n"))},
+	{"LOST: empty disks", "a machine with an empty disk makes up a majority that never heard of it", "it counts once a majority of the others has promised it", files(proposerFile), kinds("wipe_after_ack", "after_ack_wipe", "replace_core", "core_cut behind"),
+		broken(controlsim, "TestWorse/overlap", edit(proposerFile, "return best, best.Value.Quorum(in)", "return best, in != nil"))},
+	{"LOST: torn writes", "the file is torn by a loss of power, and the save before is not found", "two slots with check sums, a torn end is cut off", files(storeFile), kinds("herd_kill off", "node_kill power", "disk_full"),
+		broken("transport/statestore", "TestTornAnywhere", edit(storeFile, "	if whole == len(text) {\n", "	if whole <= len(text) {\n"))},
+	{"RECOVER", "less than a quarter is served once recovery-s has gone by, with no edge that remembers anything", "controllers find on disk what stood, and edges are ready with it", files(controllerFile, readinessFile), kinds("power_off_all", "kill_all", "wipe_after_ack"),
+		broken(controlsim, "TestEdgesAfterEverythingDark", edit(controllerFile, "case s.State != nil:", "case s.State != nil && len(s.State.Value.Body) == 0:"))},
+
+	// Score and gate.
+	{"Duty: ready", "machines in touch are not ready for an eighth of the calm time, or are ready with an old version", "ready once a fresh feeder vouches for the configuration, or after 3 s without any", files(readinessFile), kinds("herd_kill", "roll_term", "core_cut"),
+		broken("decide/follower", "TestReadyOnlyWithCurrent", edit(readinessFile, "return r.wasFresh || now-r.firstAt >= readyWithout", "return r.wasFresh"))},
+	{"Acks: orders", "a proper order has no acknowledgement after order-ack-ms in a settled core", "what nobody called committed is settled by a round", files(contactFile), kinds("node_kill leader race", "config_storm", "disk_stall"),
+		broken(controllerTests, "TestHalfWrittenIsSettled", edit(contactFile, "settleAfter   = 400 * ms", "settleAfter   = 400000 * ms"), edit(contactFile, "settleBackup  = 800 * ms", "settleBackup  = 800000 * ms"))},
+	{"Acks: leavers", "over a fifth of those that leave have no acknowledgement", "a majority of disks, and no particular one", files(callersFile, leaversFile), kinds("scale_in", "disk_stall", "disk_full"),
+		broken(controllerTests, "TestDrainBesideStuckDisks", edit(callersFile, "if 2*n > len(c.members()) {", "if n == len(c.members()) {"))},
+	{"Prices: held", "a request that is not served is held, and not offered", "what would be late is declined before it costs anything", files(admissionFile), kinds("burst", "srv_crash all", "srv_slow across"),
+		broken(module, "TestScenarios/worth", edit(admissionFile, "if need-missing < least-slack {", "if false {"))},
+	{"Prices: come back", "clients that are declined come back together and are declined again", "a time to come back with each decline, by lot", files(tableFile, handlerFile), kinds("burst", "retry_abuse"),
+		broken(routingtable, "TestComeBackSpreads", edit(tableFile, "return advice - int64(draw*float64(advice)/2)", "return advice"))},
+	{"Fault: disk", "the disk fills up, or a full one ends the process", "the file is written anew once it has grown; a refused one costs only room", files(storeFile), kinds("disk_full", "config_storm"),
+		broken("transport/statestore", "TestDiskThatRefuses", edit(storeFile, "	if err := b.writeAnew(next); err != nil {\n		os.Remove(next)\n		return nil\n	}\n", "	if err := b.writeAnew(next); err != nil {\n		return err\n	}\n"))},
+}
--- /dev/null
+++ b/lab/rules/rules.go
@@ -0,0 +1,66 @@
+// Package rules lists the operators' rules that are in force, what keeps each, and the test that fails without it. The page
+// docs/rules.md is written from it, and a test plants each break to see that its test finds it. It plays nothing itself.
+package rules
+
+import (
+	"fmt"
+	"strings"
+
+	"willowsill/lab/modelcheck/planted"
+)
+
+// Rule is one thing that the operators judge.
+type Rule struct {
+	Name      string // of the rule as the operators have it, and a word for the part of it
+	Judged    string // what breaks it
+	Mechanism string // what keeps it, in words
+	Files     []string
+	Kinds     []string // kinds of days that bring it about; "any" for every day
+	Break     Break
+}
+
+// Break takes the mechanism out.
+type Break struct {
+	Edits   []planted.Edit
+	Package string // whose test fails then
+	Test    string // the test, and a subtest behind a slash
+}
+
+// Pattern is what go test is to run.
+func (b Break) Pattern() string {
+	var names []string
+	for _, name := range strings.Split(b.Test, "/") {
+		names = append(names, "^"+name+"$")
+	}
+	return strings.Join(names, "/")
+}
+
+// Overlay writes to a folder what has the Go tool build the module at root with the mechanism taken out.
+func (r Rule) Overlay(root, folder string) (string, error) {
+	return planted.Mutant{Name: r.Name, Edits: r.Break.Edits}.Overlay(root, folder)
+}
+
+// Row is the rule as a row of the page's table.
+func (r Rule) Row() string {
+	quoted := func(words []string) string { return "`" + strings.Join(words, "`, `") + "`" }
+	return fmt.Sprintf("| %s | %s | %s (%s) | `%s` %s | %s |", r.Name, r.Judged, r.Mechanism, quoted(r.Files), r.Break.Package, quoted([]string{r.Break.Test}),
+		quoted(r.Kinds))
+}
+
+// Heading is the table's heading.
+const Heading = "| rule | broken where | kept by | fails without it | kinds of days |\n|---|---|---|---|---|"
+
+// Table is the page's table.
+func Table() string {
+	rows := []string{Heading}
+	for _, r := range All {
+		rows = append(rows, r.Row())
+	}
+	return strings.Join(rows, "\n") + "\n"
+}
+
+func edit(file, was, is string) planted.Edit { return planted.Edit{File: file, Was: was, Is: is} }
+
+func files(names ...string) []string { return names }
+
+func kinds(names ...string) []string { return names }
--- a/node/node_test.go
+++ b/node/node_test.go
@@ -220,6 +220,14 @@
 		if len(w.out) != 0 {
 			w.Errorf("%d executions wait to be sent", len(w.out))
 		}
+		ctx, leave := context.WithTimeout(w.Context(), 100*time.Millisecond)
+		defer leave()
+		w.expect(w.serve(ctx, "r", 2*time.Second), "left")
+		time.Sleep(10 * time.Millisecond) // long before they would be dropped
+		synctest.Wait()
+		if len(w.out) != 0 {
+			w.Errorf("%d executions wait to be sent for a client that has left", len(w.out))
+		}
 	})
 }
 
--- a/transport/controlserver/resources_test.go
+++ b/transport/controlserver/resources_test.go
@@ -93,3 +93,25 @@
 	must.StrContains(t, told, "willowsill_replicas{phase=\"ready\"} 0\n")
 	must.Eq(t, "willowsill_controller_up 0\n", text(&Server{inputs: make(chan func(int64) controller.Out)}))
 }
+
+// TestInvalidOrders: what is invalid gets 400 and is in force nowhere; the configuration before stays.
+func TestInvalidOrders(t *testing.T) {
+	handler := newTestServer(t, "").handler()
+	must.Eq(t, http.StatusOK, replace(handler, "7", "s"))
+	for name, body := range map[string]string{
+		"cut short":       `{"revision":8,"routes":[],"services":[{"name":"s"}`,
+		"unknown service": `{"revision":8,"routes":[{"name":"r","host":"h","path-prefix":"/","deadline-ms":9,"service":"t"}],"services":[{"name":"s"}]}`,
+		"no time":         `{"revision":8,"routes":[{"name":"r","host":"h","path-prefix":"/","deadline-ms":0,"service":"s"}],"services":[{"name":"s"}]}`,
+		"no weight":       `{"revision":8,"routes":[{"name":"r","host":"h","path-prefix":"/","deadline-ms":9,"weighted-split":[{"service":"s","weight":0}]}],"services":[{"name":"s"}]}`,
+		"same place": `{"revision":8,"routes":[{"name":"r","host":"h","path-prefix":"/","deadline-ms":9,"service":"s"},` +
+			`{"name":"q","host":"h","path-prefix":"/","deadline-ms":9,"service":"s"}],"services":[{"name":"s"}]}`,
+	} {
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/configuration/replace", strings.NewReader(body)))
+		must.Eq(t, http.StatusBadRequest, w.Code, must.Sprint(name))
+		w = httptest.NewRecorder()
+		handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/configuration/read", nil))
+		must.Eq(t, http.StatusOK, w.Code)
+		must.StrHasPrefix(t, `{"revision":7,`, w.Body.String())
+	}
+}
