Whole controllers explored: duties, orders, departures and what followers are told

Cause: the register was explored in every order of events, the controllers around it (updates, duties) were not (docs/ROADMAP.md, Register).

Ruled out: every order, as for the register: controllers have timers, so the search does not end, and no copies, so each play is made from its beginning.

Change: lab/controllercheck plays the true controllers with at most two deviations from the punctual order of events (late, very late, lost, twice, a save that fails, killed, without power, emptied), over five scopes: a replacement, a planned one, two controllers at the duty at once, two contents under one number, a drain with all power lost. Checked: one content a number, acknowledged and told things on a majority's disks, followers never taken back, one list of members an epoch, and everything whole again in the end. willowlab explore-controllers.

--- a/cmd/willowlab/explore.go
+++ b/cmd/willowlab/explore.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"runtime"
 	"slices"
 	"strings"
 	"text/tabwriter"
@@ -10,6 +11,7 @@
 
 	"github.com/spf13/cobra"
 
+	"willowsill/lab/controllercheck"
 	"willowsill/lab/modelcheck"
 	"willowsill/lab/propagation"
 )
@@ -59,6 +61,44 @@
 	return c
 }
 
+// exploringControllers plays whole controllers with deviations from the punctual order of events.
+func exploringControllers() *cobra.Command {
+	var pairs, cores int
+	var list bool
+	c := &cobra.Command{Use: "explore-controllers [SCOPE ...]", Short: "Play whole controllers with messages late, lost or doubled and machines lost",
+		Long: "Plays small systems of whole controllers: changes of members, orders, departures. Each play deviates from the punctual one at\n" +
+			"one event, or at two: a message is late, lost or doubled, a save fails or hangs, the machine is killed, loses power or its disk.\n" +
+			"All plays with one deviation are made, and of those with two as many as asked. The first broken promise is printed.",
+		Example: "  willowlab explore-controllers\n  willowlab explore-controllers --pairs 100000 'two at the duty'",
+		RunE: func(c *cobra.Command, args []string) error {
+			for _, a := range args {
+				if !slices.ContainsFunc(controllercheck.Scopes, func(s controllercheck.Scope) bool { return s.Name == a }) {
+					return fmt.Errorf("there is no scope %q; --list names them", a)
+				}
+			}
+			for _, s := range controllercheck.Scopes {
+				if len(args) > 0 && !slices.Contains(args, s.Name) {
+					continue
+				}
+				if list {
+					fmt.Fprintf(c.OutOrStdout(), "%s: members %s\n", s.Name, strings.Join(s.Members, " "))
+					continue
+				}
+				began := time.Now()
+				r := controllercheck.Explore(s, pairs, cores)
+				fmt.Fprintf(c.OutOrStdout(), "%s, %.1f s\n", r, time.Since(began).Seconds())
+				if r.First != nil {
+					return errRule
+				}
+			}
+			return nil
+		}}
+	c.Flags().IntVar(&pairs, "pairs", 1000, "plays with two deviations, of each scope")
+	c.Flags().IntVar(&cores, "cores", runtime.NumCPU(), "cores to use")
+	c.Flags().BoolVar(&list, "list", false, "name the scopes")
+	return c
+}
+
 // spreading counts the messages that bring one update to all edges.
 func spreading() *cobra.Command {
 	f := propagation.Fleet{Edges: 60, Controllers: 9, Zones: 6, Regions: 3}
--- a/cmd/willowlab/main.go
+++ b/cmd/willowlab/main.go
@@ -17,7 +17,7 @@
 		SilenceUsage: true, SilenceErrors: true}
 	root.PersistentFlags().Bool(asBuilt, false, "")
 	root.PersistentFlags().MarkHidden(asBuilt)
-	root.AddCommand(running(), beside(), checking(), comparing(), reporting(), hunting(), replaying(), loading(), growing(), exploring(), spreading(), losing(), controlling(), hollowing())
+	root.AddCommand(running(), beside(), checking(), comparing(), reporting(), hunting(), replaying(), loading(), growing(), exploring(), exploringControllers(), spreading(), losing(), controlling(), hollowing())
 	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "willowlab:", err)
 		os.Exit(code(err))
--- a/decide/controller/contact.go
+++ b/decide/controller/contact.go
@@ -203,3 +203,6 @@
 func (c *Controller) laterOf(a, b string) int {
 	return cmp.Compare(c.lease.Reached(a), c.lease.Reached(b))
 }
+
+// Committed is the newest value known to be committed.
+func (c *Controller) Committed() register.Value { return c.committed }
--- /dev/null
+++ b/lab/controllercheck/controllercheck_test.go
@@ -0,0 +1,64 @@
+package controllercheck
+
+import (
+	"flag"
+	"os/exec"
+	"runtime"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"willowsill/lab/modelcheck/planted"
+)
+
+var pairs = flag.Int("pairs", 400, "plays with two deviations, of each scope")
+
+// TestScopes: no play with a deviation breaks a promise, nor does any with two of those that are made.
+func TestScopes(t *testing.T) {
+	for _, s := range Scopes {
+		t.Run(s.Name, func(t *testing.T) {
+			r := Explore(s, *pairs, runtime.NumCPU())
+			t.Log(r)
+			must.Nil(t, r.First, must.Sprint(r))
+			must.Greater(t, 100, r.Plays)
+		})
+	}
+}
+
+const (
+	membersFile = "decide/controller/members.go"
+	diskFile    = "decide/controller/disk.go"
+	leaversFile = "decide/controller/leavers.go"
+	callersFile = "decide/controller/callers.go"
+)
+
+// TestMutants: controllers with one defence taken out break a promise in the scope named.
+func TestMutants(t *testing.T) {
+	edit := func(file, was, is string) []planted.Edit { return []planted.Edit{{File: file, Was: was, Is: is}} }
+	for _, m := range []planted.Mutant{
+		{Name: "a change of members that others overtook is made all the same", Scope: "two_at_the_duty",
+			Edits: edit(membersFile, "if v.Epoch != epoch || len(v.Prior) > 0 {", "if false {")},
+		{Name: "a place that is free is given to nobody", Scope: "replacement",
+			Edits: edit(membersFile, "case len(gone) > 0 && len(newcomers) > 0:", "case len(gone) > 1 && len(newcomers) > 0:")},
+		{Name: "who leaves is waited for until it is silent, and then for ever", Scope: "planned_replacement",
+			Edits: edit(membersFile, "			silent = append(silent, ip)\n", "")},
+		{Name: "answers leave before the sync", Scope: "two_contents", Edits: edit(diskFile, "	if after == 0 {\n", "	if after >= 0 {\n")},
+		{Name: "a drain is acknowledged before it is saved", Scope: "drain_and_power",
+			Edits: edit(leaversFile, "	return !unsaved && !saving\n", "	return !unsaved && !saving || true\n")},
+		{Name: "a drain is acknowledged by one alone", Scope: "drain_and_power",
+			Edits: edit(callersFile, "if 2*n > len(c.members()) {", "if n > 0 {")},
+		{Name: "what is told need not stand", Scope: "two_contents",
+			Edits: edit(diskFile, "	c.dirty = c.dirty || save\n", "	c.dirty = c.dirty || save\n	c.tell(c.book.Take(clusterstate.Update{Revision: c.disk.Value.Revision, Body: c.disk.Value.Body}))\n")},
+	} {
+		t.Run(m.Name, func(t *testing.T) {
+			t.Parallel()
+			overlay, err := m.Overlay("../..", t.TempDir())
+			must.NoError(t, err)
+			// A program of its own, for this one is built of the true text.
+			printed, err := exec.Command("go", "test", "-count=1", "-overlay", overlay, "-run", "^TestScopes$/^"+m.Scope+"$", "willowsill/lab/controllercheck").CombinedOutput()
+			must.Error(t, err)
+			must.True(t, strings.Contains(string(printed), "broken: "), must.Sprint(string(printed)))
+		})
+	}
+}
