Names of today in tests and constants; scopes are named in one place

chartMost and beatMost were the last of a withdrawn house style in the controller's resources, deck and board in the pool's tests, and the class of invalid configurations was chart_invalid (an error's class, in no log line's key). willowlab explore and explore-controllers choose their scopes by one function. Behaviour as before.

--- a/cmd/willowlab/explore.go
+++ b/cmd/willowlab/explore.go
@@ -16,6 +16,21 @@
 	"willowsill/lab/propagation"
 )
 
+// namedScopes returns the scopes that the arguments name, all of them where there are none.
+func namedScopes[S any](all []S, name func(S) string, args []string) (named []S, err error) {
+	for _, a := range args {
+		if !slices.ContainsFunc(all, func(s S) bool { return name(s) == a }) {
+			return nil, fmt.Errorf("there is no scope %q; --list names them", a)
+		}
+	}
+	for _, s := range all {
+		if len(args) == 0 || slices.Contains(args, name(s)) {
+			named = append(named, s)
+		}
+	}
+	return named, nil
+}
+
 // exploring plays every order of events of small registers.
 func exploring() *cobra.Command {
 	var most int64
@@ -26,15 +41,11 @@
 			"losses of power and of disks. The first promise that is found broken is printed with a shortest way to it.",
 		Example: "  willowlab explore 'two contents'\n  willowlab explore --deep --states 100000000 replacement",
 		RunE: func(c *cobra.Command, args []string) error {
-			for _, a := range args {
-				if !slices.ContainsFunc(modelcheck.Scopes, func(s modelcheck.Scope) bool { return s.Name == a }) {
-					return fmt.Errorf("there is no scope %q; --list names them", a)
-				}
+			scopes, err := namedScopes(modelcheck.Scopes, func(s modelcheck.Scope) string { return s.Name }, args)
+			if err != nil {
+				return err
 			}
-			for _, s := range modelcheck.Scopes {
-				if len(args) > 0 && !slices.Contains(args, s.Name) {
-					continue
-				}
+			for _, s := range scopes {
 				if list {
 					fmt.Fprintf(c.OutOrStdout(), "%s: members %s, %d operations, %d losses of power, %d of a disk, %d questions or ballots a life\n",
 						s.Name, strings.Join(s.Members, " "), len(s.Ops), s.Crashes, s.Wipes, s.Rounds)
@@ -71,15 +82,11 @@
 			"All plays with one deviation are made, and of those with two as many as asked. The first broken promise is printed.",
 		Example: "  willowlab explore-controllers\n  willowlab explore-controllers --pairs 100000 'two at the duty'",
 		RunE: func(c *cobra.Command, args []string) error {
-			for _, a := range args {
-				if !slices.ContainsFunc(controllercheck.Scopes, func(s controllercheck.Scope) bool { return s.Name == a }) {
-					return fmt.Errorf("there is no scope %q; --list names them", a)
-				}
+			scopes, err := namedScopes(controllercheck.Scopes, func(s controllercheck.Scope) string { return s.Name }, args)
+			if err != nil {
+				return err
 			}
-			for _, s := range controllercheck.Scopes {
-				if len(args) > 0 && !slices.Contains(args, s.Name) {
-					continue
-				}
+			for _, s := range scopes {
 				if list {
 					fmt.Fprintf(c.OutOrStdout(), "%s: members %s\n", s.Name, strings.Join(s.Members, " "))
 					continue
--- a/decide/routeconfig/routeconfig.go
+++ b/decide/routeconfig/routeconfig.go
@@ -54,7 +54,7 @@
 }
 
 // ErrInvalid is the class of all that is wrong with a configuration.
-var ErrInvalid = oops.Code("chart_invalid")
+var ErrInvalid = oops.Code("configuration_invalid")
 
 // index sorts the routes by host, longest prefix first.
 func (c *Configuration) index() {
--- a/transport/controlserver/resources.go
+++ b/transport/controlserver/resources.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	beatMost  = 4 << 10 // bytes of a heartbeat
-	chartMost = 4 << 20 // bytes of a configuration
+	heartbeatMost     = 4 << 10 // bytes of a heartbeat
+	configurationMost = 4 << 20 // bytes of a configuration
 )
 
 // handler puts the resources together.
@@ -69,8 +69,8 @@
 	record := registry.Record{ID: id, Phase: registry.Gone}
 	switch call {
 	case "heartbeat":
-		body, err := io.ReadAll(io.LimitReader(r.Body, beatMost+1))
-		if err == nil && len(body) > beatMost {
+		body, err := io.ReadAll(io.LimitReader(r.Body, heartbeatMost+1))
+		if err == nil && len(body) > heartbeatMost {
 			err = errors.New("a heartbeat is too long")
 		}
 		if err == nil {
@@ -182,12 +182,12 @@
 		refuse(w, http.StatusNotImplemented, fmt.Sprintf("config_mode %q is unknown here", mode))
 		return
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, chartMost+1))
+	body, err := io.ReadAll(io.LimitReader(r.Body, configurationMost+1))
 	if err != nil {
 		refuse(w, http.StatusServiceUnavailable, "the configuration did not come whole")
 		return
 	}
-	if len(body) > chartMost {
+	if len(body) > configurationMost {
 		refuse(w, http.StatusRequestEntityTooLarge, "the configuration is too long")
 		return
 	}
--- a/transport/replicahttp/head_test.go
+++ b/transport/replicahttp/head_test.go
@@ -12,7 +12,7 @@
 func TestHeadAnswer(t *testing.T) {
 	s := &server{answers: []string{"HTTP/1.1 200 OK\r\n" + HeaderAttempt + ": ID\r\n" + HeaderSeal + ": s\r\nContent-Length: 30\r\n\r\n",
 		text("200 OK", "ID", "s", "abc")}}
-	board(t, s, func(d *deck) {
+	withPool(t, s, func(d *poolTest) {
 		result, a := d.askBy("HEAD", "x1")
 		must.Eq(t, balance.Fulfilled, result)
 		must.Eq(t, "", string(a.Body))
--- a/transport/replicahttp/nobody_test.go
+++ b/transport/replicahttp/nobody_test.go
@@ -45,7 +45,7 @@
 				if reused {
 					s.answers = append([]string{good}, s.answers...)
 				}
-				board(t, s, func(d *deck) {
+				withPool(t, s, func(d *poolTest) {
 					if reused {
 						result, _ := d.ask("x0a")
 						must.Eq(t, balance.Fulfilled, result)
@@ -84,7 +84,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := &server{answers: []string{answer("x1", "abc") + c.behind, c.second}, idle: c.idle}
-			board(t, s, func(d *deck) {
+			withPool(t, s, func(d *poolTest) {
 				result, a := d.ask("x1")
 				must.Eq(t, balance.Fulfilled, result)
 				must.Eq(t, "abc", string(a.Body))
--- a/transport/replicahttp/proof_test.go
+++ b/transport/replicahttp/proof_test.go
@@ -40,7 +40,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			answer := "HTTP/1.1 " + c.status + "\r\n" + HeaderAttempt + ": ID\r\n" + c.lines + "Content-Length: 2\r\n\r\nab"
-			board(t, &server{answers: []string{answer}}, func(d *deck) {
+			withPool(t, &server{answers: []string{answer}}, func(d *poolTest) {
 				result, _ := d.ask("x1")
 				must.Eq(t, c.want, result)
 			})
@@ -50,7 +50,7 @@
 
 // TestNoConnection: a connection that never came up proves that nothing ran.
 func TestNoConnection(t *testing.T) {
-	board(t, &server{}, func(d *deck) {
+	withPool(t, &server{}, func(d *poolTest) {
 		d.Dial = func(context.Context, string, string) (net.Conn, error) { return nil, net.ErrClosed }
 		result, _ := d.ask("x1")
 		must.Eq(t, balance.ConnectFailed, result)
--- a/transport/replicahttp/replicahttp_test.go
+++ b/transport/replicahttp/replicahttp_test.go
@@ -76,18 +76,18 @@
 		len(body), body)
 }
 
-type deck struct {
+type poolTest struct {
 	*Pool
 	t     *testing.T
 	notes chan any
 }
 
-func board(t *testing.T, s *server, play func(d *deck)) {
+func withPool(t *testing.T, s *server, play func(d *poolTest)) {
 	synctest.Test(t, func(t *testing.T) {
 		n := &pipes.Network{}
 		l := n.Listen("r:1")
 		go s.serve(l)
-		d := &deck{t: t, notes: make(chan any, 64)}
+		d := &poolTest{t: t, notes: make(chan any, 64)}
 		began := time.Now()
 		d.Pool = NewPool(func(v any) { d.notes <- v }, func() int64 { return int64(time.Since(began)) })
 		d.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -111,13 +111,13 @@
 }
 
 // ask sends one part and tells how it ended.
-func (d *deck) ask(id string) (balance.Result, *Answer) {
+func (d *poolTest) ask(id string) (balance.Result, *Answer) {
 	d.t.Helper()
 	return d.askBy("POST", id)
 }
 
 // askBy does so by another method.
-func (d *deck) askBy(method, id string) (balance.Result, *Answer) {
+func (d *poolTest) askBy(method, id string) (balance.Result, *Answer) {
 	d.t.Helper()
 	r := &Request{Attempt: id, Method: method, Body: []byte("body"), Answers: map[int]*Answer{},
 		Head: []byte(method + " /a/b?c HTTP/1.1\r\nHost: h\r\n" + HeaderAttempt + ": " + id + "\r\nContent-Length: 4\r\n")}
@@ -138,7 +138,7 @@
 }
 
 // settle takes in what is left to be told.
-func (d *deck) settle() {
+func (d *poolTest) settle() {
 	synctest.Wait()
 	for len(d.notes) > 0 {
 		d.Note(<-d.notes)
@@ -148,7 +148,7 @@
 
 func TestPartAndAnswer(t *testing.T) {
 	s := &server{answers: []string{text("200 OK", "ID", "seal", "abc"), text("200 OK", "ID", "seal2", "de")}}
-	board(t, s, func(d *deck) {
+	withPool(t, s, func(d *poolTest) {
 		result, a := d.ask("x1")
 		must.Eq(t, balance.Fulfilled, result)
 		must.Eq(t, "abc", string(a.Body))
@@ -189,7 +189,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := &server{answers: []string{c.answer, text("200 OK", "ID", "s", "next")}}
-			board(t, s, func(d *deck) {
+			withPool(t, s, func(d *poolTest) {
 				result, a := d.ask("x1")
 				must.Eq(t, c.want, result)
 				if result == balance.Fulfilled {
@@ -209,7 +209,7 @@
 // connection is withdrawn, and never leaves.
 func TestGivenUp(t *testing.T) {
 	s := &server{answers: []string{text("200 OK", "ID", "s", "abc")}}
-	board(t, s, func(d *deck) {
+	withPool(t, s, func(d *poolTest) {
 		l := (&pipes.Network{})
 		r := &Request{Attempt: "x", Method: "GET", Answers: map[int]*Answer{}, Head: []byte("GET / HTTP/1.1\r\n")}
 		ticket := &replica.Ticket{Load: r}
@@ -231,7 +231,7 @@
 func TestIdleTooLong(t *testing.T) {
 	answer := strings.Replace(text("200 OK", "ID", "s", "abc"), "\r\n", "\r\nKeep-Alive: timeout=4\r\n", 1)
 	s := &server{answers: []string{answer, answer, answer}}
-	board(t, s, func(d *deck) {
+	withPool(t, s, func(d *poolTest) {
 		d.ask("x1")
 		time.Sleep(2 * time.Second)
 		d.ask("x2")
--- a/transport/replicahttp/reuse_test.go
+++ b/transport/replicahttp/reuse_test.go
@@ -16,7 +16,7 @@
 func TestGivenUpAndAnswered(t *testing.T) {
 	good := text("200 OK", "ID", "s", "abc")
 	s := &server{answers: []string{good, good}}
-	board(t, s, func(d *deck) {
+	withPool(t, s, func(d *poolTest) {
 		r := &Request{Attempt: "x1", Method: "GET", Answers: map[int]*Answer{}, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n" + HeaderAttempt + ": x1\r\n")}
 		ticket := &replica.Ticket{Load: r}
 		must.True(t, d.Call(0, []*replica.Ticket{ticket}))
@@ -36,7 +36,7 @@
 func TestIdleRace(t *testing.T) {
 	good := text("200 OK", "ID", "s", "abc")
 	s := &server{answers: []string{good, good}, closesIdle: true}
-	board(t, s, func(d *deck) {
+	withPool(t, s, func(d *poolTest) {
 		d.ask("x1")
 		time.Sleep(time.Second) // it has closed; the loop has not heard of it
 		result, a := d.ask("x2")
--- a/transport/replicahttp/write_test.go
+++ b/transport/replicahttp/write_test.go
@@ -73,7 +73,7 @@
 		for _, reused := range []bool{false, true} {
 			t.Run(fmt.Sprint(name, ", reused ", reused), func(t *testing.T) {
 				good := text("200 OK", "ID", "s", "abc")
-				board(t, &server{answers: []string{good, good, good}}, func(d *deck) {
+				withPool(t, &server{answers: []string{good, good, good}}, func(d *poolTest) {
 					var conn *faultyConn
 					dial := d.Dial
 					d.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -113,7 +113,7 @@
 		near, far := net.Pipe()
 		wait := make(chan struct{})
 		conn := &faultyConn{Conn: near, ends: []writeEnd{{taken: 20, err: os.ErrDeadlineExceeded}}, written: &strings.Builder{}, wait: wait}
-		d := &deck{t: t, notes: make(chan any, 64)}
+		d := &poolTest{t: t, notes: make(chan any, 64)}
 		began := time.Now()
 		d.Pool = NewPool(func(v any) { d.notes <- v }, func() int64 { return int64(time.Since(began)) })
 		d.Dial = func(context.Context, string, string) (net.Conn, error) { return conn, nil }
@@ -172,7 +172,7 @@
 // TestDeadOnArrival: a connection that has ended before its first request was written proves that it did not run, also where
 // the reader is the one to tell.
 func TestDeadOnArrival(t *testing.T) {
-	board(t, &server{}, func(d *deck) {
+	withPool(t, &server{}, func(d *poolTest) {
 		d.Dial = func(context.Context, string, string) (net.Conn, error) { return deadConn{}, nil }
 		for range raceRounds {
 			result, _ := d.ask("x1")
