Shards of services rest before others get them, and a service without one shares none

Cause, found by reading after the rows: a service that neither the configuration nor a replica names gives its shard back, and the next service got it at once.

Change: shards rest for a minute, as rows do; a service for which none is left gets none, its replicas are not used and its requests get 503 until there is one. Replicas that were known before their service got its shard are listed then.

Tests: TestShardsRest, TestMoreServicesThanShards, TestServiceWithoutAShard; two rows of lab/rules with their breaks. TestShardsComeBack has time pass between its cuts now (3,072 services in place of one another, two left in the end).

--- a/decide/routingtable/routingtable.go
+++ b/decide/routingtable/routingtable.go
@@ -34,7 +34,7 @@
 	fallSpan     = 1000 * ms
 	fewerAfter   = 60000 * ms // the number of edges goes down only after that
 	fullCold     = 1          // no rule binds what a cold replica is sent
-	rowRest      = 60000 * ms // a row that was given back is given to no other route before
+	rest         = 60000 * ms // a row or a shard that was given back is given to no other route or service before
 	freeGoal     = 60000 * ms // latency goal of such a row: what all workloads go by is the shortest goal of any
 )
 
@@ -105,6 +105,12 @@
 	Err         error
 }
 
+// shard is one of the module's.
+type shard struct {
+	used      bool
+	freeSince int64 // 0 for ever
+}
+
 // Table holds the numbers of workloads and shards, and the replicas that the module knows. It is for one goroutine at a
 // time.
 type Table struct {
@@ -115,8 +121,9 @@
 	free      []freeRow // the longest free first
 	workloads []balance.Workload
 	slots     map[string]int
-	used      [shards]bool
-	edges     int // the highest number of edges of late
+	shards    [shards]shard
+	unlisted  map[string]bool // services with a new shard, whose replicas the module may not know
+	edges     int             // the highest number of edges of late
 	edgesAt   int64
 	known     map[string]registry.Record
 	splits    map[string]*weightedsplit.Sequence
@@ -126,20 +133,61 @@
 
 // New makes the table of a process that starts now.
 func New(now int64, s settings.Settings) *Table {
-	return &Table{settings: s, began: now, rows: map[string]int{}, slots: map[string]int{}, known: map[string]registry.Record{}}
+	return &Table{settings: s, began: now, rows: map[string]int{}, slots: map[string]int{}, known: map[string]registry.Record{},
+		unlisted: map[string]bool{}}
 }
 
-// Slot returns the shard of a service; a service without one is given one.
-func (t *Table) Slot(service string) int {
-	if s, ok := t.slots[service]; ok {
-		return s
+// Slot returns the shard of a service, false where it has none.
+func (t *Table) Slot(service string) (slot int, found bool) {
+	slot, found = t.slots[service]
+	return slot, found
+}
+
+// place gives a service a shard, where it has none and one is free.
+//
+// Danger: a service without a shard of its own must share none: its requests would go to another's replicas. And a part
+// that waits for a replica, or whose request is still being read, was routed by the configuration before: a shard that
+// another service got at once would have it sent to that one. So shards rest as rows do.
+func (t *Table) place(now int64, service string) {
+	if _, placed := t.slots[service]; placed {
+		return
 	}
-	s := slices.Index(t.used[:], false)
-	if s < 0 {
-		s = shards - 1
+	for slot := range t.shards {
+		if s := &t.shards[slot]; !s.used && (s.freeSince == 0 || now-s.freeSince >= rest) {
+			t.slots[service] = slot
+			s.used = true
+			t.unlisted[service] = true
+			return
+		}
 	}
-	t.slots[service], t.used[s] = s, true
-	return s
+}
+
+// giveShardsBack frees the shards of services that neither the configuration nor a replica names.
+func (t *Table) giveShardsBack(now int64) {
+	held := map[string]bool{}
+	for _, r := range t.known {
+		held[r.Service] = true
+	}
+	for name, slot := range t.slots {
+		if _, configured := t.config.Services[name]; !configured && !held[name] {
+			delete(t.slots, name)
+			t.shards[slot] = shard{freeSince: max(now, 1)}
+		}
+	}
+}
+
+// newlyPlaced returns the replicas, known before, of services that have just been given a shard.
+func (t *Table) newlyPlaced() (records []registry.Record) {
+	if len(t.unlisted) == 0 {
+		return nil
+	}
+	for _, r := range t.known {
+		if t.unlisted[r.Service] {
+			records = append(records, r)
+		}
+	}
+	clear(t.unlisted)
+	return records
 }
 
 // Distance is how far a replica's zone is from this edge: 0 in its own, 1 in its region, 2 beyond.
@@ -188,9 +236,14 @@
 			t.serve(now, next, &c)
 		}
 	}
+	for _, r := range n.Replicas {
+		if r.Service != "" {
+			t.place(now, r.Service)
+		}
+	}
+	c.Replicas = t.newlyPlaced()
 	for _, r := range n.Replicas {
 		if t.known[r.ID] = r; r.Service != "" {
-			t.Slot(r.Service)
 			c.Replicas = append(c.Replicas, r)
 		}
 		if r.Phase == registry.Gone {
@@ -224,7 +277,7 @@
 // Danger: a request whose body is still being read was routed by the configuration before. Were its row given to another
 // route meanwhile, an unsafe request would be taken on that one's terms and could run twice.
 func (t *Table) newRow(now int64) int {
-	if len(t.free) > 0 && now-t.free[0].since >= rowRest {
+	if len(t.free) > 0 && now-t.free[0].since >= rest {
 		row := t.free[0].row
 		t.free = t.free[1:]
 		return row
@@ -233,8 +286,8 @@
 	return len(t.workloads) - 1
 }
 
-// giveBack gives the rows back of routes that are gone, or that may no longer be repeated as before.
-func (t *Table) giveBack(now int64, next *routeconfig.Configuration) {
+// giveRowsBack gives the rows back of routes that are gone, or that may no longer be repeated as before.
+func (t *Table) giveRowsBack(now int64, next *routeconfig.Configuration) {
 	stays := map[string]*routeconfig.Route{}
 	for i := range next.Routes {
 		stays[next.Routes[i].Name] = &next.Routes[i]
@@ -252,7 +305,7 @@
 func (t *Table) serve(now int64, next *routeconfig.Configuration, c *Change) {
 	t.config = next
 	t.workloads = slices.Clone(t.workloads)
-	t.giveBack(now, next)
+	t.giveRowsBack(now, next)
 	for i := range next.Routes {
 		r := &next.Routes[i]
 		row, ok := t.rows[r.Name]
@@ -263,19 +316,9 @@
 		t.workloads[row] = Workload(r)
 	}
 	for name := range next.Services {
-		t.Slot(name)
-	}
-	// A service that neither the configuration nor a replica names gives its shard back.
-	held := map[string]bool{}
-	for _, r := range t.known {
-		held[r.Service] = true
-	}
-	for name, slot := range t.slots {
-		if _, ok := next.Services[name]; !ok && !held[name] {
-			delete(t.slots, name)
-			t.used[slot] = false
-		}
+		t.place(now, name)
 	}
+	t.giveShardsBack(now)
 	state := &State{Config: next, Rows: map[string]int{}, Slots: map[string]int{}, Splits: t.splitsOf(next)}
 	for name, row := range t.rows {
 		state.Rows[name] = row
--- a/decide/routingtable/routingtable_test.go
+++ b/decide/routingtable/routingtable_test.go
@@ -48,17 +48,17 @@
 	c = p.Take(0, clusterstate.Update{Revision: 2, Raw: body(2, "b")})
 	must.NotEq(t, a, c.State.Rows["b"])
 	must.Less(t, c.Workloads[a].LatencyGoal, c.Workloads[c.State.Rows["b"]].LatencyGoal) // and makes no goal shorter
-	c = p.Take(rowRest-1, clusterstate.Update{Revision: 3, Raw: body(3, "b", "c")})
+	c = p.Take(rest-1, clusterstate.Update{Revision: 3, Raw: body(3, "b", "c")})
 	must.NotEq(t, a, c.State.Rows["c"])
-	c = p.Take(rowRest, clusterstate.Update{Revision: 4, Raw: body(4, "b", "c", "d")})
+	c = p.Take(rest, clusterstate.Update{Revision: 4, Raw: body(4, "b", "c", "d")})
 	must.Eq(t, a, c.State.Rows["d"])
-	now, revision := int64(rowRest), 5
+	now, revision := int64(rest), 5
 	for range 500 { // a route in place of another each second
 		now += 1000 * ms
 		c = p.Take(now, clusterstate.Update{Revision: uint64(revision), Raw: body(revision, fmt.Sprint("r", revision))})
 		revision++
 	}
-	must.LessEq(t, rowRest/(1000*ms)+5, len(c.Workloads))
+	must.LessEq(t, rest/(1000*ms)+5, len(c.Workloads))
 }
 
 // TestRowOfAnotherKind: a route that may be repeated no more, or may be from now on, gets a row of its own.
@@ -88,15 +88,67 @@
 // TestShardsComeBack: services that are cut anew again and again do not use the shards up.
 func TestShardsComeBack(t *testing.T) {
 	p := New(0, testSettings())
+	now := int64(0)
 	for i := range 3 * shards {
 		id := fmt.Sprint("i-", i)
-		p.Take(0, clusterstate.Update{Replicas: []registry.Record{{ID: id, Service: fmt.Sprint("t", i), Address: "a:1", Seq: 1}}})
-		p.Take(0, clusterstate.Update{Replicas: []registry.Record{{ID: id, Phase: registry.Gone, Seq: 2}}})
-		p.Take(0, clusterstate.Update{Revision: uint64(i + 1), Raw: body(i+1, "a")})
+		p.Take(now, clusterstate.Update{Replicas: []registry.Record{{ID: id, Service: fmt.Sprint("t", i), Address: "a:1", Seq: 1}}})
+		_, found := p.Slot(fmt.Sprint("t", i))
+		must.True(t, found)
+		p.Take(now, clusterstate.Update{Replicas: []registry.Record{{ID: id, Phase: registry.Gone, Seq: 2}}})
+		p.Take(now, clusterstate.Update{Revision: uint64(i + 1), Raw: body(i+1, "a")})
+		now += 1000 * ms
 	}
 	must.MapLen(t, 2, p.slots)
 }
 
+// TestShardsRest: the shard of a service that is gone is given to no other one for as long as a part may wait that was
+// routed to it.
+func TestShardsRest(t *testing.T) {
+	p := New(0, testSettings())
+	cut := func(now int64, revision int, service string) int {
+		raw := fmt.Appendf(nil, `{"revision":%d,"routes":[],"services":[{"name":%q}]}`, revision, service)
+		p.Take(now, clusterstate.Update{Revision: uint64(revision), Raw: raw})
+		slot, found := p.Slot(service)
+		must.True(t, found)
+		return slot
+	}
+	first := cut(0, 1, "one")
+	cut(1000*ms, 2, "two") // one is gone from here on
+	must.NotEq(t, first, cut(2000*ms, 3, "three"))
+	must.NotEq(t, first, cut(1000*ms+rest-1, 4, "four"))
+	must.Eq(t, first, cut(1000*ms+rest, 5, "five"))
+}
+
+// TestMoreServicesThanShards: a service for which no shard is left shares none; once one is free, its replicas that were
+// known already are listed.
+func TestMoreServicesThanShards(t *testing.T) {
+	p := New(0, testSettings())
+	taken := map[int]bool{}
+	for i := range shards + 1 {
+		service := fmt.Sprint("t", i)
+		p.Take(0, clusterstate.Update{Replicas: []registry.Record{{ID: "i-" + service, Service: service, Address: "a:1", Seq: 1}}})
+		if slot, found := p.Slot(service); found {
+			must.False(t, taken[slot], must.Sprint(service))
+			taken[slot] = true
+		}
+	}
+	must.Eq(t, shards, len(taken))
+	last := fmt.Sprint("t", shards)
+	_, found := p.Slot(last)
+	must.False(t, found)
+	p.Take(0, clusterstate.Update{Replicas: []registry.Record{{ID: "i-t0", Phase: registry.Gone, Seq: 2}}})
+	raw := fmt.Appendf(nil, `{"revision":1,"routes":[],"services":[{"name":%q}]}`, last)
+	p.Take(0, clusterstate.Update{Revision: 1, Raw: raw})
+	_, found = p.Slot(last)
+	must.False(t, found) // the free one rests
+	raw = fmt.Appendf(nil, `{"revision":2,"routes":[],"services":[{"name":%q}]}`, last)
+	c := p.Take(rest+ms, clusterstate.Update{Revision: 2, Raw: raw})
+	_, found = p.Slot(last)
+	must.True(t, found)
+	must.SliceLen(t, 1, c.Replicas)
+	must.Eq(t, "i-"+last, c.Replicas[0].ID)
+}
+
 // TestDistance: own zone, own region, beyond; what names no zone counts as near.
 func TestDistance(t *testing.T) {
 	s := testSettings()
--- a/front/clienthttp/clienthttp.go
+++ b/front/clienthttp/clienthttp.go
@@ -102,12 +102,10 @@
 	req := &replicahttp.Request{Attempt: attempt, Method: r.Method, Body: body, Head: head(r, target, len(body)),
 		Answers: map[int]*replicahttp.Answer{}}
 	query := node.Query{ID: attempt, Workload: state.Rows[route.Name], Until: until, Load: req}
-	if len(route.Fanout) > 0 {
-		for _, s := range route.Fanout {
-			query.Parts = append(query.Parts, node.Part{Shard: state.Slots[s], Weight: 1 / float64(len(route.Fanout))})
-		}
-	} else {
-		query.Parts = []node.Part{{Shard: state.Slots[state.Service(route)], Weight: 1}}
+	var served bool
+	if query.Parts, served = parts(state, route); !served {
+		refuse(w, http.StatusServiceUnavailable, int64(time.Second))
+		return
 	}
 	answer, here := q.Core.Serve(r.Context(), query)
 	if !here {
@@ -126,6 +124,24 @@
 	}
 }
 
+// parts are those of a route's next request, false where one of its services has no shard.
+//
+// Danger: what names no shard of its own would go to another service's replicas.
+func parts(state *routingtable.State, route *routeconfig.Route) (parts []node.Part, served bool) {
+	services := route.Fanout
+	if len(services) == 0 {
+		services = []string{state.Service(route)}
+	}
+	for _, service := range services {
+		slot, found := state.Slots[service]
+		if !found {
+			return nil, false
+		}
+		parts = append(parts, node.Part{Shard: slot, Weight: 1 / float64(len(services))})
+	}
+	return parts, true
+}
+
 func readBody(w http.ResponseWriter, r *http.Request, most int) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil, nil
--- a/front/clienthttp/clienthttp_test.go
+++ b/front/clienthttp/clienthttp_test.go
@@ -150,6 +150,21 @@
 	must.Eq(t, 503, w.Code)
 }
 
+// TestServiceWithoutAShard: a request of which one service has no shard goes to no replica of another one.
+func TestServiceWithoutAShard(t *testing.T) {
+	c := &core{}
+	handler := handlerOf(t, c)
+	state := *handler.state.Load()
+	state.Slots = map[string]int{"s1": 1, "s2": 2}
+	handler.Serve(&state)
+	for _, r := range []*http.Request{request("GET", "/a/q", ""), request("POST", "/b/x", "body")} {
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+		must.Eq(t, 503, w.Code)
+		must.SliceEmpty(t, c.asked.Parts)
+	}
+}
+
 // TestLimitsThatChange: a new connection comes under the new limits, and one that is open keeps those that it
 // came under.
 func TestLimitsThatChange(t *testing.T) {
--- a/front/proxyserver/proxyserver.go
+++ b/front/proxyserver/proxyserver.go
@@ -227,7 +227,12 @@
 // news translates records of replicas for the node.
 func (s *Server) news(records []registry.Record) (n discovery.News) {
 	for _, r := range records {
-		entry := discovery.Entry{Host: r.ID, Dial: replicahttp.Dial(r.ID, r.Address), Cell: s.table.Slot(r.Service), Zone: r.Zone,
+		slot, found := s.table.Slot(r.Service)
+		if !found {
+			klog.InfoS("a replica is not used: its service has no shard", "replica", r.ID, "service", r.Service)
+			continue
+		}
+		entry := discovery.Entry{Host: r.ID, Dial: replicahttp.Dial(r.ID, r.Address), Cell: slot, Zone: r.Zone,
 			Distance: s.table.Distance(r.Zone), Channels: s.table.Channels(r.Service)}
 		switch r.Phase {
 		case registry.Draining:
--- a/lab/rules/all.go
+++ b/lab/rules/all.go
@@ -82,7 +82,7 @@
 	{"TWICE: terms", "the same, where a configuration gives the route's place to another route meanwhile", "queries keep their terms", files(moduleFile), kinds("config_change route", "big_config"),
 		broken(module, "TestScenarios/once-row", edit(moduleFile, "next := *a.workloads[i] //", "next := a.workloads[i] //"), edit(moduleFile, "a.shortest = w, &next, min(", "a.shortest = w, next, min("))},
 	{"TWICE: rows", "the same, where the request's body is still being read", "rows rest for a minute before another route gets them", files(tableFile), kinds("config_change route", "big_config"),
-		broken(routingtable, "TestRowsRest", edit(tableFile, "len(t.free) > 0 && now-t.free[0].since >= rowRest {", "len(t.free) > 0 {"))},
+		broken(routingtable, "TestRowsRest", edit(tableFile, "len(t.free) > 0 && now-t.free[0].since >= rest {", "len(t.free) > 0 {"))},
 	{"REFUSED: proof", "429, 503, 408 or 421 for a request that has run or will", "only a proof says that nothing ran", files(connectionFile), kinds("srv_grey shed", "srv_grey busy", "garble"),
 		broken(replicahttp, "TestOnlyAProofSaysNotRun", edit(connectionFile, "return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests || status == http.StatusBadRequest", "return true"))},
 	{"REFUSED: a replica's 503", "a replica's own 503 without a proof goes on as a promise", "it goes on as 502", files(handlerFile), kinds("srv_grey busy"),
@@ -97,6 +97,10 @@
 		broken(replicahttp, "TestPartAndAnswer", edit(connectionFile, "	buf = append(buf, c.line.id...)\n", ""))},
 	{"ROUTE: 421", "what another replica turned away is lost", "421 proves that nothing ran; the part goes elsewhere", files(connectionFile), kinds("replace_with_reuse"),
 		broken(replicahttp, "TestWaysToEnd", edit(connectionFile, "		return balance.ConnectFailed // another replica has the address\n", "		return balance.Errored\n"))},
+	{"ROUTE: shards", "a part that waits, or whose request is still being read, goes to a service that has got the place of its own", "shards rest for a minute before another service gets them", files(tableFile), kinds("reshard", "config_change route", "replace_with_reuse"),
+		broken(routingtable, "TestShardsRest", edit(tableFile, "if s := &t.shards[slot]; !s.used && (s.freeSince == 0 || now-s.freeSince >= rest) {", "if s := &t.shards[slot]; !s.used {"))},
+	{"ROUTE: services without a place", "a request goes to another service's replicas, for want of a place of its own", "a service that has none shares none; its requests get 503", files(tableFile, handlerFile), kinds("big_config", "reshard"),
+		broken(clienthttp, "TestServiceWithoutAShard", edit(handlerFile, "		if !found {\n			return nil, false\n		}\n", "		_ = found\n"))},
 
 	// Leaving in order.
 	{"DRAIN: acknowledged", "a request reaches a replica later than drain-ms after its leaving was acknowledged, by whichever machine", "acknowledged on a majority's disks only", files(callersFile, leaversFile), kinds("scale_in", "release", "core_cut lure", "node_kill leader race drain"),
