Servers of limits that no connection is under any more are let go

Cause, found by reading: each change of the configuration's limits made an http.Server with a goroutine and a listener that was kept for the life of the process.

Change: connections are counted as they are handed over and as they end; a server whose limits have changed goes with its last connection. Connections that are open keep the limits that they came under, as before.

Test: 1,000 changes of limits beside one open connection leave two servers, that connection is served half a minute later, and one is left once it closes. The former form of TestLimitsThatChange had no connection at all. A row of lab/rules (Fault: memory).

--- a/front/clienthttp/clienthttp_test.go
+++ b/front/clienthttp/clienthttp_test.go
@@ -1,6 +1,7 @@
 package clienthttp
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
@@ -9,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
@@ -16,6 +18,7 @@
 	"willowsill/balance"
 	"willowsill/decide/routeconfig"
 	"willowsill/decide/routingtable"
+	"willowsill/internal/pipes"
 	"willowsill/node"
 	"willowsill/transport/replicahttp"
 )
@@ -166,16 +169,46 @@
 }
 
 // TestLimitsThatChange: a new connection comes under the new limits, and one that is open keeps those that it
-// came under.
+// came under; what no connection is under any more is let go.
 func TestLimitsThatChange(t *testing.T) {
-	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "ok") })
-	s := &Servers{Handler: h}
-	one, other := routeconfig.Limits{HeaderBytes: 1 << 10}, routeconfig.Limits{HeaderBytes: 1 << 10, IdleTimeoutMs: 50}
-	s.Limit(nil, one)
-	s.Limit(nil, one)
-	must.SliceLen(t, 1, s.All())
-	s.Limit(nil, other)
-	must.SliceLen(t, 2, s.All())
-	must.Eq(t, 50*time.Millisecond, s.All()[1].IdleTimeout)
-	must.Eq(t, idleDefault, s.All()[0].IdleTimeout)
+	synctest.Test(t, func(t *testing.T) {
+		network := &pipes.Network{}
+		front := network.Listen("front:1")
+		s := &Servers{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { fmt.Fprint(w, "ok") })}
+		one, other := routeconfig.Limits{HeaderBytes: 1 << 10}, routeconfig.Limits{HeaderBytes: 1 << 10, IdleTimeoutMs: 50}
+		s.Limit(front.Addr(), one)
+		s.Limit(front.Addr(), one)
+		must.SliceLen(t, 1, s.All())
+		go s.Accept(front)
+		defer func() {
+			front.Close()
+			for _, server := range s.All() {
+				server.Close()
+			}
+			synctest.Wait()
+		}()
+		open, err := network.Dial(t.Context(), "", "front:1")
+		must.NoError(t, err)
+		r := bufio.NewReader(open)
+		ask := func() {
+			go io.WriteString(open, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+			res, err := http.ReadResponse(r, nil)
+			must.NoError(t, err)
+			io.Copy(io.Discard, res.Body)
+		}
+		ask()
+		s.Limit(front.Addr(), other)
+		must.SliceLen(t, 2, s.All())
+		must.Eq(t, 50*time.Millisecond, s.All()[1].IdleTimeout)
+		must.Eq(t, idleDefault, s.All()[0].IdleTimeout)
+		for n := range 1000 {
+			s.Limit(front.Addr(), routeconfig.Limits{HeaderBytes: 1<<10 + n})
+		}
+		must.SliceLen(t, 2, s.All())
+		time.Sleep(30 * time.Second)
+		ask() // still, by the limits that it came under
+		open.Close()
+		synctest.Wait()
+		must.SliceLen(t, 1, s.All())
+	})
 }
--- a/front/clienthttp/server.go
+++ b/front/clienthttp/server.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,17 +23,19 @@
 	Handler http.Handler
 	mu      sync.Mutex
 	limits  routeconfig.Limits
-	now     *http.Server
-	all     []*http.Server
-	door    *door
+	now     *door   // takes new connections; nil before the first limits
+	all     []*door // that may still have connections
 }
 
-// door hands the connections of the listener to one server.
+// door hands connections of the listener to a server of its own.
 type door struct {
+	server  *http.Server
 	address net.Addr
 	conns   chan net.Conn
 	closed  chan struct{}
 	once    sync.Once
+	open    int  // connections handed over that have not ended; guarded by Servers.mu
+	retired bool // others take new connections; likewise
 }
 
 func (d *door) Accept() (net.Conn, error) {
@@ -66,11 +69,39 @@
 	if l.IdleTimeoutMs > 0 {
 		idle = time.Duration(l.IdleTimeoutMs) * time.Millisecond
 	}
-	server := &http.Server{Handler: s.Handler, ReadHeaderTimeout: head, IdleTimeout: idle, MaxHeaderBytes: l.HeaderBytes,
-		DisableGeneralOptionsHandler: true}
 	d := &door{address: address, conns: make(chan net.Conn, waiting), closed: make(chan struct{})}
-	s.now, s.door, s.all = server, d, append(s.all, server)
-	go server.Serve(d)
+	d.server = &http.Server{Handler: s.Handler, ReadHeaderTimeout: head, IdleTimeout: idle, MaxHeaderBytes: l.HeaderBytes,
+		DisableGeneralOptionsHandler: true, ConnState: func(_ net.Conn, state http.ConnState) {
+			if state == http.StateClosed {
+				s.ended(d)
+			}
+		}}
+	former := s.now
+	s.now, s.all = d, append(s.all, d)
+	go d.server.Serve(d)
+	if former != nil {
+		former.retired = true
+		s.drop(former)
+	}
+}
+
+// ended notes that a connection of a door has ended.
+func (s *Servers) ended(d *door) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d.open--
+	s.drop(d)
+}
+
+// drop lets go of a door that is retired and has no connection left.
+//
+// Danger: limits may change thousands of times in the life of a process, and a server for each would be kept for ever.
+func (s *Servers) drop(d *door) {
+	if !d.retired || d.open > 0 {
+		return
+	}
+	s.all = slices.DeleteFunc(s.all, func(o *door) bool { return o == d })
+	d.Close()
 }
 
 // Accept takes connections from the listener until it is closed.
@@ -90,15 +121,19 @@
 			continue
 		}
 		s.mu.Lock()
-		d := s.door
+		d := s.now
+		d.open++ // before it is handed over, lest the door be dropped meanwhile
 		s.mu.Unlock()
 		d.conns <- c
 	}
 }
 
 // All are the servers that may still have connections.
-func (s *Servers) All() []*http.Server {
+func (s *Servers) All() (servers []*http.Server) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return append([]*http.Server(nil), s.all...)
+	for _, d := range s.all {
+		servers = append(servers, d.server)
+	}
+	return servers
 }
--- a/lab/rules/all.go
+++ b/lab/rules/all.go
@@ -120,7 +120,7 @@
 	{"LOST: signals", "SIGHUP, or SIGTERM once more, ends a process that starts or drains", "handlers that are never taken away", files(daemonFile), kinds("hup", "roll_term"),
 		broken("transport/daemon", "TestSignalsWhileLeaving", edit(daemonFile, "	signal.Notify(reload, syscall.SIGHUP)\n", ""))},
 	{"LOST: limits that change", "a configuration closes connections under requests", "an open connection keeps the server and the limits that it came under", files(serversFile), kinds("config_change idle", "config_storm"),
-		broken(proxyserver, "TestKeptConnectionsOverAChange", edit(serversFile, "	s.limits = l\n", "	s.limits = l\n	for _, former := range s.all {\n		former.Close()\n	}\n"))},
+		broken(proxyserver, "TestKeptConnectionsOverAChange", edit(serversFile, "	s.limits = l\n", "	s.limits = l\n	for _, former := range s.all {\n		former.server.Close()\n	}\n"))},
 	{"LOST: rested connections", "a kept connection is closed under a request that it was taken up for within four fifths of idle-timeout-ms", "the whole of idle-timeout-ms is waited", files(serversFile), kinds("config_change idle", "any"),
 		broken(proxyserver, "TestRestedConnections", edit(serversFile, "IdleTimeout: idle,", "IdleTimeout: idle / 2,"))},
 
@@ -185,6 +185,8 @@
 		broken(module, "TestScenarios/worth", edit(admissionFile, "if need-missing < least-slack {", "if false {"))},
 	{"Prices: come back", "clients that are declined come back together and are declined again", "a time to come back with each decline, by lot", files(tableFile, handlerFile), kinds("burst", "retry_abuse"),
 		broken(routingtable, "TestComeBackSpreads", edit(tableFile, "return advice - int64(draw*float64(advice)/2)", "return advice"))},
+	{"Fault: memory", "a process grows over its limit and is killed", "what no connection is under any more is let go, as are rows, shards and replicas that are gone", files(serversFile, tableFile), kinds("config_storm", "config_change idle"),
+		broken(clienthttp, "TestLimitsThatChange", edit(serversFile, "	if !d.retired || d.open > 0 {\n", "	if d.retired || d.open > 0 {\n"))},
 	{"Fault: disk", "the disk fills up, or a full one ends the process", "the file is written anew once it has grown; a refused one costs only room", files(storeFile), kinds("disk_full", "config_storm"),
 		broken("transport/statestore", "TestDiskThatRefuses", edit(storeFile, "	if err := b.writeAnew(next); err != nil {\n		os.Remove(next)\n		return nil\n	}\n", "	if err := b.writeAnew(next); err != nil {\n		return err\n	}\n"))},
 }
