--- a/internal/ci/cleanbuild/machine.go
+++ b/internal/ci/cleanbuild/machine.go
@@ -4,7 +4,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
 	"slices"
 	"strings"
 )
@@ -79,11 +78,9 @@
 			return ErrCleanBuild.Wrap(err)
 		}
 	}
-	tool := filepath.Join(runtime.GOROOT(), "bin", "go")
-	if _, err := os.Stat(tool); err != nil {
-		if tool, err = exec.LookPath("go"); err != nil {
-			return ErrCleanBuild.Wrap(err)
-		}
+	tool, err := exec.LookPath("go")
+	if err != nil {
+		return ErrCleanBuild.Wrap(err)
 	}
 	return os.Symlink(tool, filepath.Join(folder, "go"))
 }
