Signals: a child of the tests has the signals' default handling

Go keeps a signal ignored that the parent ignored, so the test's daemon lived through SIGHUP with no handler. Shown: with trap '' HUP the break passes on the former text and is found on this one. The test process now handles HUP, INT and TERM while it starts its child, which resets them to the default there.

--- a/transport/daemon/daemon_test.go
+++ b/transport/daemon/daemon_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -66,6 +67,11 @@
 	output, err := c.process.StdoutPipe()
 	must.NoError(t, err)
 	c.output = bufio.NewScanner(output)
+	// Go leaves a signal ignored that its parent ignored, as nohup does with SIGHUP: the daemon would live through it
+	// with no handler of its own. What this process handles, its children have by default.
+	handled := make(chan os.Signal, 1)
+	signal.Notify(handled, syscall.SIGHUP, syscall.SIGINT, syscall.SIGTERM)
+	defer signal.Stop(handled)
 	must.NoError(t, c.process.Start())
 	t.Cleanup(func() { _ = c.process.Process.Kill() })
 	return c
