--- a/balance/types.go
+++ b/balance/types.go
@@ -88,6 +88,7 @@
 	Patience int64 // time until the client gives up this try, ns
 	Parts    int   // how many its first step has
 	Over     bool  // its customer is over what was agreed: it is worth less
+	Again    bool  // its client marks it as a retry: where room is short, first tries go before it
 }
 
 // Finding is what this aggregator has found of a replica by its own executions.
--- a/front/front.go
+++ b/front/front.go
@@ -52,6 +52,9 @@
 	open     sync.Map // ids of the queries that have no answer yet
 }
 
+// HeaderRetry is the header by which a client marks a retry, with the value 1.
+const HeaderRetry = "X-Second-Try"
+
 const (
 	bodyMost = 64 << 10  // bytes
 	idMost   = 128       // bytes of a query's id
@@ -287,6 +290,7 @@
 		return q, bad("the body has a length and an encoding")
 	}
 	q.Workload, q.ID, q.Customer = row, r.Header.Get("X-Trace-Id"), r.Header.Get("X-Customer")
+	q.Again = r.Header.Get(HeaderRetry) == "1"
 	if !plain(q.ID) {
 		return q, bad("X-Trace-Id is missing or malformed")
 	}
--- a/front/front_test.go
+++ b/front/front_test.go
@@ -18,6 +18,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/shoenig/test/must"
 	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
 
@@ -143,6 +144,17 @@
 var makeClock = node.NewClock()
 
 // FuzzBody: whatever a body holds, what is taken in can be served.
+// Only X-Second-Try: 1 marks a retry.
+func TestRetryMark(t *testing.T) {
+	for value, marked := range map[string]bool{"1": true, "": false, "0": false, "true": false} {
+		f := makeFront(func(_ context.Context, q node.Query) (node.Answer, bool) {
+			must.Eq(t, marked, q.Again, must.Sprint(value))
+			return node.Answer{Final: balance.Declined}, true
+		})
+		f.ServeHTTP(httptest.NewRecorder(), request("POST", "/lookup", goodBody, "X-Second-Try: "+value))
+	}
+}
+
 func FuzzBody(f *testing.F) {
 	f.Add([]byte(goodBody))
 	f.Add([]byte(`{"segments":[{"segment":1e9,"boost":-1}],"text":null}`))
--- a/front/gateway/core.go
+++ b/front/gateway/core.go
@@ -299,7 +299,7 @@
 	if err == nil {
 		a, ok = c.hop.Serve(ctx, node.Query{ID: q.ID + "\x00", Workload: q.Workload, Until: q.Until,
 			Parts: []node.Part{{Shard: link, Weight: 1}},
-			Load:  &load{workload: c.names[q.Workload], customer: q.Customer, visited: visited(ctx), body: text, link: link}})
+			Load:  &load{workload: c.names[q.Workload], customer: q.Customer, again: q.Again, visited: visited(ctx), body: text, link: link}})
 	}
 	c.mu.Lock()
 	bytes := 0.0
--- a/front/gateway/pool.go
+++ b/front/gateway/pool.go
@@ -22,6 +22,7 @@
 	"github.com/go-json-experiment/json"
 
 	"willowsill/balance"
+	"willowsill/front"
 	"willowsill/node"
 	"willowsill/transport/replica"
 )
@@ -46,6 +47,7 @@
 type load struct {
 	workload string
 	customer string
+	again    bool // its client marked it as a retry
 	visited  []string
 	body     []byte
 	link     int
@@ -245,6 +247,9 @@
 		headerVisited:     strings.Join(append(l.visited[:len(l.visited):len(l.visited)], p.from), ",")} {
 		r.Header.Set(key, v)
 	}
+	if l.again {
+		r.Header.Set(front.HeaderRetry, "1")
+	}
 	a, err := p.client.RoundTrip(r)
 	if err != nil {
 		if !wrote.Load() {
--- a/node/admit.go
+++ b/node/admit.go
@@ -11,6 +11,7 @@
 	ID       string
 	Workload int
 	Customer string // whose it is, empty where that is not told
+	Again    bool   // its client marks it as a retry
 	Until    int64  // when its client gives up
 	Text     []byte
 	Parts    []Part
@@ -88,7 +89,7 @@
 	if n.rhythm != nil {
 		n.rhythm.Waited(now - q.came)
 	}
-	q.handle = n.agg.Take(now, balance.Arrival{Workload: q.Workload, Patience: patience, Parts: len(q.Parts), Over: over})
+	q.handle = n.agg.Take(now, balance.Arrival{Workload: q.Workload, Patience: patience, Parts: len(q.Parts), Over: over, Again: q.Again})
 	for _, p := range q.Parts {
 		q.handle.AddPart(p.Shard, p.Weight)
 	}
--- a/transport/wire/wire_test.go
+++ b/transport/wire/wire_test.go
@@ -1,8 +1,11 @@
 package wire
 
 import (
+	"fmt"
 	"strings"
 	"testing"
+
+	"github.com/shoenig/test/must"
 )
 
 const boot = `{"event_type":"OPEN_INSTANCE","who":1,"prng":7,"boot_info":{"index":0,"balancers":2,"tick":5,` +
@@ -28,6 +31,27 @@
 	return out.String(), err
 }
 
+// A client's mark of a retry reaches the module, which declines one sooner where room is short.
+func TestRetryMark(t *testing.T) {
+	tick := func(n, at int, events string) string {
+		return fmt.Sprintf(`{"event_type":"TICK","at_time":%d,"n":%d}`+"\n%s"+`{"event_type":"FLUSH"}`+"\n", at, n, events)
+	}
+	numbered := func(n int, mark string) string {
+		return strings.NewReplacer(`"rid":5`, fmt.Sprint(`"rid":`, n), `"rid":6`, fmt.Sprint(`"rid":`, n+1), `"group_no":3`,
+			fmt.Sprint(`"group_no":`, n), `"grade"`, mark+`"grade"`).Replace(query)
+	}
+	learnt := tick(1, 100, boot+query) + // one execution takes 150 ms of a goal of 1,000
+		tick(2, 250, `{"event_type":"RESPONSE","who":1,"rid":6,"attempt":0,"how":"ok","cost_time":150}`+"\n") + tick(3, 255, numbered(10, ""))
+	for mark, want := range map[string]string{"": `"SEND"`, `"resent":false,`: `"SEND"`, `"resent":null,`: `"SEND"`, `"resent":true,`: `"REFUSE"`} {
+		var out strings.Builder
+		must.NoError(t, Serve(strings.NewReader(learnt+tick(4, 260, numbered(20, mark))), &out))
+		_, last, _ := strings.Cut(out.String(), `"n":3}`)
+		must.StrContains(t, last, want, must.Sprint(mark, " ", out.String()))
+	}
+	_, err := serveBatch(boot + numbered(5, `"resent":"yes",`))
+	must.ErrorContains(t, err, `field "resent" has the wrong form`)
+}
+
 func TestServe(t *testing.T) {
 	for name, c := range map[string]struct{ in, out, err string }{
 		"empty batch":  {"", `{"event_type":"READY","n":4}`, ""},
