--- a/balance/admission.go
+++ b/balance/admission.go
@@ -34,7 +34,8 @@
 	taken, goal, end int64 // when; latest time for an answer within the latency goal, and for any
 	step, begun      int   // 0, or 1 for the second; steps whose parts were asked for
 	whole            bool  // of the first step
-	lesser, open     bool  // a retry, or its customer asks for more than was agreed; it wants an answer yet
+	claim            Claim
+	open             bool // it wants an answer yet
 }
 
 // Open tells whether the query still wants a final answer.
@@ -44,7 +45,7 @@
 func (a *Aggregator) Take(now int64, arrival Arrival) *Query {
 	w := a.workloads[arrival.Workload]
 	q := &Query{agg: a, workload: w, expected: arrival.Parts, taken: now, open: true,
-		lesser: arrival.Over || arrival.Again, end: now + max(arrival.Patience-spareTicks*a.Tick, 0),
+		claim: arrival.Claim, end: now + max(arrival.Patience-spareTicks*a.Tick, 0),
 		goal: now + max(w.LatencyGoal-spareTicks*a.Tick, 0)}
 	if w.LateShare == 0 { // what earns nothing is only load
 		q.end = min(q.end, q.goal)
@@ -127,16 +128,13 @@
 	worth := cmp.Or(w.Worth/parts, 1)
 	a.worth.add(now, worth*parts, parts)
 	fair *= math.Pow(worth/a.worth.of(now, 1), 1-a.taken.of(now, 1))
-	limit := min(admitShare*fair, 1) * float64(q.goal-now)
-	if q.lesser {
-		limit *= lesserShare
-	}
+	limit := min(admitShare*fair, 1) * float64(q.goal-now) * [...]float64{1, overShare, retryShare}[q.claim]
 	missing := q.ask(now, min(least, total), int64(limit)) + need - least
 	if need > least {
 		missing = q.ask(now, missing, int64(min(limit, admitShare*float64(cmp.Or(w.SpareGoal, a.shortest)))))
 	}
 	if need-missing < least-slack {
-		if !q.lesser { // Danger: one customer's excess would pass for want of room, and loosen what all others meet
+		if q.claim == FirstTry { // Danger: one customer's excess would pass for want of room, and loosen all limits
 			w.taken.add(now, 0, 1)
 			a.taken.add(now, 0, 1)
 		}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -34,7 +34,8 @@
 	admitShare    = 0.5        // a query is taken on when it should need no more of its latency goal than this
 	crowdShare    = 0.4        // of the shortest goal: sound replicas that need more have no room left
 	wordMost      = 4          // own calls that the word of others on a replica's pace counts for at most
-	lesserShare   = 0.5        // of admitShare for a retry, and where the customer is over what was agreed
+	overShare     = 0.5        // of admitShare for a query whose customer is over what was agreed: worth less
+	retryShare    = 0.35       // and for a marked retry: a query that fails wherever it goes comes back as one
 	failRun       = 2          // failures one after the other that set a replica aside: one alone is chance
 	atOnce        = 4          // a reset before this part of a typical time is laid to the query
 
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -171,10 +171,10 @@
 	return list
 }
 
-func (p *play) take(name string, lesser Arrival, words []string) {
+func (p *play) take(name string, claim Claim, words []string) {
 	shards := words[2:]
 	q := p.start().Take(p.now, Arrival{Workload: p.kinds[words[0]], Patience: p.time(words[1]),
-		Parts: len(shards), Over: lesser.Over, Again: lesser.Again})
+		Parts: len(shards), Claim: claim})
 	p.queries[name] = q
 	p.step(q, shards)
 }
@@ -291,16 +291,16 @@
 	case "clock":
 		p.now = p.time(words[1])
 	case "take":
-		p.take(words[1], Arrival{}, words[2:])
+		p.take(words[1], FirstTry, words[2:])
 	case "over":
-		p.take(words[1], Arrival{Over: true}, words[2:])
+		p.take(words[1], OverQuota, words[2:])
 	case "again":
-		p.take(words[1], Arrival{Again: true}, words[2:])
+		p.take(words[1], Retry, words[2:])
 	case "hear":
 		p.hear(words[1:])
 	case "flood":
 		for i := range int(p.number(words[1])) {
-			p.take(fmt.Sprint(words[2], i), Arrival{}, words[3:])
+			p.take(fmt.Sprint(words[2], i), FirstTry, words[3:])
 		}
 	case "step":
 		p.step(p.queries[words[1]], words[2:])
--- a/balance/types.go
+++ b/balance/types.go
@@ -87,10 +87,19 @@
 	Workload int
 	Patience int64 // time until the client gives up this try, ns
 	Parts    int   // how many its first step has
-	Over     bool  // its customer is over what was agreed: it is worth less
-	Again    bool  // its client marks it as a retry: where room is short, first tries go before it
+	Claim    Claim
 }
 
+// Claim is how much room a query may take where room is short; a later one takes less.
+type Claim int
+
+// The claims.
+const (
+	FirstTry  Claim = iota // of a customer within what was agreed
+	OverQuota              // its customer is over what was agreed: it is worth less
+	Retry                  // its client marks it as a retry: what failed it once may fail it again
+)
+
 // Finding is what this aggregator has found of a replica by its own executions.
 type Finding struct {
 	Replica, Cell int
--- a/lab/emulator/brain.go
+++ b/lab/emulator/brain.go
@@ -61,7 +61,11 @@
 }
 
 func (m *module) take(now int64, number int32, load int, patience int64, over bool, shards []int, weights []float64) {
-	q := m.aggregator.Take(now, balance.Arrival{Workload: load, Patience: patience, Parts: len(shards), Over: over})
+	claim := balance.FirstTry
+	if over {
+		claim = balance.OverQuota
+	}
+	q := m.aggregator.Take(now, balance.Arrival{Workload: load, Patience: patience, Parts: len(shards), Claim: claim})
 	for i, s := range shards {
 		q.AddPart(s, weights[i])
 	}
--- a/node/admit.go
+++ b/node/admit.go
@@ -82,14 +82,18 @@
 		q.answer <- n.crowded()
 		return
 	}
-	over := n.overQuota(now, q.Customer)
-	if over {
+	claim := balance.FirstTry
+	if n.overQuota(now, q.Customer) {
 		count.Over.Add(1)
+		claim = balance.OverQuota
+	}
+	if q.Again {
+		claim = balance.Retry
 	}
 	if n.rhythm != nil {
 		n.rhythm.Waited(now - q.came)
 	}
-	q.handle = n.agg.Take(now, balance.Arrival{Workload: q.Workload, Patience: patience, Parts: len(q.Parts), Over: over, Again: q.Again})
+	q.handle = n.agg.Take(now, balance.Arrival{Workload: q.Workload, Patience: patience, Parts: len(q.Parts), Claim: claim})
 	for _, p := range q.Parts {
 		q.handle.AddPart(p.Shard, p.Weight)
 	}
--- a/transport/wire/wire.go
+++ b/transport/wire/wire.go
@@ -294,7 +294,9 @@
 		f.Fail("grade", "is not among the classes")
 	}
 	a := balance.Arrival{Workload: w, Patience: f.Time("grace"), Parts: int(measure)}
-	f.May("resent", &a.Again)
+	if f.Has("resent") && f.Bool("resent") {
+		a.Claim = balance.Retry
+	}
 	if f.Err != nil {
 		return f.Err
 	}
