--- a/balance/admission.go
+++ b/balance/admission.go
@@ -27,7 +27,7 @@
 	agg              *Aggregator
 	workload         *workload
 	broke            int  // the replica that it was last reset by at once, + 1
-	deadly           bool // it was reset at once by two replicas
+	deadly           bool // it was reset at once by two replicas, or a retry by one
 	proven           bool // a part of it was fulfilled
 	parts            []part
 	expected         int
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -70,7 +70,8 @@
 		r.connected = false
 		// Danger: a query that kills its replicas, at once, kills their peers as well if its parts run again.
 		if took < q.workload.middle/atOnce && !q.proven {
-			q.deadly = q.deadly || q.broke > 0 && q.broke != e.replica+1
+			again := q.claim == Retry && e.idle < idleLeast // something failed its first try before
+			q.deadly = q.deadly || again || q.broke > 0 && q.broke != e.replica+1
 			q.broke = e.replica + 1
 		}
 	}
