Retries that edges do not use are lent along the relay tree (decide/lending)

Cause: an even share of the retries beyond the ratio binds an edge whose zone is in trouble while the others' shares lie unused. Each edge owns its even share as before; half of it may be lent. A proxy that is short says so in its report to the agent beside it, agents pass wants and loans on, a lender gives up before it tells, and takes back when the borrower's time and the window are over. No process holds the sum; nothing is sent where nobody is short. Ruled out: a pool held by controllers (a duty with an epoch, and a wait at each change of hands).

--- a/balance/admission.go
+++ b/balance/admission.go
@@ -27,15 +27,13 @@
 	agg              *Aggregator
 	workload         *workload
 	broke            int  // the replica that it was last reset by at once, + 1
-	deadly           bool // it was reset at once by two replicas, or a retry by one
-	proven           bool // a part of it was fulfilled
+	deadly, proven   bool // it was reset at once by two replicas, or a retry by one; a part of it was fulfilled
 	parts            []part
 	expected         int
 	taken, goal, end int64 // when; latest time for an answer within the latency goal, and for any
 	step, begun      int   // 0, or 1 for the second; steps whose parts were asked for
-	whole            bool  // of the first step
+	whole, open      bool  // of the first step; it wants an answer yet
 	claim            Claim
-	open             bool // it wants an answer yet
 }
 
 // Open tells whether the query still wants a final answer.
@@ -44,9 +42,9 @@
 // Take takes a query; its parts are added to the handle.
 func (a *Aggregator) Take(now int64, arrival Arrival) *Query {
 	w := a.workloads[arrival.Workload]
-	q := &Query{agg: a, workload: w, expected: arrival.Parts, taken: now, open: true,
-		claim: arrival.Claim, end: now + max(arrival.Patience-spareTicks*a.Tick, 0),
-		goal: now + max(w.LatencyGoal-spareTicks*a.Tick, 0)}
+	q := &Query{agg: a, workload: w, expected: arrival.Parts, taken: now, open: true, claim: arrival.Claim}
+	q.end = now + max(arrival.Patience-spareTicks*a.Tick, 0)
+	q.goal = now + max(w.LatencyGoal-spareTicks*a.Tick, 0)
 	if w.LateShare == 0 { // what earns nothing is only load
 		q.end = min(q.end, q.goal)
 	}
--- a/balance/retry.go
+++ b/balance/retry.go
@@ -70,8 +70,7 @@
 		r.connected = false
 		// Danger: a query that kills its replicas, at once, kills their peers as well if its parts run again.
 		if took < q.workload.middle/atOnce && !q.proven {
-			again := q.claim == Retry && e.idle < idleLeast // something failed its first try before
-			q.deadly = q.deadly || again || q.broke > 0 && q.broke != e.replica+1
+			q.deadly = q.deadly || q.claim == Retry && e.idle < idleLeast || q.broke > 0 && q.broke != e.replica+1
 			q.broke = e.replica + 1
 		}
 	}
@@ -170,6 +169,10 @@
 		w.Effect == Tagged && p.mayHaveRun != never && now >= p.mayHaveRun+w.RepeatWindow-a.Tick {
 		return false
 	}
-	n := p.shard % len(a.further)
-	return !a.Budgeted || a.further[n].sum(now)+1 <= a.FurtherFree+a.FurtherShare*a.handed[n].within(now)
+	return !a.Budgeted || a.FreeUsed(now, p.shard%len(a.further))+1 <= a.FurtherFree
+}
+
+// FreeUsed is how many further executions a budget has had beyond the share of what was handed over.
+func (a *Aggregator) FreeUsed(now int64, budget int) float64 {
+	return a.further[budget].sum(now) - a.FurtherShare*a.handed[budget].within(now)
 }
--- a/decide/routingtable/routingtable.go
+++ b/decide/routingtable/routingtable.go
@@ -43,9 +43,9 @@
 	d := balance.Deployment{Number: int(xxhash.Sum64String(s.IP) % shards), Aggregators: 1, Seed: seed, Tick: tick,
 		Shards: shards, Cells: shards, Reach: 1, PartsPerCall: 1, MaxExecutions: 1, Cancels: true, MaxComeBack: comeBack,
 		ColdShare: fullCold, FallMultiple: fullCold, FallSpan: fallSpan, PaceDoubt: paceDoubt,
-		Budgeted: true, FurtherShare: ratioShare * s.Bounds.RetryRatio, FurtherSpan: int64(s.Bounds.RetryWindowS * 1000 * ms),
+		Budgeted: true, FurtherShare: ratioShare * s.Bounds.RetryRatio, FurtherSpan: s.Bounds.RetryWindow(),
 		Accounts: shards}
-	if s.Bounds.RetryWindowS == 0 { // no rule bounds them
+	if s.Bounds.RetryWindow() == 0 { // no rule bounds them
 		d.Budgeted, d.FurtherSpan = false, fallSpan
 	}
 	return d
@@ -351,7 +351,7 @@
 // Danger: an edge that starts anew does not know what it spent before, and one that does not know how many
 // there are could take all for itself. Neither has any for so long.
 func (t *Table) Free(now int64) (share float64, changed bool) {
-	if t.edges > 0 && now-t.began > int64(t.settings.Bounds.RetryWindowS*1000*ms) {
+	if t.edges > 0 && now-t.began > t.settings.Bounds.RetryWindow() {
 		share = slackShare * t.settings.Bounds.RetrySlack / float64(t.edges)
 	}
 	changed = share != t.budget
--- a/deployment/settings/settings.go
+++ b/deployment/settings/settings.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"strconv"
+	"time"
 
 	"github.com/pelletier/go-toml/v2"
 	"github.com/samber/oops"
@@ -80,6 +81,9 @@
 	RetrySlack   float64 `toml:"retry-slack"`
 }
 
+// RetryWindow is RetryWindowS in ns, 0 where no rule bounds retries.
+func (b Bounds) RetryWindow() int64 { return int64(b.RetryWindowS * float64(time.Second)) }
+
 // Default bounds, where the file gives none.
 const (
 	defaultBeatMs = 1000
--- a/front/proxyserver/callers_test.go
+++ b/front/proxyserver/callers_test.go
@@ -183,7 +183,8 @@
 	for range c.Workloads {
 		h.rows = append(h.rows, &counters.Workload{})
 	}
-	h.serving(600)
+	h.free = 600
+	h.serving()
 	n.News(context.Background(), h.news(c.Replicas))
 	q := &clienthttp.Handler{Core: n, Now: clock.Now}
 	q.Serve(c.State)
--- a/front/proxyserver/figures.go
+++ b/front/proxyserver/figures.go
@@ -25,7 +25,9 @@
 	told.Gauge("willowsill_configuration_revision", float64(s.state.Revision))
 	told.Gauge("willowsill_replicas_ready", float64(s.table.Replicas()))
 	told.Gauge("willowsill_edges", float64(s.table.Edges()))
-	told.Gauge("willowsill_retries_free", s.table.Budget())
+	told.Gauge("willowsill_retries_free", s.free)
+	told.Gauge("willowsill_retries_lent", s.account.Lent(s.node.Now()))
+	told.Gauge("willowsill_retries_borrowed", s.account.Borrowed(s.node.Now()))
 	for route, row := range s.rowOf {
 		tellRoute(told, route, s.rows[row])
 	}
--- a/front/proxyserver/figures_test.go
+++ b/front/proxyserver/figures_test.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"willowsill/decide/clusterstate"
+	"willowsill/decide/lending"
 	"willowsill/decide/routingtable"
 	"willowsill/deployment"
 	"willowsill/deployment/settings"
@@ -26,6 +27,7 @@
 	set := settings.Settings{IP: "127.0.0.1"}
 	clock := node.NewClock()
 	s := &Server{settings: set, counters: counters.New(nil), state: clusterstate.NewState(), table: routingtable.New(clock.Now(), set),
+		account: lending.NewHolder(clock.Now(), lending.DefaultTerms(set.Bounds.RetryWindow())),
 		servers: &clienthttp.Servers{}, handler: &clienthttp.Handler{}}
 	s.node = node.New(node.Plan{Clock: clock, Deployment: deployment.Deployment{Deployment: routingtable.Deployment(set, 1)},
 		Terms: deployment.Terms{MostHeld: maxHeld}, Count: s.counters, Log: zap.NewNop(), Ask: func() {},
--- a/front/proxyserver/proxyserver.go
+++ b/front/proxyserver/proxyserver.go
@@ -21,6 +21,7 @@
 	"willowsill/decide/clusterstate"
 	"willowsill/decide/controller"
 	"willowsill/decide/follower"
+	"willowsill/decide/lending"
 	"willowsill/decide/registry"
 	"willowsill/decide/routingtable"
 	"willowsill/deployment"
@@ -39,7 +40,6 @@
 
 const (
 	maxHeld     = 20000                   // queries and parts that the node holds at the most
-	budgetPoll  = time.Second             // between two looks at this edge's share of the budget of retries
 	stayOpen    = 2500 * time.Millisecond // after SIGTERM, until the platform sends no more
 	graceMargin = 400 * time.Millisecond  // the proxy ends so long before its grace does
 	startPoll   = 5 * time.Millisecond    // between two looks whether there is a configuration
@@ -64,6 +64,8 @@
 	rows      []*counters.Workload
 	rowOf     map[string]int // the row of each route that is served, by name
 	served    []balance.Workload
+	account   *lending.Holder // of retries beyond the ratio
+	free      float64         // of these, what the node was told last
 
 	knows   atomic.Bool // a configuration and a snapshot were there once
 	leaving atomic.Bool
@@ -75,6 +77,7 @@
 	s := &Server{settings: local, counters: counters.New(nil), state: clusterstate.NewState()}
 	clock := node.NewClock()
 	s.table = routingtable.New(clock.Now(), local)
+	s.account = lending.NewHolder(clock.Now(), lending.DefaultTerms(local.Bounds.RetryWindow()))
 	s.node = node.New(node.Plan{Clock: clock, Deployment: deployment.Deployment{Deployment: routingtable.Deployment(local, seed)},
 		Terms: deployment.Terms{MostHeld: maxHeld}, Count: s.counters, Log: zap.NewNop(), Ask: func() {},
 		Carry: func(tell func(any), now func() int64) node.Carrier {
@@ -93,7 +96,7 @@
 	s.servers, s.address = &clienthttp.Servers{Handler: s.handler}, front.Addr()
 	inner, end := context.WithCancel(context.Background())
 	defer end()
-	up := watch.Follower{Report: s.report, Take: s.take, Sign: s.heard,
+	up := watch.Follower{Report: s.report, Take: s.take, Sign: s.heard, Note: s.borrow,
 		Addresses: func() []string { return []string{local.Inner(local.Loopback(), settings.PortAgent)} }}
 	go up.Run(inner)
 	go s.budget(inner)
@@ -160,10 +163,11 @@
 
 // report is what the proxy says to the agent beside it.
 func (s *Server) report() watch.Report {
+	note := s.lend()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	self := controller.EdgeReport{Edge: clusterstate.Edge{IP: s.settings.IP, Zone: s.settings.Zone}}
-	return watch.Report{Self: self, Revision: s.state.Revision}
+	return watch.Report{Self: self, Revision: s.state.Revision, Lending: note}
 }
 
 // heard takes how fresh the agent's knowledge is.
@@ -188,8 +192,9 @@
 		s.served = change.Workloads
 		s.renewRows(change.State.Rows)
 	}
-	if change.State != nil || change.Budget {
-		s.serving(change.FurtherFree)
+	s.account.Share(change.FurtherFree)
+	if !s.renewFree(s.node.Now()) && change.State != nil {
+		s.serving()
 	}
 	if len(change.Replicas) > 0 {
 		s.node.News(context.Background(), s.news(change.Replicas))
@@ -220,8 +225,8 @@
 }
 
 // serving tells the node which workloads are served, and how many retries this edge may make beyond its ratio.
-func (s *Server) serving(free float64) {
-	s.node.Serving(node.Serving{Workloads: s.served, Rows: s.rows, FurtherFree: free})
+func (s *Server) serving() {
+	s.node.Serving(node.Serving{Workloads: s.served, Rows: s.rows, FurtherFree: s.free})
 }
 
 // news translates records of replicas for the node.
@@ -244,21 +249,3 @@
 	}
 	return n
 }
-
-// budget tells the node when this edge's share of the budget of retries has changed with time alone, until ctx ends.
-func (s *Server) budget(ctx context.Context) {
-	ticker := time.NewTicker(budgetPoll)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			s.mu.Lock()
-			if free, changed := s.table.Free(s.node.Now()); changed {
-				s.serving(free)
-			}
-			s.mu.Unlock()
-		}
-	}
-}
--- a/front/proxyserver/proxyserver_bench_test.go
+++ b/front/proxyserver/proxyserver_bench_test.go
@@ -85,7 +85,8 @@
 	for range c.Workloads {
 		h.rows = append(h.rows, &counters.Workload{})
 	}
-	h.serving(0)
+	h.free = 0
+	h.serving()
 	n.News(context.Background(), h.news(c.Replicas))
 	q := &clienthttp.Handler{Core: n, Now: clock.Now}
 	q.Serve(c.State)
--- /dev/null
+++ b/front/proxyserver/retries_test.go
@@ -0,0 +1,45 @@
+package proxyserver
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"go.uber.org/zap"
+
+	"willowsill/decide/lending"
+	"willowsill/decide/routingtable"
+	"willowsill/deployment"
+	"willowsill/deployment/settings"
+	"willowsill/internal/counters"
+	"willowsill/node"
+	"willowsill/transport/replicahttp"
+)
+
+// TestLendsAndBorrowsRetries: an edge gives up what it lends before it tells of it, and uses what it is lent.
+func TestLendsAndBorrowsRetries(t *testing.T) {
+	set := settings.Settings{IP: "127.0.0.1", Bounds: settings.Bounds{RetryRatio: 0.2, RetrySlack: 60, RetryWindowS: 10}}
+	clock := node.NewClock()
+	n := node.New(node.Plan{Clock: clock, Deployment: deployment.Deployment{Deployment: routingtable.Deployment(set, 1)},
+		Terms: deployment.Terms{MostHeld: maxHeld}, Count: counters.New(nil), Log: zap.NewNop(), Ask: func() {},
+		Carry: func(tell func(any), now func() int64) node.Carrier { return replicahttp.NewPool(tell, now) }})
+	t.Cleanup(n.Close)
+	terms := lending.DefaultTerms(set.Bounds.RetryWindow())
+	s := &Server{settings: set, node: n, account: lending.NewHolder(clock.Now()-int64(time.Hour), terms)}
+	s.account.Share(4)
+	must.Nil(t, s.lend())
+	must.Eq(t, 4, s.free)
+	s.borrow(lending.Note{Wants: []lending.Want{{Number: 5, Amount: 9}}})
+	must.Nil(t, s.lend()) // given up, and not told yet
+	must.Eq(t, 2, s.free)
+	told := s.lend()
+	must.Eq(t, []lending.Loan{{Answers: 5, Amount: 2, For: terms.Loan}}, told.Loans)
+	must.Eq(t, 2, s.free)
+	must.Nil(t, s.lend())
+
+	s.account.Share(2.5) // less than one is left beside what was lent
+	want := s.lend().Wants[0]
+	s.borrow(lending.Note{Loans: []lending.Loan{{Answers: want.Number, Amount: 3, For: terms.Loan}}})
+	must.Eq(t, 3.5, s.free)
+	must.Nil(t, s.lend())
+}
--- a/node/node.go
+++ b/node/node.go
@@ -236,7 +236,7 @@
 	n.count.Facts.Add(1)
 	n.count.DelayTotal.Add(delay)
 	switch f.what.(type) {
-	case survey, allowance: // no query waits for them
+	case survey, allowance, furtherAsked: // no query waits for them
 	default:
 		n.count.Delay.Show(delay)
 	}
@@ -253,6 +253,9 @@
 		n.bookNotice(now, v)
 	case discovery.News:
 		n.bookNews(now, v, true)
+	case furtherAsked:
+		v.reply <- max(n.agg.FreeUsed(now, 0), 0)
+		return // nothing has happened
 	case survey:
 		n.survey(now, v)
 		return // nothing has happened
--- a/transport/agentserver/agentserver.go
+++ b/transport/agentserver/agentserver.go
@@ -17,6 +17,7 @@
 	"willowsill/decide/clusterstate"
 	"willowsill/decide/controller"
 	"willowsill/decide/failuredetector"
+	"willowsill/decide/lending"
 	"willowsill/decide/relaytree"
 	"willowsill/deployment/settings"
 	"willowsill/transport/metrics"
@@ -33,6 +34,8 @@
 
 	followerTimeout = 4 * time.Second        // a follower unheard for so long is no longer reported
 	heartbeatPoll   = 250 * time.Millisecond // between two looks which heartbeats are due and which are missing
+
+	feeder lending.Neighbor = "feeder" // the others are known by their IPs
 )
 
 // Server is a running agent.
@@ -49,6 +52,7 @@
 	detector  *failuredetector.Detector
 	followers map[string]followerReport
 	suspects  []string
+	lending   *lending.Relay // of retries that edges do not use
 }
 
 // followerReport is what a follower said last, and when.
@@ -60,7 +64,7 @@
 // Run runs an agent until ctx ends and the proxy beside it has gone.
 func Run(ctx context.Context, local settings.Settings) error {
 	s := &Server{settings: local, base: time.Now().Add(-time.Hour), state: clusterstate.NewState(), detector: failuredetector.New(local.IP),
-		followers: map[string]followerReport{}}
+		followers: map[string]followerReport{}, lending: lending.NewRelay(lending.DefaultTerms(local.Bounds.RetryWindow()))}
 	proxy, err := peer.Listen(local.Inner(local.Loopback(), settings.PortAgent))
 	if err != nil {
 		return ErrAgent.Wrap(err)
@@ -75,7 +79,12 @@
 	inner, end := context.WithCancel(context.Background())
 	defer end()
 	s.upstream = watch.Follower{Report: s.report, Addresses: s.feeders, Take: s.take,
-		Sign: func(fresh clusterstate.Freshness) { s.relay.Publish(nil, fresh) }}
+		Sign: func(fresh clusterstate.Freshness) { s.relay.Publish(nil, fresh) },
+		Note: func(note lending.Note) {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			s.lending.Heard(s.now(), feeder, note)
+		}}
 	go peer.Serve(proxy, func(l *peer.Link) { s.attend(l, &s.proxy) })
 	go peer.Serve(relay, func(l *peer.Link) { s.attend(l, &s.relay) })
 	go s.proxy.Beats(inner, s.upstream.Freshness)
@@ -120,6 +129,9 @@
 		edge.Age += int64(age)
 		report.Below = append(report.Below, edge)
 	}
+	if note := s.lending.Note(s.now(), feeder); !note.Empty() {
+		report.Lending = &note
+	}
 	return report
 }
 
@@ -163,10 +175,20 @@
 				s.followers[edge.Edge.IP] = followerReport{edge, time.Now()}
 			}
 		}
+		s.lend(link, report)
 	})
 	feed.Part(link)
 }
 
+// lend passes on what a follower wants and lends, and tells it what others do. The caller holds mu.
+func (s *Server) lend(link *peer.Link, report watch.Report) {
+	from := lending.Neighbor(report.Self.Edge.IP) // the own IP is the proxy's
+	if report.Lending != nil {
+		s.lending.Heard(s.now(), from, *report.Lending)
+	}
+	watch.SayNote(link, s.lending.Note(s.now(), from), s.upstream.Freshness())
+}
+
 // watch sends heartbeats to the edges that watch this one and notes which edges are suspected, until ctx ends.
 func (s *Server) watch(ctx context.Context) {
 	ticker := time.NewTicker(heartbeatPoll)
--- /dev/null
+++ b/transport/agentserver/agentserver_test.go
@@ -0,0 +1,77 @@
+package agentserver
+
+import (
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"willowsill/decide/clusterstate"
+	"willowsill/decide/controller"
+	"willowsill/decide/failuredetector"
+	"willowsill/decide/lending"
+	"willowsill/deployment/settings"
+	"willowsill/transport/peer"
+	"willowsill/transport/watch"
+)
+
+// follower is one end of a link whose other end the agent attends.
+type follower struct {
+	*testing.T
+	*peer.Link
+	ip string
+}
+
+func newFollower(t *testing.T, s *Server, ip string) follower {
+	near, far := net.Pipe()
+	attended := peer.Over(near)
+	go s.attend(attended, &s.relay)
+	f := follower{t, peer.Over(far), ip}
+	t.Cleanup(func() {
+		f.Close()
+		attended.Close()
+	})
+	return f
+}
+
+// report sends a report and returns what the agent says to this follower of loans, nil for nothing.
+func (f follower) report(note *lending.Note) (said *lending.Note) {
+	f.Helper()
+	f.Say(watch.Report{Self: controller.EdgeReport{Edge: clusterstate.Edge{IP: f.ip}}, Lending: note})
+	for {
+		var m watch.Message
+		if f.Receive(&m, time.Second) != nil {
+			return said
+		}
+		if m.Lending != nil {
+			must.True(f, m.Freshness != nil, must.Sprint("the follower would take the agent for one of the former version"))
+			said = m.Lending
+		}
+	}
+}
+
+// TestLoansPassThroughAgents: what one follower wants is told to the others and to the feeder, and what one of them lends
+// goes to it, once.
+func TestLoansPassThroughAgents(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const window = int64(10 * time.Second)
+		s := &Server{settings: settings.Settings{IP: "10.0.0.1"}, base: time.Now(), state: clusterstate.NewState(),
+			detector: failuredetector.New("10.0.0.1"), followers: map[string]followerReport{}, lending: lending.NewRelay(lending.DefaultTerms(window))}
+		short, idle := newFollower(t, s, "10.0.0.2"), newFollower(t, s, "10.0.0.3")
+		must.Nil(t, short.report(nil))
+		must.Nil(t, idle.report(nil))
+		must.Nil(t, s.report().Lending)
+		must.Nil(t, short.report(&lending.Note{Wants: []lending.Want{{Number: 7, Amount: 3}}}))
+		must.Eq(t, 3, s.report().Lending.Wants[0].Amount)
+		asked := idle.report(nil)
+		must.Eq(t, 3, asked.Wants[0].Amount)
+		must.Nil(t, idle.report(&lending.Note{Loans: []lending.Loan{{Answers: asked.Wants[0].Number, Amount: 2, For: window}}}).Loans)
+		lent := short.report(&lending.Note{Wants: []lending.Want{{Number: 8, Amount: 3}}})
+		must.Eq(t, 8, lent.Loans[0].Answers)
+		must.Eq(t, 2, lent.Loans[0].Amount)
+		must.Less(t, window, lent.Loans[0].For)
+		must.Nil(t, short.report(&lending.Note{Wants: []lending.Want{{Number: 9, Amount: 3}}}))
+	})
+}
--- a/transport/watch/watch.go
+++ b/transport/watch/watch.go
@@ -13,6 +13,7 @@
 	"willowsill/decide/clusterstate"
 	"willowsill/decide/controller"
 	"willowsill/decide/follower"
+	"willowsill/decide/lending"
 	"willowsill/transport/peer"
 )
 
@@ -33,13 +34,24 @@
 	Update    *clusterstate.Update    `cbor:"1,keyasint,omitempty"`
 	InContact bool                    `cbor:"2,keyasint,omitempty"` // in contact with a majority; for followers of the former version
 	Freshness *clusterstate.Freshness `cbor:"3,keyasint,omitempty"` // nil from a feeder of the former version
+	Lending   *lending.Note           `cbor:"4,keyasint,omitempty"` // for this follower alone
 }
 
 // inContactWithin is the age up to which followers of the former version are told that the feeder is in contact.
 const inContactWithin = 2 * time.Second
 
 func newMessage(u *clusterstate.Update, fresh clusterstate.Freshness) Message {
-	return Message{u, fresh.Known && fresh.Age < int64(inContactWithin), &fresh}
+	return Message{Update: u, InContact: fresh.Known && fresh.Age < int64(inContactWithin), Freshness: &fresh}
+}
+
+// SayNote says to one follower what is lent and wanted, where there is anything to say.
+func SayNote(l *peer.Link, note lending.Note, fresh clusterstate.Freshness) {
+	if note.Empty() {
+		return
+	}
+	m := newMessage(nil, fresh)
+	m.Lending = &note
+	l.Say(m)
 }
 
 // freshness is what the message says; a feeder of the former version says only whether it is in contact.
@@ -56,6 +68,7 @@
 	Below    []controller.EdgeReport `cbor:"2,keyasint,omitempty"`
 	Revision uint64                  `cbor:"3,keyasint,omitempty"` // of the configuration held; its body need not come again
 	Changes  bool                    `cbor:"4,keyasint,omitempty"` // takes differences between fleets
+	Lending  *lending.Note           `cbor:"5,keyasint,omitempty"`
 }
 
 // All are the follower and those below it.
@@ -162,6 +175,7 @@
 	Addresses func() []string                    // feeders to try, the best first
 	Take      func(clusterstate.Update) bool     // false where it cannot be used and a snapshot is needed
 	Sign      func(fresh clusterstate.Freshness) // a message came, and said this of the feeder; nil where nobody wants it
+	Note      func(lending.Note)                 // the feeder said what it lends and wants; nil where nobody wants it
 
 	mu     sync.Mutex // guards what follows
 	base   time.Time
@@ -253,6 +267,12 @@
 			return true
 		}
 		f.heard(m.freshness())
+		if m.Lending != nil {
+			if f.Note != nil {
+				f.Note(*m.Lending)
+			}
+			continue
+		}
 		if m.Update != nil && !f.Take(*m.Update) {
 			klog.InfoS("a snapshot is asked for again", "address", address)
 			return false
