--- a/decide/lending/lending.go
+++ b/decide/lending/lending.go
@@ -1,6 +1,7 @@
 // Package lending keeps a bound on what all edges use together, such as the retries beyond their ratio. Each edge owns an
 // even share. What an edge does not use it lends for a short time to edges that are short, along the relay tree: proxies
-// own, lend and borrow (Holder), agents pass wants and loans on (Relay). No process knows the sum, and none has to.
+// own, lend and borrow (Holder), agents and controllers pass wants and loans on (Relay). No process knows the sum, and
+// none has to; a relay keeps nothing that may not be lost.
 //
 // The sum holds whatever is late, lost, doubled or restarted, without clocks that agree:
 //
--- a/transport/agentserver/agentserver.go
+++ b/transport/agentserver/agentserver.go
@@ -17,7 +17,6 @@
 	"willowsill/decide/clusterstate"
 	"willowsill/decide/controller"
 	"willowsill/decide/failuredetector"
-	"willowsill/decide/lending"
 	"willowsill/decide/relaytree"
 	"willowsill/deployment/settings"
 	"willowsill/transport/metrics"
@@ -34,8 +33,6 @@
 
 	followerTimeout = 4 * time.Second        // a follower unheard for so long is no longer reported
 	heartbeatPoll   = 250 * time.Millisecond // between two looks which heartbeats are due and which are missing
-
-	feeder lending.Neighbor = "feeder" // the others are known by their IPs
 )
 
 // Server is a running agent.
@@ -46,13 +43,13 @@
 	proxy      watch.Feed // the proxy beside it
 	relay      watch.Feed // the agents that follow it
 	heartbeats net.PacketConn
+	loans      *watch.Loans // of retries that edges do not use
 
 	mu        sync.Mutex // guards the rest, and the order of what followers are told
 	state     *clusterstate.State
 	detector  *failuredetector.Detector
 	followers map[string]followerReport
 	suspects  []string
-	lending   *lending.Relay // of retries that edges do not use
 }
 
 // followerReport is what a follower said last, and when.
@@ -64,7 +61,7 @@
 // Run runs an agent until ctx ends and the proxy beside it has gone.
 func Run(ctx context.Context, local settings.Settings) error {
 	s := &Server{settings: local, base: time.Now().Add(-time.Hour), state: clusterstate.NewState(), detector: failuredetector.New(local.IP),
-		followers: map[string]followerReport{}, lending: lending.NewRelay(lending.DefaultTerms(local.Bounds.RetryWindow()))}
+		followers: map[string]followerReport{}, loans: watch.NewLoans(local.Bounds.RetryWindow())}
 	proxy, err := peer.Listen(local.Inner(local.Loopback(), settings.PortAgent))
 	if err != nil {
 		return ErrAgent.Wrap(err)
@@ -80,11 +77,7 @@
 	defer end()
 	s.upstream = watch.Follower{Report: s.report, Addresses: s.feeders, Take: s.take,
 		Sign: func(fresh clusterstate.Freshness) { s.relay.Publish(nil, fresh) },
-		Note: func(note lending.Note) {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			s.lending.Heard(s.now(), feeder, note)
-		}}
+		Note: s.loans.Heard}
 	go peer.Serve(proxy, func(l *peer.Link) { s.attend(l, &s.proxy) })
 	go peer.Serve(relay, func(l *peer.Link) { s.attend(l, &s.relay) })
 	go s.proxy.Beats(inner, s.upstream.Freshness)
@@ -129,9 +122,7 @@
 		edge.Age += int64(age)
 		report.Below = append(report.Below, edge)
 	}
-	if note := s.lending.Note(s.now(), feeder); !note.Empty() {
-		report.Lending = &note
-	}
+	report.Lending = s.loans.Report()
 	return report
 }
 
@@ -175,20 +166,11 @@
 				s.followers[edge.Edge.IP] = followerReport{edge, time.Now()}
 			}
 		}
-		s.lend(link, report)
+		s.loans.Reported(link, report, s.upstream.Freshness())
 	})
 	feed.Part(link)
 }
 
-// lend passes on what a follower wants and lends, and tells it what others do. The caller holds mu.
-func (s *Server) lend(link *peer.Link, report watch.Report) {
-	from := lending.Neighbor(report.Self.Edge.IP) // the own IP is the proxy's
-	if report.Lending != nil {
-		s.lending.Heard(s.now(), from, *report.Lending)
-	}
-	watch.SayNote(link, s.lending.Note(s.now(), from), s.upstream.Freshness())
-}
-
 // watch sends heartbeats to the edges that watch this one and notes which edges are suspected, until ctx ends.
 func (s *Server) watch(ctx context.Context) {
 	ticker := time.NewTicker(heartbeatPoll)
--- a/transport/agentserver/agentserver_test.go
+++ b/transport/agentserver/agentserver_test.go
@@ -58,7 +58,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		const window = int64(10 * time.Second)
 		s := &Server{settings: settings.Settings{IP: "10.0.0.1"}, base: time.Now(), state: clusterstate.NewState(),
-			detector: failuredetector.New("10.0.0.1"), followers: map[string]followerReport{}, lending: lending.NewRelay(lending.DefaultTerms(window))}
+			detector: failuredetector.New("10.0.0.1"), followers: map[string]followerReport{}, loans: watch.NewLoans(window)}
 		short, idle := newFollower(t, s, "10.0.0.2"), newFollower(t, s, "10.0.0.3")
 		must.Nil(t, short.report(nil))
 		must.Nil(t, idle.report(nil))
--- a/transport/controlserver/controlserver.go
+++ b/transport/controlserver/controlserver.go
@@ -52,6 +52,7 @@
 	saves      chan controller.Save
 	mesh       *peer.Mesh
 	feed       watch.Feed
+	loans      *watch.Loans // of retries that edges do not use
 	current    atomic.Pointer[currency]
 
 	mu       sync.Mutex                        // guards the rest
@@ -61,7 +62,8 @@
 
 // Run runs a controller until ctx ends.
 func Run(ctx context.Context, local settings.Settings) error {
-	s := &Server{settings: local, base: time.Now().Add(-time.Hour), inputs: make(chan func(int64) controller.Out, inputQueue),
+	s := &Server{settings: local, base: time.Now().Add(-time.Hour), loans: watch.NewLoans(local.Bounds.RetryWindow()),
+		inputs: make(chan func(int64) controller.Out, inputQueue),
 		saves: make(chan controller.Save, 1), calls: map[uint64]chan controller.Answer{}}
 	life := strconv.FormatUint(rand.Uint64(), 36)
 	start := controller.Start{IP: local.IP, Life: life, Seeds: local.SeedIPs(), Bootstrap: local.Bootstrap,
@@ -249,6 +251,7 @@
 		for _, edge := range report.All() {
 			s.inputs <- func(now int64) controller.Out { return s.controller.Edge(now, edge) }
 		}
+		s.loans.Reported(link, report, s.freshness())
 	})
 	s.feed.Part(link)
 }
--- /dev/null
+++ b/transport/watch/loans.go
@@ -0,0 +1,62 @@
+package watch
+
+import (
+	"sync"
+	"time"
+
+	"willowsill/decide/clusterstate"
+	"willowsill/decide/lending"
+	"willowsill/transport/peer"
+)
+
+// feeder is the neighbor that a process follows itself; its followers are known by their IPs.
+const feeder lending.Neighbor = "feeder"
+
+// Loans passes on what edges lend each other, between those that follow this process and its own feeder.
+type Loans struct {
+	began time.Time
+	mu    sync.Mutex
+	relay *lending.Relay
+}
+
+// NewLoans makes Loans of a bound that is judged over a window of so many ns.
+func NewLoans(window int64) *Loans {
+	return &Loans{began: time.Now(), relay: lending.NewRelay(lending.DefaultTerms(window))}
+}
+
+func (l *Loans) now() int64 { return int64(time.Since(l.began)) }
+
+// Reported takes in a follower's report and answers it, where there is anything to say; fresh is what is said beside it.
+func (l *Loans) Reported(link *peer.Link, report Report, fresh clusterstate.Freshness) {
+	from := lending.Neighbor(report.Self.Edge.IP)
+	l.mu.Lock()
+	if report.Lending != nil {
+		l.relay.Heard(l.now(), from, *report.Lending)
+	}
+	note := l.relay.Note(l.now(), from)
+	l.mu.Unlock()
+	if note.Empty() {
+		return
+	}
+	m := newMessage(nil, fresh)
+	m.Lending = &note
+	link.Say(m)
+}
+
+// Heard takes in what the feeder says.
+func (l *Loans) Heard(note lending.Note) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.relay.Heard(l.now(), feeder, note)
+}
+
+// Report is what the feeder is told, nil for nothing.
+func (l *Loans) Report() *lending.Note {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	note := l.relay.Note(l.now(), feeder)
+	if note.Empty() {
+		return nil
+	}
+	return &note
+}
--- a/transport/watch/watch.go
+++ b/transport/watch/watch.go
@@ -44,16 +44,6 @@
 	return Message{Update: u, InContact: fresh.Known && fresh.Age < int64(inContactWithin), Freshness: &fresh}
 }
 
-// SayNote says to one follower what is lent and wanted, where there is anything to say.
-func SayNote(l *peer.Link, note lending.Note, fresh clusterstate.Freshness) {
-	if note.Empty() {
-		return
-	}
-	m := newMessage(nil, fresh)
-	m.Lending = &note
-	l.Say(m)
-}
-
 // freshness is what the message says; a feeder of the former version says only whether it is in contact.
 func (m Message) freshness() clusterstate.Freshness {
 	if m.Freshness == nil {
