--- a/decide/lending/holder.go
+++ b/decide/lending/holder.go
@@ -47,14 +47,18 @@
 	}
 }
 
-// Note returns what the edge says to the relay. used is what it has used in the window that ends now, read after the last
-// Limit had taken effect.
-func (h *Holder) Note(now int64, used float64) (n Note) {
+// Use is what an edge has used in the window that ends now.
+type Use struct {
+	Amount float64 // below 0 where the edge has room that is not of the bound, such as the ratio of its retries
+	Any    bool    // there was use at all, on whosever account: else the edge needs nothing, however little it has
+}
+
+// Note returns what the edge says to the relay. use is read after the last Limit had taken effect.
+func (h *Holder) Note(now int64, use Use) (n Note) {
 	h.lent, h.borrowed = current(now, h.lent), current(now, h.borrowed)
 	reserved := h.reserved
 	h.reserved = 0
-	short := used+1 > h.Limit(now)
-	if short {
+	if use.Any && use.Amount+1 > h.Limit(now) {
 		h.asked = nil
 		if h.own > 0 {
 			n.Wants = []Want{{h.wants.next(now, h.terms), wantShare * h.own}}
@@ -67,13 +71,13 @@
 	}
 	// Danger: what was used before the limit fell would count besides what the borrower uses. So a loan is reserved
 	// first, and told when the edge is known to have kept to what is left.
-	if reserved > 0 && used <= h.Limit(now)-reserved {
+	if reserved > 0 && use.Amount <= h.Limit(now)-reserved {
 		h.lent = append(h.lent, amount{reserved, now + h.terms.Loan + h.terms.Window})
 		n.Loans = []Loan{{h.asked.Number, reserved, h.terms.Loan}}
 		h.asked = nil
 		return n
 	}
-	h.reserved = h.spare(now, used)
+	h.reserved = h.spare(now, max(use.Amount, 0))
 	return n
 }
 
--- a/front/proxyserver/retries.go
+++ b/front/proxyserver/retries.go
@@ -59,7 +59,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.node.Now()
-	note := s.account.Note(now, used)
+	note := s.account.Note(now, lending.Use{Amount: used.Free, Any: used.Any})
 	s.renewFree(now)
 	if note.Empty() {
 		return nil
--- a/node/further.go
+++ b/node/further.go
@@ -2,15 +2,21 @@
 
 import "context"
 
-// furtherAsked asks how much of the free further executions is used.
-type furtherAsked struct{ reply chan float64 } // has room for one
+// Further is what a node has used of its further executions in the span that they are counted over.
+type Further struct {
+	Free float64 // beyond the share of what was handed over; below 0 where that share is not used up
+	Any  bool    // there was one at all
+}
+
+// furtherAsked asks for it.
+type furtherAsked struct{ reply chan Further } // has room for one
 
-// FurtherUsed returns how many further executions there were beyond their share of what was handed over, as of now and
-// after all that was given to Serving before took effect; false where the node has no time for that.
-func (n *Node) FurtherUsed(ctx context.Context) (used float64, ok bool) {
-	asked := furtherAsked{make(chan float64, 1)}
+// FurtherUsed returns what is used now, after all that was given to Serving before took effect; false where the node has
+// no time for that.
+func (n *Node) FurtherUsed(ctx context.Context) (used Further, ok bool) {
+	asked := furtherAsked{make(chan Further, 1)}
 	if !n.offer(asked) {
-		return 0, false
+		return Further{}, false
 	}
 	select {
 	case used = <-asked.reply:
@@ -18,5 +24,9 @@
 	case <-n.ended:
 	case <-ctx.Done():
 	}
-	return 0, false
+	return Further{}, false
+}
+
+func (n *Node) further(now int64) Further {
+	return Further{n.agg.FreeUsed(now, 0), n.furtherAt > 0 && now-n.furtherAt < n.FurtherSpan}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -86,6 +86,7 @@
 	moved      bool      // something has happened since the last round
 	lateness   int64     // how late the loop was lately, ns
 	sweep      int64
+	furtherAt  int64 // a part was last sent that had been sent before
 	stopped    bool
 	shared     *shared             // what is shared with other aggregators, nil where nothing is
 	rhythm     *Rhythm             // nil for a round each tick
@@ -254,7 +255,7 @@
 	case discovery.News:
 		n.bookNews(now, v, true)
 	case furtherAsked:
-		v.reply <- max(n.agg.FreeUsed(now, 0), 0)
+		v.reply <- n.further(now)
 		return // nothing has happened
 	case survey:
 		n.survey(now, v)
--- a/node/send.go
+++ b/node/send.go
@@ -41,6 +41,9 @@
 		e.ticket = &replica.Ticket{Part: replica.Part{ID: q.ID + "." + strconv.Itoa(shard), Shard: shard,
 			Wait: wait, Text: q.Text}, Load: q.Load}
 		q.executions[s.Part] = append(q.executions[s.Part], e)
+		if e.number > 0 {
+			n.furtherAt = now
+		}
 		q.out++
 		if n.zoneHealth != nil {
 			n.zoneHealth.Sent(now, s.Replica)
--- a/transport/controlserver/controlserver.go
+++ b/transport/controlserver/controlserver.go
@@ -64,7 +64,7 @@
 func Run(ctx context.Context, local settings.Settings) error {
 	s := &Server{settings: local, base: time.Now().Add(-time.Hour), loans: watch.NewLoans(local.Bounds.RetryWindow()),
 		inputs: make(chan func(int64) controller.Out, inputQueue),
-		saves: make(chan controller.Save, 1), calls: map[uint64]chan controller.Answer{}}
+		saves:  make(chan controller.Save, 1), calls: map[uint64]chan controller.Answer{}}
 	life := strconv.FormatUint(rand.Uint64(), 36)
 	start := controller.Start{IP: local.IP, Life: life, Seeds: local.SeedIPs(), Bootstrap: local.Bootstrap,
 		BeatEvery: local.BeatMs * int64(time.Millisecond), Draw: rand.Float64}
