--- a/decide/routingtable/routingtable.go
+++ b/decide/routingtable/routingtable.go
@@ -101,7 +101,6 @@
 	State       *State             // nil likewise
 	Replicas    []registry.Record  // changed ones; Slot tells their shards
 	FurtherFree float64
-	Budget      bool // FurtherFree has changed
 	Err         error
 }
 
@@ -128,7 +127,6 @@
 	known     map[string]registry.Record
 	splits    map[string]*weightedsplit.Sequence
 	shared    map[string]int // channels by service, as they were last told
-	budget    float64
 }
 
 // New makes the table of a process that starts now.
@@ -262,7 +260,7 @@
 			}
 		}
 	}
-	c.FurtherFree, c.Budget = t.Free(now)
+	c.FurtherFree = t.Free(now)
 	return c
 }
 
@@ -346,17 +344,15 @@
 	return splits
 }
 
-// Free returns this edge's share of the retries beyond the ratio, and whether it has changed since the last call.
+// Free returns this edge's share of the retries beyond the ratio.
 //
 // Danger: an edge that starts anew does not know what it spent before, and one that does not know how many
 // there are could take all for itself. Neither has any for so long.
-func (t *Table) Free(now int64) (share float64, changed bool) {
-	if t.edges > 0 && now-t.began > t.settings.Bounds.RetryWindow() {
-		share = slackShare * t.settings.Bounds.RetrySlack / float64(t.edges)
+func (t *Table) Free(now int64) float64 {
+	if t.edges == 0 || now-t.began <= t.settings.Bounds.RetryWindow() {
+		return 0
 	}
-	changed = share != t.budget
-	t.budget = share
-	return share, changed
+	return slackShare * t.settings.Bounds.RetrySlack / float64(t.edges)
 }
 
 // Replicas returns how many replicas are ready.
@@ -371,6 +367,3 @@
 
 // Edges returns how many edges share the budget of retries.
 func (t *Table) Edges() int { return t.edges }
-
-// Budget returns this edge's share of the retries beyond the ratio, as Free last returned it.
-func (t *Table) Budget() float64 { return t.budget }
--- a/front/proxyserver/retries.go
+++ b/front/proxyserver/retries.go
@@ -25,8 +25,7 @@
 		case <-ticker.C:
 			s.mu.Lock()
 			now := s.node.Now()
-			share, _ := s.table.Free(now)
-			s.account.Share(share)
+			s.account.Share(s.table.Free(now))
 			s.renewFree(now)
 			s.mu.Unlock()
 		}
--- a/front/proxyserver/tally.go
+++ b/front/proxyserver/tally.go
@@ -43,14 +43,15 @@
 	}
 }
 
-func (s *Server) logTotals(now, before totals) {
+func (s *Server) logTotals(after, before totals) {
 	s.mu.Lock()
-	replicas, edges, free := s.table.Replicas(), s.table.Edges(), s.table.Budget()
+	now, replicas, edges, free := s.node.Now(), s.table.Replicas(), s.table.Edges(), s.free
+	lent, borrowed := s.account.Lent(now), s.account.Borrowed(now)
 	s.mu.Unlock()
-	klog.InfoS("served", "sent", now.sent-before.sent, "fulfilled", now.fulfilled-before.fulfilled,
-		"errored", now.errored-before.errored, "full", now.full-before.full, "timedOut", now.timedOut-before.timedOut,
-		"connectFailed", now.connectFailed-before.connectFailed, "reset", now.reset-before.reset,
-		"cancelled", now.cancelled-before.cancelled, "moot", now.moot-before.moot, "opened", now.opened-before.opened,
-		"crowded", now.crowded-before.crowded, "replicas", replicas, "edges", edges, "furtherFree", free,
+	klog.InfoS("served", "sent", after.sent-before.sent, "fulfilled", after.fulfilled-before.fulfilled,
+		"errored", after.errored-before.errored, "full", after.full-before.full, "timedOut", after.timedOut-before.timedOut,
+		"connectFailed", after.connectFailed-before.connectFailed, "reset", after.reset-before.reset,
+		"cancelled", after.cancelled-before.cancelled, "moot", after.moot-before.moot, "opened", after.opened-before.opened,
+		"crowded", after.crowded-before.crowded, "replicas", replicas, "edges", edges, "furtherFree", free, "lent", lent, "borrowed", borrowed,
 		"delayMaxMs", s.counters.DelayHighest.Load()/int64(time.Millisecond))
 }
--- a/lab/rules/rules.go
+++ b/lab/rules/rules.go
@@ -35,10 +35,8 @@
 	return strings.Join(names, "/")
 }
 
-// Overlay writes to a folder what has the Go tool build the module at root with the mechanism taken out.
-func (r Rule) Overlay(root, folder string) (string, error) {
-	return planted.Mutant{Name: r.Name, Edits: r.Break.Edits}.Overlay(root, folder)
-}
+// Mutant is the module with the mechanism taken out.
+func (r Rule) Mutant() planted.Mutant { return planted.Mutant{Name: r.Name, Edits: r.Break.Edits} }
 
 // Row is the rule as a row of the page's table.
 func (r Rule) Row() string {
