Lent retries: what is used is that of the service with the most, not of the first one

Found on reading the change: the whole system has a budget for each service (Accounts), all under one limit, and FurtherUsed read the first budget alone. A lender could so give away what another service had used, and the sum over edges for that one could pass the bound; edges short at another service asked for nothing. The node keeps when each budget last had a further execution, and reports the one with the most used. The exploration has one budget, and could not find it.

--- a/decide/lending/explore_test.go
+++ b/decide/lending/explore_test.go
@@ -5,7 +5,6 @@
 	"flag"
 	"fmt"
 	"maps"
-
 	"slices"
 	"testing"
 
--- a/node/further.go
+++ b/node/further.go
@@ -2,7 +2,8 @@
 
 import "context"
 
-// Further is what a node has used of its further executions in the span that they are counted over.
+// Further is what a node has used of its further executions in the span that they are counted over, in the budget of
+// which it has used most.
 type Further struct {
 	Free float64 // beyond the share of what was handed over; below 0 where that share is not used up
 	Any  bool    // there was one at all
@@ -27,6 +28,19 @@
 	return Further{}, false
 }
 
-func (n *Node) further(now int64) Further {
-	return Further{n.agg.FreeUsed(now, 0), n.furtherAt > 0 && now-n.furtherAt < n.FurtherSpan}
+// further looks at the budgets in which there was a further execution of late.
+//
+// Danger: each of them has the same limit. A limit that is lowered by what one has left would be below what another has
+// used already.
+func (n *Node) further(now int64) (used Further) {
+	for budget, last := range n.furtherAt {
+		if now-last >= n.FurtherSpan {
+			delete(n.furtherAt, budget)
+			continue
+		}
+		if free := n.agg.FreeUsed(now, budget); !used.Any || free > used.Free {
+			used = Further{free, true}
+		}
+	}
+	return used
 }
--- a/node/node.go
+++ b/node/node.go
@@ -86,7 +86,7 @@
 	moved      bool      // something has happened since the last round
 	lateness   int64     // how late the loop was lately, ns
 	sweep      int64
-	furtherAt  int64 // a part was last sent that had been sent before
+	furtherAt  map[int]int64 // when a part was last sent that had been sent before, by budget
 	stopped    bool
 	shared     *shared             // what is shared with other aggregators, nil where nothing is
 	rhythm     *Rhythm             // nil for a round each tick
@@ -125,7 +125,7 @@
 	n := &Node{
 		Clock: p.Clock, Deployment: p.Deployment, terms: p.Terms, log: p.Log, count: p.Count, ask: p.Ask,
 		facts: make(chan fact, queueLength), ended: make(chan struct{}), ready: make(chan struct{}),
-		index: map[string]int{}, queries: map[*balance.Query]*query{}, out: map[*replica.Ticket]*execution{},
+		index: map[string]int{}, furtherAt: map[int]int64{}, queries: map[*balance.Query]*query{}, out: map[*replica.Ticket]*execution{},
 		rows: make([]*counters.Workload, len(p.Deployment.Workloads)),
 	}
 	for name, row := range p.Deployment.Workload {
--- a/node/send.go
+++ b/node/send.go
@@ -42,7 +42,7 @@
 			Wait: wait, Text: q.Text}, Load: q.Load}
 		q.executions[s.Part] = append(q.executions[s.Part], e)
 		if e.number > 0 {
-			n.furtherAt = now
+			n.furtherAt[shard%max(n.Accounts, 1)] = now
 		}
 		q.out++
 		if n.zoneHealth != nil {
