--- a/node/further.go
+++ b/node/further.go
@@ -16,16 +16,7 @@
 // no time for that.
 func (n *Node) FurtherUsed(ctx context.Context) (used Further, ok bool) {
 	asked := furtherAsked{make(chan Further, 1)}
-	if !n.offer(asked) {
-		return Further{}, false
-	}
-	select {
-	case used = <-asked.reply:
-		return used, true
-	case <-n.ended:
-	case <-ctx.Done():
-	}
-	return Further{}, false
+	return ask(ctx, n, asked, asked.reply)
 }
 
 // further looks at the budgets in which there was a further execution of late.
--- a/node/share.go
+++ b/node/share.go
@@ -63,19 +63,25 @@
 	}
 }
 
-// Consult asks what the aggregator knows now; false where it has no time for that, or shares nothing.
-func (n *Node) Consult(ctx context.Context) (sharedhealth.Survey, bool) {
-	reply := make(chan sharedhealth.Survey, 1)
-	if !n.offer(survey{reply}) {
-		return sharedhealth.Survey{}, false
+// ask puts a question to the loop and waits for the answer; false where the loop has no time for it, or closes the reply
+// without one.
+func ask[T any](ctx context.Context, n *Node, question any, reply <-chan T) (answer T, ok bool) {
+	if !n.offer(question) {
+		return answer, false
 	}
 	select {
-	case s, ok := <-reply:
-		return s, ok
+	case answer, ok = <-reply:
+		return answer, ok
 	case <-n.ended:
 	case <-ctx.Done():
 	}
-	return sharedhealth.Survey{}, false
+	return answer, false
+}
+
+// Consult asks what the aggregator knows now; false where it has no time for that, or shares nothing.
+func (n *Node) Consult(ctx context.Context) (sharedhealth.Survey, bool) {
+	reply := make(chan sharedhealth.Survey, 1)
+	return ask(ctx, n, survey{reply}, reply)
 }
 
 // Allow hands over what was decided on what is shared; it is dropped where the node is crowded.
