--- a/decide/clusterstate/clusterstate.go
+++ b/decide/clusterstate/clusterstate.go
@@ -7,6 +7,8 @@
 package clusterstate
 
 import (
+	"slices"
+
 	"willowsill/decide/registry"
 )
 
@@ -21,13 +23,15 @@
 	Replicas []registry.Record `cbor:"4,keyasint,omitempty"`
 	Fleet    Fleet             `cbor:"5,keyasint,omitempty"` // whole, where it has changed
 	Change   *FleetChange      `cbor:"8,keyasint,omitempty"` // the same as a difference, where that is shorter
+	Services []string          `cbor:"9,keyasint,omitempty"` // begin to be used: all of their replicas are among Replicas
 }
 
 // Fleet is who else is there.
 type Fleet struct {
 	Edges       []Edge   `cbor:"1,keyasint,omitempty"` // by IP
 	Most        int      `cbor:"2,keyasint,omitempty"` // edges that there were of late at the most
-	Controllers []string `cbor:"3,keyasint,omitempty"` // controllers, by IP
+	Controllers []string `cbor:"3,keyasint,omitempty"` // by IP
+	Zones       []string `cbor:"4,keyasint,omitempty"` // of Controllers, in their order; empty from a feeder of the former version
 }
 
 // Freshness says how recent a feeder's state is known to be.
@@ -51,6 +55,7 @@
 	Left        []string `cbor:"2,keyasint,omitempty"` // IPs
 	Most        int      `cbor:"3,keyasint,omitempty"` // as in Fleet
 	Controllers []string `cbor:"4,keyasint,omitempty"` // as in Fleet: all of them
+	Zones       []string `cbor:"6,keyasint,omitempty"` // as in Fleet
 	Count       int      `cbor:"5,keyasint,omitempty"` // of the edges afterwards; another count, and a snapshot is needed
 }
 
@@ -94,7 +99,7 @@
 //
 // Danger: a feeder that is behind must not bring back an older configuration, nor a replica that is leaving.
 func (b *State) Take(n Update) (fresh Update) {
-	fresh.Snapshot = n.Snapshot
+	fresh.Snapshot, fresh.Services = n.Snapshot, n.Services
 	if n.Revision > b.Revision && len(n.Body)+len(n.Patch) > 0 {
 		b.revise(n, &fresh)
 	}
@@ -110,7 +115,7 @@
 		}
 		// Danger: the feeder before may have called a replica silent by the very call that this one heard. That one
 		// is told of here for what it says next alone, and would stay struck off.
-		unsaid := n.Snapshot && was.Phase == registry.Silent && r.Phase == registry.Ready && r.Seq == was.Seq
+		unsaid := (n.Snapshot || slices.Contains(n.Services, r.Service)) && was.Phase == registry.Silent && r.Phase == registry.Ready && r.Seq == was.Seq
 		if known && !r.Newer(was) && !unsaid {
 			continue
 		}
--- a/decide/clusterstate/fleet.go
+++ b/decide/clusterstate/fleet.go
@@ -3,6 +3,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"willowsill/decide/locality"
 )
 
 // Differences between fleets. Edges are listed by IP.
@@ -10,7 +12,8 @@
 func byIP(a, b Edge) int { return cmp.Compare(a.IP, b.IP) }
 
 func (f Fleet) equal(o Fleet) bool {
-	return f.Most == o.Most && slices.Equal(f.Edges, o.Edges) && slices.Equal(f.Controllers, o.Controllers)
+	return f.Most == o.Most && slices.Equal(f.Edges, o.Edges) && slices.Equal(f.Controllers, o.Controllers) &&
+		slices.Equal(f.Zones, o.Zones)
 }
 
 // apply makes a new fleet of f and a difference.
@@ -22,12 +25,12 @@
 	})
 	edges = append(edges, c.Joined...)
 	slices.SortFunc(edges, byIP)
-	return Fleet{Edges: edges, Most: c.Most, Controllers: c.Controllers}
+	return Fleet{Edges: edges, Most: c.Most, Controllers: c.Controllers, Zones: c.Zones}
 }
 
 // difference makes after of before. An edge whose zone has changed has joined anew.
 func difference(before, after Fleet) FleetChange {
-	c := FleetChange{Most: after.Most, Controllers: after.Controllers, Count: len(after.Edges)}
+	c := FleetChange{Most: after.Most, Controllers: after.Controllers, Zones: after.Zones, Count: len(after.Edges)}
 	for _, e := range after.Edges {
 		if at, found := slices.BinarySearchFunc(before.Edges, e, byIP); !found || before.Edges[at] != e {
 			c.Joined = append(c.Joined, e)
@@ -40,3 +43,25 @@
 	}
 	return c
 }
+
+// ControlServers are the controllers with their zones, as far as these are known.
+func (f Fleet) ControlServers() []locality.Process {
+	processes := make([]locality.Process, len(f.Controllers))
+	for i, ip := range f.Controllers {
+		processes[i].IP = ip
+		if len(f.Zones) == len(f.Controllers) {
+			processes[i].Zone = f.Zones[i]
+		}
+	}
+	return processes
+}
+
+// InZone are the IPs of a zone's edges.
+func (f Fleet) InZone(zone string) (ips []string) {
+	for _, e := range f.Edges {
+		if e.Zone == zone {
+			ips = append(ips, e.IP)
+		}
+	}
+	return ips
+}
--- a/decide/controller/callers.go
+++ b/decide/controller/callers.go
@@ -24,7 +24,7 @@
 	}
 	c.take(r, true)
 	if r.Phase == registry.Ready {
-		c.out.Answers = append(c.out.Answers, Answer{Call: id, Status: statusOK})
+		c.out.Answers = append(c.out.Answers, Answer{Call: id, Status: statusOK, HeartbeatTarget: c.heartbeatTarget(r)})
 		return c.done()
 	}
 	c.asks++
@@ -46,6 +46,9 @@
 		return
 	}
 	r, _ = c.list.Get(r.ID)
+	if pass {
+		c.heardHere(r)
+	}
 	if pass && (changed || c.now-c.passed[r.ID] > (2*beatsPassed-1)*c.BeatEvery/2) {
 		c.passed[r.ID] = c.now
 		p := r
@@ -78,7 +81,7 @@
 }
 
 func (c *Controller) answer(t *pendingCall, status int, body []byte, reason string) {
-	c.out.Answers = append(c.out.Answers, Answer{t.id, status, body, reason})
+	c.out.Answers = append(c.out.Answers, Answer{Call: t.id, Status: status, Body: body, Reason: reason})
 	c.calls = slices.DeleteFunc(c.calls, func(o *pendingCall) bool { return o == t })
 }
 
--- a/decide/controller/contact.go
+++ b/decide/controller/contact.go
@@ -76,7 +76,9 @@
 
 // sendHeartbeat sends one to all others.
 func (c *Controller) sendHeartbeat() {
-	h := Heartbeat{CaughtUp: c.disk.CaughtUp, Epoch: c.committed.Epoch, Revision: c.committed.Revision, Leaving: c.leaving,
+	c.passOn() // a replica that is new in the group has to be known before
+	group := c.group.News(c.now)
+	h := Heartbeat{Group: &group, CaughtUp: c.disk.CaughtUp, Epoch: c.committed.Epoch, Revision: c.committed.Revision, Leaving: c.leaving,
 		Number: c.lease.Ask(c.now), Accepted: c.disk.Accepted}
 	for _, ip := range c.all() {
 		if number := c.peers[ip].number; number > 0 {
@@ -85,7 +87,7 @@
 	}
 	if c.now >= c.edgesAt {
 		c.edgesAt = c.now + edgesEvery
-		h.Controllers = c.livePeers()
+		h.Controllers, h.Zone = c.livePeers(), c.Zone
 		h.Edges = c.edgeReports()
 		c.fleet()
 	}
@@ -119,7 +121,11 @@
 		c.dutyAt = c.now // a member that leaves is replaced while it still runs
 	}
 	p.heartbeat, p.number = *h, h.Number
+	p.zone = cmp.Or(h.Zone, p.zone)
 	c.receipts(w.From, h)
+	if h.Group != nil {
+		c.takeGroup(w.From, p, *h.Group)
+	}
 	for _, s := range h.Edges {
 		c.sight(s, false)
 	}
--- a/decide/controller/controller.go
+++ b/decide/controller/controller.go
@@ -47,6 +47,9 @@
 	heard, first int64  // last, and since when without a long silence
 	number       uint64 // of the last heartbeat received
 	heartbeat    Heartbeat
+	zone         string // empty until it has said so
+	group        registry.View
+	groupWantAt  int64 // it is not asked for the whole of its group before
 }
 
 // edge is what is known of one edge.
@@ -83,8 +86,10 @@
 	proposer    *register.Proposer
 	joiner      *register.Joiner
 	list        *registry.Registry
+	group       *registry.Group // whose heartbeats come here
 	book        *clusterstate.State
-	committed   register.Value // the newest value known to be committed
+	selection   *clusterstate.Selection // of the book, for those who follow
+	committed   register.Value          // the newest value known to be committed
 	lease       *lease.Lease
 	unsettledAt int64 // since when some disk has held what is not known to be committed; 0 for not
 	peers       map[string]*peer
@@ -124,7 +129,8 @@
 
 // New makes a controller.
 func New(now int64, s Start) *Controller {
-	c := &Controller{Start: s, list: registry.New(silentBeats*s.BeatEvery, keepGone), book: clusterstate.NewState(),
+	c := &Controller{Start: s, list: registry.New(silentBeats*s.BeatEvery, keepGone),
+		group: registry.NewGroup(groupBeats*s.BeatEvery + s.BeatEvery/2), book: clusterstate.NewState(), selection: clusterstate.NewSelection(),
 		peers: map[string]*peer{}, edges: map[string]*edge{}, pass: map[string]registry.Record{}, passed: map[string]int64{},
 		leavers: newLeavers(), lease: lease.New(s.IP + "/" + s.Life), began: now, now: now}
 	seeds := slices.Clone(s.Seeds)
@@ -154,7 +160,7 @@
 	// else, and who asks a replica that is gone is told so by whoever has its address now. An edge that knows
 	// more does not go back.
 	if v := c.disk.Value; s.CommittedRevision > 0 && v.Revision == s.CommittedRevision {
-		c.book.Take(clusterstate.Update{Revision: v.Revision, Body: v.Body})
+		c.selection.Update(c.book, c.book.Take(clusterstate.Update{Revision: v.Revision, Body: v.Body}))
 	}
 	for _, r := range s.List {
 		c.list.Take(now, r)
@@ -214,6 +220,8 @@
 	}
 	out := c.out
 	c.out = Out{}
+	out.Whole = out.Update
+	out.Update = c.selection.Update(c.book, out.Update)
 	return out
 }
 
@@ -279,6 +287,15 @@
 	if w.Committed != nil {
 		c.commit(*w.Committed, w.CommittedAt)
 	}
+	if w.Group.Whole {
+		c.takeGroup(w.From, p, w.Group)
+	}
+	if w.WantGroup {
+		c.send(Message{Group: c.group.All()}, w.From)
+	}
+	if len(w.WantReplicas) > 0 {
+		c.send(Message{Records: c.records(w.WantReplicas)}, w.From)
+	}
 	if w.Want {
 		answer := Message{Records: c.list.All()}
 		if len(c.committed.Members) > 0 {
@@ -323,22 +340,11 @@
 	}
 	if now >= c.passAt {
 		c.passAt = now + passEvery
-		if len(c.pass) > 0 && (c.urgent || now >= c.beatsAt) {
-			c.urgent, c.beatsAt = false, now+beatsEvery
-			var w Message
-			for _, r := range c.pass {
-				if r.Service == "" && r.Phase == registry.Ready {
-					w.Beats = append(w.Beats, ReplicaHeartbeat{r.ID, r.Seq})
-				} else {
-					w.Records = append(w.Records, r)
-				}
-			}
-			c.send(w, c.all()...)
-			clear(c.pass)
-		}
+		c.passOn()
 		listening := c.inContact && now-c.began > silentBeats*c.BeatEvery
 		for _, r := range c.list.Tick(now, listening) {
 			c.listDirty = true
+			c.silentHere(r.ID)
 			c.log("a replica has fallen silent", "replica", r.ID, "service", r.Service, "gone", r.Phase == registry.Gone)
 			c.tell(c.book.Take(clusterstate.Update{Replicas: []registry.Record{r}}))
 		}
@@ -402,6 +408,7 @@
 func (c *Controller) forget() {
 	for ip, p := range c.peers {
 		if !slices.Contains(c.members(), ip) && c.now-max(p.heard, c.began) > goneAfter {
+			c.list.GroupGone(ip)
 			delete(c.peers, ip)
 		}
 	}
--- a/decide/controller/controller_test.go
+++ b/decide/controller/controller_test.go
@@ -11,6 +11,7 @@
 	"github.com/shoenig/test/must"
 
 	"willowsill/decide/clusterstate"
+	"willowsill/decide/locality"
 	"willowsill/decide/register"
 	"willowsill/decide/registry"
 )
@@ -55,6 +56,8 @@
 	answers map[uint64]Answer
 	calls   uint64
 	body    map[uint64]string
+	zones   map[string]string // of the controllers; nil where it does not matter
+	regions locality.Regions
 }
 
 func newCluster(t *testing.T, n int) *cluster {
@@ -73,7 +76,7 @@
 func (b *cluster) start(name string, bootstrap bool) {
 	x := b.servers[name]
 	x.up, x.life, x.told, x.next = true, x.life+1, 0, b.now
-	s := Start{IP: name, Life: fmt.Sprint(x.life), Seeds: b.names[:3], Bootstrap: bootstrap, BeatEvery: 1000 * ms,
+	s := Start{IP: name, Life: fmt.Sprint(x.life), Zone: b.zones[name], Regions: b.regions, Seeds: b.names[:3], Bootstrap: bootstrap, BeatEvery: 1000 * ms,
 		Draw: func() float64 { return float64(name[len(name)-1]%8) / 8 }}
 	if x.saved != nil {
 		state := x.saved.State
--- a/decide/controller/disk.go
+++ b/decide/controller/disk.go
@@ -165,8 +165,11 @@
 	}
 }
 
-// CaughtUp is the book for one who begins to follow.
-func (c *Controller) Snapshot() clusterstate.Update { return c.book.Snapshot() }
+// Snapshot is what one who begins to follow is told.
+func (c *Controller) Snapshot() clusterstate.Update { return c.selection.Snapshot(c.book) }
+
+// WholeSnapshot is the same with all replicas, for operators who watch.
+func (c *Controller) WholeSnapshot() clusterstate.Update { return c.book.Snapshot() }
 
 // Holds tells whether the configuration that stands is the very one given.
 func (c *Controller) Holds(revision uint64, body []byte) bool {
--- a/decide/controller/edges.go
+++ b/decide/controller/edges.go
@@ -53,13 +53,18 @@
 // would make the bytes grow with the square of the edges, and the time to make the lists too.
 //
 // Danger: one watcher may be the one that is cut off. An edge is left out of the tree only by the word of
-// two, or of all that watch it, and never while it is heard itself.
+// two, or of all that watch it, and never while it is heard itself. The edges of a zone watch each other, for it is
+// these alone that would follow a lost one.
 func (c *Controller) fleet() {
 	if c.fleetDue = c.now < c.fleetAt; c.fleetDue {
 		return
 	}
 	c.fleetAt = c.now + fleetEvery
 	var f clusterstate.Fleet
+	inZone := map[string]int{}
+	for _, e := range c.edges {
+		inZone[e.Zone]++
+	}
 	for ip, e := range c.edges {
 		if c.now-e.heard > edgeWithin {
 			delete(c.edges, ip)
@@ -73,7 +78,7 @@
 				n++
 			}
 		}
-		if n >= min(suspectedBy, len(c.edges)-1) && n > 0 && c.now-e.heard > edgeQuiet {
+		if n >= min(suspectedBy, inZone[e.Zone]-1) && n > 0 && c.now-e.heard > edgeQuiet {
 			continue
 		}
 		f.Edges = append(f.Edges, e.Edge)
@@ -84,12 +89,15 @@
 		c.most, c.mostAt = len(f.Edges), c.now
 	}
 	f.Most = max(c.most, 1)
-	lights := map[string]bool{c.IP: true}
+	servers := map[string]bool{c.IP: true}
 	for ip := range c.peers {
 		if slices.Contains(c.members(), ip) || c.live(ip) {
-			lights[ip] = true
+			servers[ip] = true
 		}
 	}
-	f.Controllers = slices.Sorted(maps.Keys(lights))
+	f.Controllers = slices.Sorted(maps.Keys(servers))
+	for _, ip := range f.Controllers {
+		f.Zones = append(f.Zones, c.zoneOf(ip))
+	}
 	c.tell(c.book.Take(clusterstate.Update{Fleet: f}))
 }
--- /dev/null
+++ b/decide/controller/groups_test.go
@@ -0,0 +1,118 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/shoenig/test/must"
+
+	"willowsill/decide/registry"
+)
+
+// beatEach has so many replicas send their heartbeats for so long, each to the controller that at names, and returns the
+// bytes that controllers sent meanwhile of replicas that say nothing new.
+func (b *cluster) beatEach(replicas int, d int64, at func(replica int) string) (size int) {
+	b.tamper = func(_ int, w *Message) (int, int64) {
+		if len(w.Beats)+len(w.Records) > 0 || w.Group.Whole || w.Heartbeat != nil && w.Heartbeat.Group != nil {
+			frame, err := cbor.Marshal(w)
+			must.NoError(b.t, err)
+			size += len(frame)
+		}
+		return 1, 0
+	}
+	for end := b.now + d; b.now < end; {
+		for i := range replicas {
+			b.beat(at(i), registry.Record{ID: fmt.Sprint("i-", i), Service: "s", Address: fmt.Sprint("a:", i), Zone: "z", Seq: uint64(b.now / ms)})
+		}
+		b.run(1000 * ms)
+	}
+	b.tamper = nil
+	return size
+}
+
+// allReady wants each controller that is up to hold so many replicas, all ready.
+func (b *cluster) allReady(replicas int) {
+	b.t.Helper()
+	for _, name := range b.names {
+		if b.servers[name].up {
+			must.Eq(b.t, replicas, b.servers[name].Controller.list.Phases()[registry.Ready], must.Sprint(name))
+		}
+	}
+}
+
+// TestHeartbeatsCostTheSameForMany: what controllers tell each other of replicas that say nothing new does not grow with
+// the replicas, and none of them falls silent anywhere.
+func TestHeartbeatsCostTheSameForMany(t *testing.T) {
+	sizes := map[int]int{}
+	for _, n := range []int{20, 200} {
+		b := newCluster(t, 3)
+		b.run(4000 * ms)
+		home := func(replica int) string { return b.names[replica%3] }
+		b.beatEach(n, 4000*ms, home)
+		sizes[n] = b.beatEach(n, 20000*ms, home)
+		b.allReady(n)
+	}
+	must.Less(t, sizes[20]*11/10, sizes[200])
+}
+
+// TestReplicaThatMovesIsHeard: a replica that calls other controllers by turns is ready everywhere, and one that is heard
+// nowhere any more falls silent everywhere.
+func TestReplicaThatMovesIsHeard(t *testing.T) {
+	b := newCluster(t, 3)
+	b.run(4000 * ms)
+	turn := func(replica int) string { return b.names[(int(b.now/(3000*ms))+replica)%3] }
+	b.beatEach(9, 24000*ms, turn)
+	b.allReady(9)
+	b.beatEach(8, 10000*ms, turn)
+	b.allReady(8)
+}
+
+// TestGroupAfterLosses: messages are lost, a controller is cut off from one other, and one starts anew with an empty disk;
+// replicas that are heard somewhere are ready everywhere soon after.
+func TestGroupAfterLosses(t *testing.T) {
+	b := newCluster(t, 5)
+	b.run(4000 * ms)
+	home := func(replica int) string { return b.names[replica%4] }
+	b.beatEach(12, 4000*ms, home)
+	number := 0
+	b.tamper = func(int, *Message) (int, int64) {
+		number++
+		return number % 3, 0 // each third lost, each third doubled
+	}
+	b.run(1000 * ms)
+	b.cut = func(from, to string) bool { return from == b.names[1] && to == b.names[2] }
+	b.beatEach(12, 12000*ms, home)
+	b.cut = nil
+	wiped := b.servers[b.names[4]]
+	wiped.up, wiped.saved, wiped.list = false, nil, nil
+	b.start(b.names[4], false)
+	b.beatEach(12, 4000*ms, home)
+	b.allReady(12)
+}
+
+// TestGroupsBesideAnOlderVersion: a controller that knows nothing of groups is told of each replica.
+func TestGroupsBesideAnOlderVersion(t *testing.T) {
+	b := newCluster(t, 3)
+	older := b.names[2]
+	b.run(4000 * ms)
+	send := func(number int, w *Message) (int, int64) {
+		if w.From == older && w.Heartbeat != nil {
+			h := *w.Heartbeat
+			h.Group = nil
+			w.Heartbeat = &h
+		}
+		return 1, 0
+	}
+	b.tamper = send
+	b.run(1000 * ms)
+	forgets := b.servers[older].Controller
+	for range 20 {
+		for i := range 6 {
+			b.beat(b.names[0], registry.Record{ID: fmt.Sprint("i-", i), Service: "s", Address: "a:1", Seq: uint64(b.now / ms)})
+		}
+		forgets.list.GroupGone(b.names[0]) // it would not have known of one
+		b.run(1000 * ms)
+	}
+	must.Eq(t, 6, forgets.list.Phases()[registry.Ready])
+}
--- a/decide/controller/messages.go
+++ b/decide/controller/messages.go
@@ -2,6 +2,7 @@
 
 import (
 	"willowsill/decide/clusterstate"
+	"willowsill/decide/locality"
 	"willowsill/decide/register"
 	"willowsill/decide/registry"
 )
@@ -21,6 +22,9 @@
 	CommittedBallot register.Ballot    `cbor:"9,keyasint,omitempty"` // what was taken under this ballot stands
 	Beats           []ReplicaHeartbeat `cbor:"10,keyasint,omitempty"`
 	CommittedAt     register.Ballot    `cbor:"11,keyasint,omitempty"` // the ballot that Committed was committed under
+	WantGroup       bool               `cbor:"12,keyasint,omitempty"` // wants the whole group
+	Group           registry.GroupNews `cbor:"13,keyasint,omitzero"`  // the whole of it
+	WantReplicas    []string           `cbor:"14,keyasint,omitempty"` // wants the records of these
 }
 
 // ReplicaHeartbeat tells that a replica was heard which says what it said before.
@@ -41,6 +45,9 @@
 	Number   uint64          `cbor:"7,keyasint,omitempty"` // of this heartbeat; the others return it
 	Received []Receipt       `cbor:"8,keyasint,omitempty"` // the last heartbeats received from the others
 	Accepted register.Ballot `cbor:"9,keyasint,omitempty"` // the newest that this one's disk has accepted
+
+	Zone  string              `cbor:"10,keyasint,omitempty"` // of this controller; with Controllers alone
+	Group *registry.GroupNews `cbor:"11,keyasint,omitempty"` // of replicas heard here; nil in the former version
 }
 
 // Receipt returns the number of the last heartbeat that was received from a controller.
@@ -72,10 +79,11 @@
 
 // Answer goes to a caller.
 type Answer struct {
-	Call   uint64
-	Status int // of HTTP
-	Body   []byte
-	Reason string
+	Call            uint64
+	Status          int // of HTTP
+	Body            []byte
+	Reason          string
+	HeartbeatTarget string // IP of the controller for the replica's later heartbeats; empty for any
 }
 
 // Out is what a call asks for, in this order.
@@ -84,6 +92,7 @@
 	Sends   []Send
 	Answers []Answer
 	Update  clusterstate.Update // to all who follow
+	Whole   clusterstate.Update // the same with all replicas, to operators who watch
 	Log     []Line
 }
 
@@ -97,6 +106,8 @@
 type Start struct {
 	IP                string
 	Life              string // new in each life of the process
+	Zone              string
+	Regions           locality.Regions
 	Seeds             []string
 	Bootstrap         bool              // the first start of the whole system
 	State             *register.State   // as it was saved; nil for an empty disk
--- /dev/null
+++ b/decide/controller/places_test.go
@@ -0,0 +1,95 @@
+package controller
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"willowsill/decide/locality"
+	"willowsill/decide/registry"
+)
+
+// newClusterInZones is a cluster whose controllers stand in these zones; west has two of them, east one.
+func newClusterInZones(t *testing.T, zones ...string) *cluster {
+	b := &cluster{t: t, servers: map[string]*server{}, answers: map[uint64]Answer{}, body: map[uint64]string{}, zones: map[string]string{},
+		regions: locality.Regions{"west1": "west", "west2": "west", "east1": "east"}}
+	for i, zone := range zones {
+		name := fmt.Sprint("10.0.0.", i+1)
+		b.names = append(b.names, name)
+		b.servers[name] = &server{}
+		b.zones[name] = zone
+	}
+	for _, name := range b.names {
+		b.start(name, true)
+	}
+	return b
+}
+
+// target has a replica send a heartbeat to a controller and returns the one that later ones are to go to.
+func (b *cluster) target(at, replica, zone string) string {
+	b.calls++
+	b.carry(at, b.servers[at].Beat(b.now, b.calls, registry.Record{ID: replica, Service: "s", Address: "a:1", Zone: zone, Seq: b.calls}))
+	return b.answers[b.calls].HeartbeatTarget
+}
+
+// TestHeartbeatsStayNear: whichever controller a replica calls, it is sent to the same one: in its zone, or in its region
+// where its zone has none that takes calls; replicas spread over several of one zone. Where the region has none, or the
+// zone is not known, they go where they like.
+func TestHeartbeatsStayNear(t *testing.T) {
+	b := newClusterInZones(t, "west1", "west1", "west2", "east1", "east1")
+	b.run(4000 * ms)
+	c := b.names
+	for _, at := range c {
+		must.Eq(t, c[2], b.target(at, "i-1", "west2"))
+		must.Eq(t, "", b.target(at, "i-2", ""))
+		must.Eq(t, "", b.target(at, "i-3", "elsewhere"))
+		must.Eq(t, b.target(c[0], "i-4", "west1"), b.target(at, "i-4", "west1"))
+	}
+	spread := map[string]int{}
+	for i := range 60 {
+		spread[b.target(c[3], fmt.Sprint("i-9", i), "west1")]++
+	}
+	must.MapLen(t, 2, spread)
+	must.Between(t, 15, spread[c[0]], 45)
+
+	b.servers[c[2]].up = false
+	b.run(contactWithin + 500*ms)
+	must.SliceContains(t, c[:2], b.target(c[3], "i-1", "west2"))
+	b.start(c[2], false)
+	b.run(3000 * ms)
+	must.Eq(t, c[2], b.target(c[3], "i-1", "west2"))
+
+	b.servers[c[3]].up, b.servers[c[4]].up = false, false
+	b.run(contactWithin + 500*ms)
+	must.Eq(t, "", b.target(c[0], "i-5", "east1"))
+}
+
+// TestNoHeartbeatsToThoseThatLeave: replicas are sent away from a controller that leaves while it still runs, and to
+// none whose disk has not caught up.
+func TestNoHeartbeatsToThoseThatLeave(t *testing.T) {
+	b := newClusterInZones(t, "west1", "east1", "east1", "east1", "west2")
+	b.run(4000 * ms)
+	c := b.names
+	must.Eq(t, c[4], b.target(c[1], "i-1", "west2"))
+	b.carry(c[4], b.servers[c[4]].Leave(b.now))
+	b.run(100 * ms)
+	must.Eq(t, c[0], b.target(c[1], "i-1", "west2"))
+
+	wiped := b.servers[c[0]]
+	wiped.up, wiped.saved, wiped.list = false, nil, nil
+	b.cut = func(from, to string) bool { return (from == c[2] || from == c[3]) && to == c[0] } // too few for it to catch up
+	b.start(c[0], false)
+	b.run(3000 * ms)
+	must.False(t, wiped.disk.CaughtUp)
+	must.Eq(t, "", b.target(c[1], "i-1", "west1"))
+}
+
+// TestFleetNamesZonesOfControllers: edges are told in which zone each controller is.
+func TestFleetNamesZonesOfControllers(t *testing.T) {
+	b := newClusterInZones(t, "west1", "west2", "east1")
+	b.run(4000 * ms)
+	fleet := b.servers[b.names[2]].Snapshot().Fleet
+	must.Eq(t, b.names, fleet.Controllers)
+	must.Eq(t, []string{"west1", "west2", "east1"}, fleet.Zones)
+}
--- a/decide/failuredetector/failuredetector.go
+++ b/decide/failuredetector/failuredetector.go
@@ -1,6 +1,5 @@
-// Package failuredetector has edges keep an eye on each other: each sends heartbeats to the few that follow it on a
-// ring, and says whom of those that it is to watch it has not heard. It reads no clock and sends nothing
-// itself.
+// Package failuredetector has the edges of a zone keep an eye on each other: each sends heartbeats to the few that follow it
+// on a ring, and says whom of those that it is to watch it has not heard. It reads no clock and sends nothing itself.
 //
 // Decides: who watches whom, and when a watcher suspects an edge.
 package failuredetector
--- /dev/null
+++ b/decide/locality/locality_test.go
@@ -0,0 +1,43 @@
+package locality
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+var regions = Regions{"a1": "a", "a2": "a", "b1": "b", "alone": ""}
+
+func TestDistance(t *testing.T) {
+	for _, c := range []struct {
+		from, to string
+		want     Distance
+	}{
+		{"a1", "a1", SameZone}, {"a1", "a2", SameRegion}, {"a1", "b1", Beyond}, {"a1", "", Beyond}, {"", "", Beyond},
+		{"alone", "alone", SameZone}, {"alone", "unlisted", Beyond}, {"unlisted", "unlisted", SameZone},
+	} {
+		must.Eq(t, c.want, regions.Distance(c.from, c.to), must.Sprint(c.from, " to ", c.to))
+	}
+}
+
+// TestOrder: the nearest come first whatever their hash; callers spread over those that are equally near, and one process
+// that goes moves only its own callers.
+func TestOrder(t *testing.T) {
+	all := []Process{{"1", "b1"}, {"2", "a2"}, {"3", "a1"}, {"4", ""}, {"5", "a1"}, {"6", "a1"}}
+	first := map[string]int{}
+	for i := range 300 {
+		caller := fmt.Sprint("caller ", i)
+		regions.Order(caller, "a1", all)
+		for k, want := range []Distance{SameZone, SameZone, SameZone, SameRegion, Beyond, Beyond} {
+			must.Eq(t, want, regions.Distance("a1", all[k].Zone))
+		}
+		first[all[0].IP]++
+		fewer := []Process{all[5], all[1], all[3], all[2], all[4]}
+		regions.Order(caller, "a1", fewer)
+		must.Eq(t, all[1:], fewer) // the others keep their order
+	}
+	for _, ip := range []string{"3", "5", "6"} {
+		must.Between(t, 70, first[ip], 130, must.Sprint(ip))
+	}
+}
--- /dev/null
+++ b/decide/registry/group_test.go
@@ -0,0 +1,134 @@
+package registry
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// TestGroupIsToldInChanges: who joins and who leaves is told once, and the view agrees after each.
+func TestGroupIsToldInChanges(t *testing.T) {
+	g, v := NewGroup(3*second), &View{}
+	must.True(t, v.Take(g.News(0)))
+	for i := range 50 {
+		g.Heard(0, Call{fmt.Sprint("i-", i), 1})
+	}
+	news := g.News(0)
+	must.SliceLen(t, 50, news.Joined)
+	must.True(t, v.Take(news))
+	for i := range 49 { // the last one is not heard any more
+		g.Heard(2*second, Call{fmt.Sprint("i-", i), 2})
+	}
+	news = g.News(2 * second)
+	must.SliceEmpty(t, news.Joined)
+	must.True(t, v.Take(news))
+	news = g.News(4 * second)
+	must.Eq(t, []Unheard{{Call{"i-49", 1}, 4 * second}}, news.Left)
+	must.True(t, v.Take(news))
+	g.Leave(4*second, "i-7")
+	must.SliceLen(t, 1, g.News(4*second).Left)
+}
+
+// TestViewNoticesLosses: whatever news are lost, doubled or late, a view that agrees holds the group, and one that does not
+// comes to agree by the whole of it.
+func TestViewNoticesLosses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g, v := NewGroup(5), &View{}
+		var late []GroupNews
+		for now := range int64(rapid.IntRange(1, 40).Draw(t, "steps")) {
+			id := fmt.Sprint("i-", rapid.IntRange(0, 6).Draw(t, "id"))
+			if rapid.IntRange(0, 4).Draw(t, "what") > 0 {
+				g.Heard(now, Call{id, uint64(now)})
+			} else {
+				g.Leave(now, id)
+			}
+			news := g.News(now)
+			switch rapid.IntRange(0, 4).Draw(t, "way") {
+			case 0:
+				continue // lost
+			case 1:
+				late = append(late, news)
+				continue
+			case 2:
+				v.Take(news)
+			case 3:
+				for _, n := range late {
+					v.Take(n)
+				}
+				late = nil
+			}
+			if v.Take(news) {
+				must.MapLen(t, len(g.members), v.ids)
+				for id := range g.members {
+					must.MapContainsKey(t, v.ids, id)
+				}
+			}
+			if rapid.Bool().Draw(t, "whole") {
+				must.True(t, v.Take(g.All()))
+			}
+		}
+	})
+}
+
+// TestHeardWithTheGroup: replicas of a group that is heard do not fall silent; one that leaves it does in its own time, and
+// all do once the group is no longer heard.
+func TestHeardWithTheGroup(t *testing.T) {
+	reg := New(4*second, 60*second)
+	for _, id := range []string{"i-1", "i-2", "i-3"} {
+		reg.Take(0, Record{ID: id, Service: "s", Address: "a:1", Seq: 1})
+	}
+	must.True(t, reg.Join(0, "c1", Call{"i-1", 2}))
+	must.True(t, reg.Join(0, "c1", Call{"i-2", 2}))
+	must.False(t, reg.Join(0, "c1", Call{"i-9", 2})) // not known here
+	silent := func(now int64) (ids []string) {
+		for _, r := range reg.Tick(now, true) {
+			ids = append(ids, r.ID)
+		}
+		return ids
+	}
+	for now := int64(0); now < 20*second; now += second / 2 {
+		reg.GroupHeard(now, "c1")
+		if now == 9*second/2 {
+			must.Eq(t, []string{"i-3"}, silent(now)) // in no group
+		} else if now < 5*second {
+			must.SliceEmpty(t, silent(now))
+		}
+		if now == 6*second {
+			reg.Leave(now, "c1", Unheard{Call{"i-2", 7}, 3 * second})
+		}
+		if now == 7*second {
+			must.SliceEmpty(t, silent(now))
+		}
+		if now == 8*second {
+			must.Eq(t, []string{"i-2"}, silent(now))
+		}
+	}
+	must.SliceEmpty(t, silent(23*second))
+	must.Eq(t, []string{"i-1"}, silent(24*second))
+	must.False(t, reg.Join(24*second, "c1", Call{"i-1", 3})) // its record is needed
+}
+
+// TestNoBlameWhileDeaf: a controller that heard nobody blames no replica for its group's silence.
+func TestNoBlameWhileDeaf(t *testing.T) {
+	reg := New(4*second, 60*second)
+	reg.Tick(0, true)
+	reg.Take(0, Record{ID: "i-1", Service: "s", Address: "a:1", Seq: 1})
+	reg.Join(0, "c1", Call{"i-1", 1})
+	reg.GroupHeard(second, "c1")
+	must.SliceEmpty(t, reg.Tick(20*second, false))
+	must.SliceEmpty(t, reg.Tick(21*second, true))
+	must.SliceLen(t, 1, reg.Tick(26*second, true))
+}
+
+// TestGroupGone: what a controller's group was heard by last counts on once that controller is forgotten.
+func TestGroupGone(t *testing.T) {
+	reg := New(4*second, 60*second)
+	reg.Take(0, Record{ID: "i-1", Service: "s", Address: "a:1", Seq: 1})
+	reg.Join(0, "c1", Call{"i-1", 1})
+	reg.GroupHeard(8*second, "c1")
+	reg.GroupGone("c1")
+	must.SliceEmpty(t, reg.Tick(11*second, true))
+	must.SliceLen(t, 1, reg.Tick(13*second, true))
+}
--- a/decide/registry/registry.go
+++ b/decide/registry/registry.go
@@ -70,6 +70,7 @@
 type entry struct {
 	Record
 	heard int64
+	group string // the controller in whose group it is, empty for none
 }
 
 // Registry is one controller's list.
@@ -77,13 +78,14 @@
 	SilentAfter int64 // a replica unheard for so long has fallen silent, ns
 	KeepGone    int64 // the gone are remembered for so long, ns
 	entries     map[string]*entry
-	looked      int64 // when Tick was called last
-	due         int64 // before it nobody can have fallen silent, or been so for long enough to be gone
+	groups      map[string]int64 // when a controller's group was heard last
+	looked      int64            // when Tick was called last
+	due         int64            // before it nobody can have fallen silent, or been so for long enough to be gone
 }
 
 // New makes an empty list.
 func New(silentAfter, keepGone int64) *Registry {
-	return &Registry{SilentAfter: silentAfter, KeepGone: keepGone, entries: map[string]*entry{}}
+	return &Registry{SilentAfter: silentAfter, KeepGone: keepGone, entries: map[string]*entry{}, groups: map[string]int64{}}
 }
 
 // Take takes a record in. news tells whether it said anything new at all, changed whether edges need to hear
@@ -91,7 +93,7 @@
 func (reg *Registry) Take(now int64, r Record) (news, changed bool) {
 	e := reg.entries[r.ID]
 	if e == nil {
-		reg.entries[r.ID] = &entry{r, now}
+		reg.entries[r.ID] = &entry{Record: r, heard: now}
 		return true, true
 	}
 	if !r.Newer(e.Record) {
@@ -124,6 +126,11 @@
 		return nil
 	}
 	reg.due = now + min(reg.SilentAfter, reg.KeepGone)
+	if !listening {
+		for group, at := range reg.groups {
+			reg.groups[group] = min(at+gap, now)
+		}
+	}
 	for id, e := range reg.entries {
 		switch {
 		case e.Phase == Gone || e.Phase == Silent:
@@ -137,7 +144,8 @@
 			}
 		case !listening:
 			e.heard = min(e.heard+gap, now)
-		case now-e.heard > reg.SilentAfter:
+		case now-reg.heard(e) > reg.SilentAfter:
+			e.heard, e.group = reg.heard(e), ""
 			e.Phase = Silent
 			changed = append(changed, e.Record)
 		}
@@ -151,7 +159,58 @@
 	if e.Phase >= Silent {
 		return e.heard + reg.KeepGone
 	}
-	return e.heard + reg.SilentAfter
+	return reg.heard(e) + reg.SilentAfter
+}
+
+// heard is when an entry was heard last, by itself or with its group.
+func (reg *Registry) heard(e *entry) int64 {
+	if e.group == "" {
+		return e.heard
+	}
+	return max(e.heard, reg.groups[e.group])
+}
+
+// Join takes in that a replica is in a controller's group; false where it is not known here as ready, so that its record
+// is needed.
+func (reg *Registry) Join(now int64, group string, c Call) bool {
+	e := reg.entries[c.ID]
+	if e == nil || e.Phase != Ready {
+		return false
+	}
+	e.Seq = max(e.Seq, c.Seq)
+	e.heard, e.group = now, group
+	return true
+}
+
+// Leave takes in that a replica has left a controller's group, where it is still in that one.
+func (reg *Registry) Leave(now int64, group string, u Unheard) {
+	e := reg.entries[u.Call.ID]
+	if e == nil || e.group != group {
+		return
+	}
+	e.group = ""
+	if e.Phase == Ready {
+		e.Seq = max(e.Seq, u.Call.Seq)
+		e.heard = max(e.heard, now-u.For)
+		reg.due = min(reg.due, reg.dueOf(e))
+	}
+}
+
+// GroupHeard takes in that a controller's group was heard, and is as it is held here.
+func (reg *Registry) GroupHeard(now int64, group string) { reg.groups[group] = now }
+
+// GroupGone forgets a controller's group. Its replicas count as heard with it for the last time.
+func (reg *Registry) GroupGone(group string) {
+	at, known := reg.groups[group]
+	if !known {
+		return
+	}
+	for _, e := range reg.entries {
+		if e.group == group {
+			e.heard, e.group = max(e.heard, at), ""
+		}
+	}
+	delete(reg.groups, group)
 }
 
 // All is the whole list.
--- a/decide/relaytree/example_test.go
+++ b/decide/relaytree/example_test.go
@@ -15,7 +15,7 @@
 	}
 	controllers := 0
 	for _, e := range fleet.Edges {
-		if relaytree.Feeders(e.IP, e.Zone, fleet, []string{"10.9.0.1"})[0].Controller {
+		if relaytree.Feeders(e.IP, e.Zone, fleet, []string{"10.9.0.1"}, nil)[0].Controller {
 			controllers++
 		}
 	}
--- a/decide/relaytree/relaytree.go
+++ b/decide/relaytree/relaytree.go
@@ -12,13 +12,13 @@
 package relaytree
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
 	"willowsill/decide/clusterstate"
 	"willowsill/decide/failuredetector"
+	"willowsill/decide/locality"
 )
 
 const (
@@ -34,8 +34,8 @@
 }
 
 // Feeders are those that an edge may follow, the one to follow first in front; controllers come last and
-// always.
-func Feeders(self, zone string, f clusterstate.Fleet, controllers []string) (order []Feeder) {
+// always: those that the fleet names and the seeds, the nearest first.
+func Feeders(self, zone string, f clusterstate.Fleet, seeds []string, regions locality.Regions) (order []Feeder) {
 	var ips []string
 	for _, e := range f.Edges {
 		if e.Zone == zone || e.IP == self {
@@ -54,12 +54,15 @@
 			}
 		}
 	}
-	controllers = slices.Clone(controllers)
-	slices.SortFunc(controllers, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(self+a), xxhash.Sum64String(self+b)), cmp.Compare(a, b))
-	})
-	for _, ip := range slices.Compact(controllers) {
-		order = append(order, Feeder{ip, true})
+	controllers := f.ControlServers()
+	for _, ip := range seeds {
+		if !slices.ContainsFunc(controllers, func(c locality.Process) bool { return c.IP == ip }) {
+			controllers = append(controllers, locality.Process{IP: ip})
+		}
+	}
+	regions.Order(self, zone, controllers)
+	for _, c := range controllers {
+		order = append(order, Feeder{c.IP, true})
 	}
 	return order
 }
--- a/decide/relaytree/relaytree_test.go
+++ b/decide/relaytree/relaytree_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -9,6 +10,7 @@
 
 	"willowsill/decide/clusterstate"
 	"willowsill/decide/failuredetector"
+	"willowsill/decide/locality"
 )
 
 // TestEveryPathEndsAtAController: whoever fails, each edge has another way in the end, and the first ways make a
@@ -23,7 +25,7 @@
 		first, zone := map[string]Feeder{}, map[string]string{}
 		heads, under := map[string]int{}, map[string]int{}
 		for _, e := range f.Edges {
-			order := Feeders(e.IP, e.Zone, f, controllers)
+			order := Feeders(e.IP, e.Zone, f, controllers, nil)
 			first[e.IP], zone[e.IP] = order[0], e.Zone
 			must.True(t, order[len(order)-1].Controller)
 			if order[0].Controller {
@@ -48,7 +50,7 @@
 		}
 	}
 	// An edge that no list names yet follows a controller.
-	must.True(t, Feeders("10.9.9.9", "z1", clusterstate.Fleet{}, controllers)[0].Controller)
+	must.True(t, Feeders("10.9.9.9", "z1", clusterstate.Fleet{}, controllers, nil)[0].Controller)
 }
 
 // TestFewMoveWhenOneJoins: an edge that joins or leaves gives few others another feeder, however many there are.
@@ -67,7 +69,7 @@
 		feeders := func() map[string]Feeder {
 			first := map[string]Feeder{}
 			for _, e := range f.Edges {
-				first[e.IP] = Feeders(e.IP, e.Zone, f, []string{"1.1.1.1", "1.1.1.2"})[0]
+				first[e.IP] = Feeders(e.IP, e.Zone, f, []string{"1.1.1.1", "1.1.1.2"}, nil)[0]
 			}
 			return first
 		}
@@ -106,9 +108,30 @@
 			}
 		}
 		for _, e := range f.Edges {
-			for _, up := range Feeders(e.IP, e.Zone, f, nil) {
+			for _, up := range Feeders(e.IP, e.Zone, f, nil, nil) {
 				must.Less(t, place[e.IP], place[up.IP])
 			}
 		}
 	})
 }
+
+// TestControllersNearFirst: an edge goes to the controllers of its own zone, then to those of its region, then beyond; seeds
+// of which the fleet says nothing are the last.
+func TestControllersNearFirst(t *testing.T) {
+	regions := locality.Regions{"a1": "a", "a2": "a", "b1": "b"}
+	f := clusterstate.Fleet{Controllers: []string{"10.1.0.1", "10.1.0.2", "10.2.0.1", "10.2.0.2", "10.3.0.1"}, Zones: []string{"b1", "a1", "a2", "b1", "a1"}}
+	for i := range 20 {
+		var zones []string
+		for _, feeder := range Feeders(fmt.Sprint("10.0.0.", i), "a1", f, []string{"10.2.0.1", "10.9.0.9"}, regions) {
+			must.True(t, feeder.Controller)
+			at := slices.Index(f.Controllers, feeder.IP)
+			if at < 0 {
+				zones = append(zones, "")
+				continue
+			}
+			zones = append(zones, f.Zones[at])
+		}
+		must.Eq(t, []string{"a1", "a1", "a2"}, zones[:3])
+		must.SliceLen(t, 6, zones)
+	}
+}
--- /dev/null
+++ b/decide/routeconfig/used.go
@@ -0,0 +1,41 @@
+package routeconfig
+
+import (
+	"github.com/go-faster/jx"
+)
+
+// UsedServices returns the services that a configuration's routes send requests to. It reads nothing else of the
+// configuration, so that it costs little beside Read, and it does not check what it reads.
+func UsedServices(body []byte) (map[string]struct{}, error) {
+	used := map[string]struct{}{}
+	err := jx.DecodeBytes(body).Obj(func(d *jx.Decoder, key string) error {
+		if key != "routes" {
+			return d.Skip()
+		}
+		return d.Arr(func(d *jx.Decoder) error { return addServices(d, used) })
+	})
+	if err != nil {
+		return nil, ErrInvalid.Wrapf(err, "the services that are used cannot be read")
+	}
+	return used, nil
+}
+
+// addServices adds the services that one route, or one part of a weighted split, names.
+func addServices(d *jx.Decoder, used map[string]struct{}) error {
+	name := func(d *jx.Decoder) error {
+		service, err := d.Str()
+		used[service] = struct{}{}
+		return err
+	}
+	return d.Obj(func(d *jx.Decoder, key string) error {
+		switch key {
+		case "service":
+			return name(d)
+		case "fanout":
+			return d.Arr(name)
+		case "weighted-split":
+			return d.Arr(func(d *jx.Decoder) error { return addServices(d, used) })
+		}
+		return d.Skip()
+	})
+}
--- a/decide/routingtable/routingtable.go
+++ b/decide/routingtable/routingtable.go
@@ -13,6 +13,7 @@
 
 	"willowsill/balance"
 	"willowsill/decide/clusterstate"
+	"willowsill/decide/locality"
 	"willowsill/decide/registry"
 	"willowsill/decide/routeconfig"
 	"willowsill/decide/weightedsplit"
@@ -190,13 +191,10 @@
 
 // Distance is how far a replica's zone is from this edge: 0 in its own, 1 in its region, 2 beyond.
 func (t *Table) Distance(zone string) int {
-	switch here := t.settings.Zones[t.settings.Zone]; {
-	case zone == t.settings.Zone || zone == "":
-		return 0
-	case here != "" && here == t.settings.Zones[zone]:
-		return 1
+	if zone == "" { // nothing speaks against it
+		return int(locality.SameZone)
 	}
-	return 2
+	return int(locality.Regions(t.settings.Zones).Distance(t.settings.Zone, zone))
 }
 
 // Channels returns how many parts this edge may have in flight at a replica of a service, 0 for no limit: its share of the
--- a/lab/controlsim/clients.go
+++ b/lab/controlsim/clients.go
@@ -299,7 +299,7 @@
 
 func (r *replica) record(phase registry.Phase) registry.Record {
 	r.sequence++
-	return registry.Record{ID: r.name, Service: "service", Address: r.name + ":80", Zone: "zone1", Capacity: 4, Phase: phase, Seq: r.sequence}
+	return registry.Record{ID: r.name, Service: "service", Address: r.name + ":80", Zone: zoneName(0), Capacity: 4, Phase: phase, Seq: r.sequence}
 }
 
 // tell makes one call of a replica.
@@ -308,11 +308,18 @@
 	if r.controller == "" {
 		r.controller = w.pick()
 	}
+	target := ""
 	w.call("replica", r.controller, func(s *server, answer func(controller.Answer)) {
-		s.call(func(now int64, id uint64) controller.Out { return s.controller.Beat(now, id, record) }, answer)
+		s.call(func(now int64, id uint64) controller.Out { return s.controller.Beat(now, id, record) }, func(a controller.Answer) {
+			target = a.HeartbeatTarget
+			answer(a)
+		})
 	}, func(status int, _ []byte) {
-		if status != 200 {
+		switch {
+		case status != 200:
 			r.controller = w.other(r.controller)
+		case target != "":
+			r.controller = target
 		}
 		done(status)
 	})
--- a/lab/controlsim/days.go
+++ b/lab/controlsim/days.go
@@ -111,7 +111,7 @@
 	best := len(controllers)
 	for i := range d.plan.Edges {
 		edge := edgeName(i + 1)
-		order := relaytree.Feeders(edge, "", clusterstate.Fleet{}, controllers)
+		order := relaytree.Feeders(edge, "", clusterstate.Fleet{}, controllers, nil)
 		if rank := slices.IndexFunc(order, func(f relaytree.Feeder) bool { return f.IP == controller }); rank < best {
 			best, name = rank, edge
 		}
--- a/lab/controlsim/edge.go
+++ b/lab/controlsim/edge.go
@@ -83,7 +83,7 @@
 		if !slices.Contains(seeds, first) {
 			seeds[0] = first
 		}
-		if relaytree.Feeders(e.machine.name, e.zone, clusterstate.Fleet{}, seeds)[0].IP == first {
+		if relaytree.Feeders(e.machine.name, e.zone, clusterstate.Fleet{}, seeds, e.world.regions)[0].IP == first {
 			break
 		}
 	}
@@ -93,7 +93,7 @@
 // findFeeders finds those that may be followed, by what is known of the fleet.
 func (e *edge) findFeeders() {
 	e.feeders = nil
-	for _, f := range relaytree.Feeders(e.machine.name, e.zone, e.state.Fleet, slices.Concat(e.state.Fleet.Controllers, e.seeds)) {
+	for _, f := range relaytree.Feeders(e.machine.name, e.zone, e.state.Fleet, e.seeds, e.world.regions) {
 		e.feeders = append(e.feeders, f.IP)
 	}
 }
@@ -183,11 +183,7 @@
 	}
 	e.note(fresh)
 	if f := fresh.Fleet; !f.Empty() {
-		names := make([]string, 0, len(f.Edges))
-		for _, o := range f.Edges {
-			names = append(names, o.IP)
-		}
-		e.detector.Fleet(e.machine.clock(), names)
+		e.detector.Fleet(e.machine.clock(), f.InZone(e.zone))
 		e.findFeeders()
 	}
 	now := e.machine.clock()
--- a/lab/controlsim/server.go
+++ b/lab/controlsim/server.go
@@ -28,6 +28,7 @@
 type server struct {
 	world     *world
 	machine   *machine
+	zone      string
 	disk      *disk
 	bootstrap bool // the next start is the first of the whole system
 
@@ -87,7 +88,7 @@
 
 // addController makes a controller's machine; it starts at once, or at the first start within 0.3 s of the others.
 func (w *world) addController(name string, first bool) *server {
-	s := &server{world: w, machine: w.addMachine(name, true), disk: &disk{world: w, usual: between(w.draw, syncLeast, syncMost)}, bootstrap: first}
+	s := &server{world: w, zone: zoneName(len(w.servers) % zones), machine: w.addMachine(name, true), disk: &disk{world: w, usual: between(w.draw, syncLeast, syncMost)}, bootstrap: first}
 	w.servers[name] = s
 	w.deployed(append(slices.Clone(w.core), name))
 	w.history.Machines = append(w.history.Machines, checker.Machine{Name: name, Core: true, From: w.now, Until: checker.Never})
@@ -103,7 +104,7 @@
 	w, m := s.world, s.machine
 	w.lives++
 	draw := rand.New(rand.NewPCG(w.plan.Seed, 1000+uint64(w.lives)))
-	start := controller.Start{IP: m.name, Life: fmt.Sprint("life", w.lives), Seeds: firstSeeds(), Bootstrap: s.bootstrap, BeatEvery: heartbeats,
+	start := controller.Start{IP: m.name, Life: fmt.Sprint("life", w.lives), Zone: s.zone, Regions: w.regions, Seeds: firstSeeds(), Bootstrap: s.bootstrap, BeatEvery: heartbeats,
 		Draw: draw.Float64}
 	if found := s.disk.open(); found != nil {
 		state := found.state
--- a/lab/controlsim/world.go
+++ b/lab/controlsim/world.go
@@ -9,6 +9,7 @@
 	"slices"
 	"time"
 
+	"willowsill/decide/locality"
 	"willowsill/lab/controlsim/checker"
 	"willowsill/lab/emulator/agenda"
 )
@@ -36,6 +37,7 @@
 	replicas []*replica
 	history  checker.History
 	draw     *rand.Rand // of disks, processes and clients
+	regions  locality.Regions
 	orders   []*order
 	highest  uint64 // revision that an operator has given out
 	lose     int    // faults under way that lose answers
@@ -143,7 +145,8 @@
 
 func newWorld(p Plan, trace func(int64, string, string)) *world {
 	w := &world{plan: p, agenda: agenda.New(0), machines: map[string]*machine{}, servers: map[string]*server{},
-		edges: map[string]*edge{}, onAck: map[uint64][]Fault{}, draw: rand.New(rand.NewPCG(p.Seed, 1)), trace: trace}
+		edges: map[string]*edge{}, onAck: map[uint64][]Fault{},
+		regions: locality.Regions{zoneName(0): "west", zoneName(1): "west", zoneName(2): "east"}, draw: rand.New(rand.NewPCG(p.Seed, 1)), trace: trace}
 	w.network = newNetwork(w, rand.New(rand.NewPCG(p.Seed, 2)))
 	b := p.Bounds
 	w.history.Bounds = checker.Bounds{Contact: int64(b.Contact), Apply: int64(b.Apply), Stretch: int64(b.Stretch),
@@ -153,7 +156,7 @@
 	}
 	w.lists[0] = listing{core: w.core}
 	for i := range p.Edges {
-		w.addEdge(edgeName(i+1), fmt.Sprint("zone", i%2+1))
+		w.addEdge(edgeName(i+1), zoneName(i%edgeZones))
 	}
 	w.addClients()
 	for _, f := range p.Faults {
@@ -168,6 +171,13 @@
 
 func controllerName(n int) string { return fmt.Sprint("c", n) }
 func edgeName(n int) string       { return fmt.Sprint("e", n) }
+func zoneName(n int) string       { return fmt.Sprint("zone", n+1) }
+
+// Controllers stand in all zones by turns, edges in the first ones, which are of one region.
+const (
+	zones     = 3
+	edgeZones = 2
+)
 
 // at has something done at a time.
 func (w *world) at(when int64, do func()) {
--- a/lab/hollow/hollow.go
+++ b/lab/hollow/hollow.go
@@ -224,7 +224,7 @@
 	fleet := clusterstate.Fleet{Edges: s.edges}
 	followers := map[string]int{}
 	for _, e := range s.edges {
-		followers[relaytree.Feeders(e.IP, e.Zone, fleet, s.controllers)[0].IP]++
+		followers[relaytree.Feeders(e.IP, e.Zone, fleet, s.controllers, nil)[0].IP]++
 	}
 	for i, e := range s.edges {
 		if followers[e.IP] > followers[s.edges[relay].IP] {
--- a/lab/propagation/propagation.go
+++ b/lab/propagation/propagation.go
@@ -61,7 +61,7 @@
 		fleet.Controllers = append(fleet.Controllers, ip)
 	}
 	first := func(ip string) relaytree.Feeder { // whom it follows
-		return relaytree.Feeders(ip, fmt.Sprint("z", edges[ip].zone), fleet, fleet.Controllers)[0]
+		return relaytree.Feeders(ip, fmt.Sprint("z", edges[ip].zone), fleet, nil, nil)[0]
 	}
 	tree, star := Cost{Way: "tree", Reached: 1}, Cost{Way: "star", Reached: 1, Hops: 1}
 	sends := map[string]int{}
@@ -79,7 +79,7 @@
 			hops++
 		}
 		tree.Hops = max(tree.Hops, hops)
-		order := relaytree.Feeders(ip, "none", clusterstate.Fleet{}, fleet.Controllers)
+		order := relaytree.Feeders(ip, "none", clusterstate.Fleet{}, fleet.Controllers, nil)
 		star.pass(controllers[order[0].IP], edges[ip])
 		starSends[order[0].IP]++
 	}
--- a/transport/agentserver/agentserver.go
+++ b/transport/agentserver/agentserver.go
@@ -101,7 +101,7 @@
 	s.mu.Lock()
 	fleet := s.state.Fleet
 	s.mu.Unlock()
-	for _, feeder := range relaytree.Feeders(s.settings.IP, s.settings.Zone, fleet, slices.Concat(fleet.Controllers, s.settings.SeedIPs())) {
+	for _, feeder := range relaytree.Feeders(s.settings.IP, s.settings.Zone, fleet, s.settings.SeedIPs(), s.settings.Zones) {
 		addresses = append(addresses, s.settings.Inner(feeder.IP, settings.PortWatch))
 	}
 	return addresses
@@ -139,11 +139,7 @@
 		klog.InfoS("a configuration has come", "revision", fresh.Revision, "bytes", len(fresh.Raw), "sent", len(fresh.Body)+len(fresh.Patch))
 	}
 	if f := fresh.Fleet; !f.Empty() {
-		ips := make([]string, 0, len(f.Edges))
-		for _, e := range f.Edges {
-			ips = append(ips, e.IP)
-		}
-		s.detector.Fleet(s.now(), ips)
+		s.detector.Fleet(s.now(), f.InZone(s.settings.Zone))
 	}
 	known := s.upstream.Freshness()
 	s.proxy.Publish(&fresh, known)
--- a/transport/controlserver/controlserver.go
+++ b/transport/controlserver/controlserver.go
@@ -52,6 +52,7 @@
 	saves      chan controller.Save
 	mesh       *peer.Mesh
 	feed       watch.Feed
+	operators  watch.Feed   // those who look on: they are told of all replicas
 	loans      *watch.Loans // of retries that edges do not use
 	current    atomic.Pointer[currency]
 
@@ -66,7 +67,7 @@
 		inputs: make(chan func(int64) controller.Out, inputQueue),
 		saves:  make(chan controller.Save, 1), calls: map[uint64]chan controller.Answer{}}
 	life := strconv.FormatUint(rand.Uint64(), 36)
-	start := controller.Start{IP: local.IP, Life: life, Seeds: local.SeedIPs(), Bootstrap: local.Bootstrap,
+	start := controller.Start{IP: local.IP, Life: life, Zone: local.Zone, Regions: local.Zones, Seeds: local.SeedIPs(), Bootstrap: local.Bootstrap,
 		BeatEvery: local.BeatMs * int64(time.Millisecond), Draw: rand.Float64}
 	store, found, err := statestore.Open(local.DataDir)
 	if errors.Is(err, statestore.ErrNewerFormat) {
@@ -103,6 +104,7 @@
 	go peer.Serve(followers, s.follower)
 	go s.save(store)
 	go s.feed.Beats(inner, s.freshness)
+	go s.operators.Beats(inner, s.freshness)
 	metrics.Serve(inner, local.IP, local.Metrics, s.figures)
 	httpServer := &http.Server{Handler: s.handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes}
@@ -206,8 +208,10 @@
 	}
 	if !o.Update.Empty() {
 		s.noteCurrent()
-		update := o.Update
-		s.feed.Publish(&update, s.freshness())
+		s.feed.Publish(&o.Update, s.freshness())
+	}
+	if !o.Whole.Empty() {
+		s.operators.Publish(&o.Whole, s.freshness())
 	}
 }
 
@@ -244,7 +248,11 @@
 func (s *Server) follower(link *peer.Link) {
 	watch.Attend(link, func(report watch.Report) {
 		s.inputs <- func(int64) controller.Out {
-			s.feed.Join(link, report, s.controller.Snapshot(), s.freshness())
+			if report.Operator() {
+				s.operators.Join(link, report, s.controller.WholeSnapshot(), s.freshness())
+			} else {
+				s.feed.Join(link, report, s.controller.Snapshot(), s.freshness())
+			}
 			return controller.Out{}
 		}
 	}, func(report watch.Report) {
@@ -254,6 +262,7 @@
 		s.loans.Reported(link, report, s.freshness())
 	})
 	s.feed.Part(link)
+	s.operators.Part(link)
 }
 
 // call puts a call to the controller and waits for its answer; false where ctx ended first.
--- a/transport/controlserver/resources.go
+++ b/transport/controlserver/resources.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 
@@ -86,9 +87,24 @@
 		return
 	}
 	a, ok := h.server.beat(r.Context(), record)
+	a.Body = h.server.heartbeatAnswer(a.HeartbeatTarget)
 	answer(w, a, ok)
 }
 
+// heartbeatAnswer names the controller that later heartbeats are to go to; its port is the same on all machines.
+func (s *Server) heartbeatAnswer(target string) []byte {
+	_, port, err := net.SplitHostPort(s.settings.Bind.Control)
+	if err != nil || target == "" {
+		return nil
+	}
+	e := jx.Encoder{}
+	e.ObjStart()
+	e.FieldStart("beat-target")
+	e.Str(net.JoinHostPort(target, port))
+	e.ObjEnd()
+	return e.Bytes()
+}
+
 func answer(w http.ResponseWriter, a controller.Answer, ok bool) {
 	switch {
 	case !ok:
--- a/transport/watch/watch.go
+++ b/transport/watch/watch.go
@@ -23,7 +23,8 @@
 	sayEvery     = time.Second             // between two reports of a follower
 	followerGone = 5 * time.Second         // without a report, and the follower is
 	nextAfter    = 100 * time.Millisecond  // before the next feeder is tried
-	stayFor      = 5 * time.Second         // before a follower goes back to the feeder that it should have
+	stayFor      = 5 * time.Second         // before a follower goes back to the feeder that it should have,
+	firstStay    = sayEvery                // or from the first one in its life, which it chose before it knew any other
 )
 
 // Message is what a feeder says. Without an update it only says that it is there, and how fresh its state is.
@@ -61,6 +62,9 @@
 	Lending  *lending.Note           `cbor:"5,keyasint,omitempty"`
 }
 
+// Operator tells whether this is an operator who looks on, and no edge.
+func (h Report) Operator() bool { return h.Self.Edge.IP == "" }
+
 // All are the follower and those below it.
 func (h Report) All() []controller.EdgeReport { return append(h.Below, h.Self) }
 
@@ -220,10 +224,12 @@
 
 // Run follows one feeder after the other until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
+	stay := firstStay
 	for n := 0; ctx.Err() == nil; {
 		if addresses := f.Addresses(); len(addresses) > 0 {
 			n %= len(addresses)
-			lost := f.follow(ctx, addresses[n], len(addresses)-1)
+			lost := f.follow(ctx, addresses[n], len(addresses)-1, stay)
+			stay = stayFor
 			f.disconnected()
 			if n++; !lost {
 				n = 0
@@ -236,8 +242,9 @@
 	}
 }
 
-// follow tells whether the feeder was lost; else it was left for one that should be followed instead.
-func (f *Follower) follow(ctx context.Context, address string, alternatives int) (lost bool) {
+// follow tells whether the feeder was lost; else it was left, after stay at the earliest, for one that should be followed
+// instead.
+func (f *Follower) follow(ctx context.Context, address string, alternatives int, stay time.Duration) (lost bool) {
 	l, err := peer.Dial(ctx, address)
 	if err != nil {
 		klog.V(1).InfoS("a feeder cannot be reached", "address", address, "err", err.Error())
@@ -278,7 +285,7 @@
 		if now.Sub(said) > sayEvery {
 			said = now
 			f.report(l)
-			if a := f.Addresses(); now.Sub(began) > stayFor && len(a) > 0 && a[0] != address {
+			if a := f.Addresses(); now.Sub(began) >= stay && len(a) > 0 && a[0] != address {
 				klog.InfoS("another feeder is to be followed", "address", address, "next", a[0])
 				return false
 			}
