--- a/decide/clusterstate/clusterstate.go
+++ b/decide/clusterstate/clusterstate.go
@@ -1,6 +1,6 @@
 // Package clusterstate is what edges are told: the configuration in force, the replicas, and who else is there. A
 // State takes updates in any order, any number of times, from any feeder, and says what of them is new; that
-// much goes on to those who follow it. So a follower that changes its feeder takes a whole book and then
+// much goes on to those who follow it. So a follower that changes its feeder takes a snapshot and then
 // changes, and never goes back.
 //
 // Decides: what an edge holds to be the newest of configuration and replicas.
@@ -12,7 +12,7 @@
 	"willowsill/decide/registry"
 )
 
-// Update is a whole book or a change to one.
+// Update is a whole state or a change to one.
 type Update struct {
 	Snapshot bool              `cbor:"1,keyasint,omitempty"`
 	Revision uint64            `cbor:"2,keyasint,omitempty"` // of Body
@@ -62,7 +62,7 @@
 // Empty tells whether a fleet says nothing.
 func (f Fleet) Empty() bool { return f.Most == 0 }
 
-// Empty tells whether a notice says nothing.
+// Empty tells whether an update says nothing.
 func (n Update) Empty() bool {
 	return n.Revision == 0 && len(n.Replicas) == 0 && n.Fleet.Empty() && n.Change == nil
 }
@@ -95,7 +95,7 @@
 // NewState makes an empty one.
 func NewState() *State { return &State{replicas: map[string]registry.Record{}} }
 
-// Take takes a notice in and returns what of it is new.
+// Take takes an update in and returns what of it is new.
 //
 // Danger: a feeder that is behind must not bring back an older configuration, nor a replica that is leaving.
 func (b *State) Take(n Update) (fresh Update) {
@@ -180,7 +180,7 @@
 	b.Fleet, fresh.Fleet = fleet, fleet
 }
 
-// Snapshot is the whole book.
+// Snapshot is the whole state.
 func (b *State) Snapshot() Update {
 	if b.packed == nil && b.Revision > 0 {
 		b.packed = Pack(b.Raw)
@@ -198,7 +198,7 @@
 	return n
 }
 
-// Forget drops the replicas that are gone for good, so that a book does not grow for ever.
+// Forget drops the replicas that are gone for good, so that a state does not grow for ever.
 func (b *State) Forget() {
 	if !b.gone {
 		return
--- a/decide/clusterstate/clusterstate_test.go
+++ b/decide/clusterstate/clusterstate_test.go
@@ -26,7 +26,7 @@
 	must.Eq(t, "five", string(b.Raw))
 	// Nor does one that says again what is known.
 	must.True(t, b.Take(b.Snapshot()).Empty())
-	// One called silent by the feeder before, by the same call, is there again where the next feeder's book says
+	// One called silent by the feeder before, by the same call, is there again where the next feeder says
 	// so.
 	silent := registry.Record{ID: "i-2", Service: "s", Address: "a:2", Seq: 7, Phase: registry.Silent}
 	ready := silent
@@ -72,7 +72,7 @@
 	must.Less(t, len(a)/4, len(Pack([]byte(a))))
 }
 
-// TestBehind: a follower that does not hold the base says so, and a whole book mends it.
+// TestBehind: a follower that does not hold the base says so, and a snapshot mends it.
 func TestBehind(t *testing.T) {
 	feeder, follower := NewState(), NewState()
 	var b strings.Builder
--- a/decide/controller/callers.go
+++ b/decide/controller/callers.go
@@ -63,7 +63,7 @@
 	if changed {
 		c.listDirty = true
 		c.leavers.note(r)
-		c.tell(c.book.Take(clusterstate.Update{Replicas: []registry.Record{r}}))
+		c.tell(c.state.Take(clusterstate.Update{Replicas: []registry.Record{r}}))
 	}
 }
 
--- a/decide/controller/controller.go
+++ b/decide/controller/controller.go
@@ -28,7 +28,7 @@
 	goneAfter      = 30000 * ms // a controller that is no member and unheard for so long is forgotten
 	edgeWithin     = 20000 * ms // an edge heard of within it counts
 	edgeQuiet      = 7000 * ms  // one that is suspected and unheard for so long does not
-	suspicion      = 4000 * ms  // a watcher's word on another counts for so long
+	suspicion      = 4000 * ms  // a watcher's suspicion of another counts for so long
 	suspectedBy    = 2          // watchers, or all that there are
 	mostKept       = 60000 * ms // the number of edges for budgets goes down only after that
 	fleetEvery     = 400 * ms   // between two lists of edges that followers are told
@@ -87,8 +87,8 @@
 	joiner      *register.Joiner
 	list        *registry.Registry
 	group       *registry.Group // whose heartbeats come here
-	book        *clusterstate.State
-	selection   *clusterstate.Selection // of the book, for those who follow
+	state       *clusterstate.State
+	selection   *clusterstate.Selection // of the state, for those who follow
 	committed   register.Value          // the newest value known to be committed
 	lease       *lease.Lease
 	unsettledAt int64 // since when some disk has held what is not known to be committed; 0 for not
@@ -130,7 +130,7 @@
 // New makes a controller.
 func New(now int64, s Start) *Controller {
 	c := &Controller{Start: s, list: registry.New(silentBeats*s.BeatEvery, keepGone),
-		group: registry.NewGroup(groupBeats*s.BeatEvery + s.BeatEvery/2), book: clusterstate.NewState(), selection: clusterstate.NewSelection(),
+		group: registry.NewGroup(groupBeats*s.BeatEvery + s.BeatEvery/2), state: clusterstate.NewState(), selection: clusterstate.NewSelection(),
 		peers: map[string]*peer{}, edges: map[string]*edge{}, pass: map[string]registry.Record{}, passed: map[string]int64{},
 		leavers: newLeavers(), lease: lease.New(s.IP + "/" + s.Life), began: now, now: now}
 	seeds := slices.Clone(s.Seeds)
@@ -160,12 +160,12 @@
 	// else, and who asks a replica that is gone is told so by whoever has its address now. An edge that knows
 	// more does not go back.
 	if v := c.disk.Value; s.CommittedRevision > 0 && v.Revision == s.CommittedRevision {
-		c.selection.Update(c.book, c.book.Take(clusterstate.Update{Revision: v.Revision, Body: v.Body}))
+		c.selection.Update(c.state, c.state.Take(clusterstate.Update{Revision: v.Revision, Body: v.Body}))
 	}
 	for _, r := range s.List {
 		c.list.Take(now, r)
 	}
-	c.book.Take(clusterstate.Update{Replicas: c.list.All()})
+	c.state.Take(clusterstate.Update{Replicas: c.list.All()})
 	return c
 }
 
@@ -221,11 +221,11 @@
 	out := c.out
 	c.out = Out{}
 	out.Whole = out.Update
-	out.Update = c.selection.Update(c.book, out.Update)
+	out.Update = c.selection.Update(c.state, out.Update)
 	return out
 }
 
-// Take takes a word of another controller.
+// Take takes a message of another controller.
 func (c *Controller) Take(now int64, w Message) Out {
 	c.now = now
 	p := c.meet(w.From)
@@ -336,7 +336,7 @@
 		c.heartbeatAt = now + heartbeatEvery
 		c.sendHeartbeat()
 		c.forget()
-		c.book.Forget()
+		c.state.Forget()
 	}
 	if now >= c.passAt {
 		c.passAt = now + passEvery
@@ -346,7 +346,7 @@
 			c.listDirty = true
 			c.silentHere(r.ID)
 			c.log("a replica has fallen silent", "replica", r.ID, "service", r.Service, "gone", r.Phase == registry.Gone)
-			c.tell(c.book.Take(clusterstate.Update{Replicas: []registry.Record{r}}))
+			c.tell(c.state.Take(clusterstate.Update{Replicas: []registry.Record{r}}))
 		}
 	}
 	if c.joiner != nil && now >= c.joinAt {
--- a/decide/controller/controller_test.go
+++ b/decide/controller/controller_test.go
@@ -134,8 +134,8 @@
 	if n := o.Update; n.Revision > 0 {
 		must.GreaterEq(b.t, x.told, n.Revision, must.Sprint("followers were taken back"))
 		x.told = n.Revision
-		x.follower.Take(n)                                       // one who follows holds what the controller holds
-		must.Eq(b.t, string(x.book.Raw), string(x.follower.Raw)) // as strings: go-cmp walks slices byte by byte
+		x.follower.Take(n)                                        // one who follows holds what the controller holds
+		must.Eq(b.t, string(x.state.Raw), string(x.follower.Raw)) // as strings: go-cmp walks slices byte by byte
 		if was, ok := b.body[n.Revision]; ok {
 			must.Eq(b.t, was, string(n.Raw), must.Sprint("a number with two contents"))
 		}
--- a/decide/controller/disk.go
+++ b/decide/controller/disk.go
@@ -119,7 +119,7 @@
 	for _, m := range v.Members {
 		c.meet(m)
 	}
-	c.tell(c.book.Take(clusterstate.Update{Revision: v.Revision, Body: v.Body}))
+	c.tell(c.state.Take(clusterstate.Update{Revision: v.Revision, Body: v.Body}))
 	c.fleet()
 }
 
@@ -152,7 +152,7 @@
 	if n.Revision > 0 {
 		o := &c.out.Update
 		if o.Revision > 0 { // a patch of what was not told yet is none
-			n.Body, n.Base, n.Patch = c.book.Snapshot().Body, 0, nil
+			n.Body, n.Base, n.Patch = c.state.Snapshot().Body, 0, nil
 		}
 		o.Revision, o.Body, o.Base, o.Patch, o.Raw = n.Revision, n.Body, n.Base, n.Patch, n.Raw
 	}
@@ -166,10 +166,10 @@
 }
 
 // Snapshot is what one who begins to follow is told.
-func (c *Controller) Snapshot() clusterstate.Update { return c.selection.Snapshot(c.book) }
+func (c *Controller) Snapshot() clusterstate.Update { return c.selection.Snapshot(c.state) }
 
 // WholeSnapshot is the same with all replicas, for operators who watch.
-func (c *Controller) WholeSnapshot() clusterstate.Update { return c.book.Snapshot() }
+func (c *Controller) WholeSnapshot() clusterstate.Update { return c.state.Snapshot() }
 
 // Holds tells whether the configuration that stands is the very one given.
 func (c *Controller) Holds(revision uint64, body []byte) bool {
--- a/decide/controller/edges.go
+++ b/decide/controller/edges.go
@@ -52,7 +52,7 @@
 // Danger: when a zone starts, its edges come within seconds, and a list for each that comes, told to each that is there,
 // would make the bytes grow with the square of the edges, and the time to make the lists too.
 //
-// Danger: one watcher may be the one that is cut off. An edge is left out of the tree only by the word of
+// Danger: one watcher may be the one that is cut off. An edge is left out of the tree only by the suspicion of
 // two, or of all that watch it, and never while it is heard itself. The edges of a zone watch each other, for it is
 // these alone that would follow a lost one.
 func (c *Controller) fleet() {
@@ -99,5 +99,5 @@
 	for _, ip := range f.Controllers {
 		f.Zones = append(f.Zones, c.zoneOf(ip))
 	}
-	c.tell(c.book.Take(clusterstate.Update{Fleet: f}))
+	c.tell(c.state.Take(clusterstate.Update{Fleet: f}))
 }
--- a/decide/controller/groups_test.go
+++ b/decide/controller/groups_test.go
@@ -53,6 +53,7 @@
 		sizes[n] = b.beatEach(n, 20000*ms, home)
 		b.allReady(n)
 	}
+	t.Log("bytes in 20 s, by replicas: ", sizes)
 	must.Less(t, sizes[20]*11/10, sizes[200])
 }
 
--- a/decide/controller/messages.go
+++ b/decide/controller/messages.go
@@ -63,7 +63,7 @@
 	Age      int64             `cbor:"3,keyasint,omitempty"` // since it was heard of, ns
 }
 
-// Send is one word on its way.
+// Send is one message on its way.
 type Send struct {
 	To      []string // IPs; never this one's own
 	Message Message
--- a/lab/controllercheck/controllercheck_test.go
+++ b/lab/controllercheck/controllercheck_test.go
@@ -48,7 +48,7 @@
 		{Name: "a drain is acknowledged by one alone", Scope: "drain_and_power",
 			Edits: edit(callersFile, "if 2*n > len(c.members()) {", "if n > 0 {")},
 		{Name: "what is told need not stand", Scope: "two_contents",
-			Edits: edit(diskFile, "	c.dirty = c.dirty || save\n", "	c.dirty = c.dirty || save\n	c.tell(c.book.Take(clusterstate.Update{Revision: c.disk.Value.Revision, Body: c.disk.Value.Body}))\n")},
+			Edits: edit(diskFile, "	c.dirty = c.dirty || save\n", "	c.dirty = c.dirty || save\n	c.tell(c.state.Take(clusterstate.Update{Revision: c.disk.Value.Revision, Body: c.disk.Value.Body}))\n")},
 	} {
 		t.Run(m.Name, func(t *testing.T) {
 			t.Parallel()
--- a/transport/controlclient/controlclient.go
+++ b/transport/controlclient/controlclient.go
@@ -112,7 +112,7 @@
 	return err
 }
 
-// Follow gives take the whole book of a feeder and then what changes, until ctx ends or the feeder is silent;
+// Follow gives take a snapshot of a feeder and then what changes, until ctx ends or the feeder is silent;
 // take returns false to stop.
 func Follow(ctx context.Context, address string, take func(clusterstate.Update) bool) error {
 	l, err := peer.Dial(ctx, address)
