--- a/lab/rules/all.go
+++ b/lab/rules/all.go
@@ -27,6 +27,10 @@
 	diskFile        = "decide/controller/disk.go"
 	contactFile     = "decide/controller/contact.go"
 	leaversFile     = "decide/controller/leavers.go"
+	placesFile      = "decide/controller/places.go"
+	groupsFile      = "decide/controller/groups.go"
+	groupFile       = "decide/registry/group.go"
+	selectionFile   = "decide/clusterstate/selection.go"
 	proposerFile    = "decide/register/proposer.go"
 	registerFile    = "decide/register/register.go"
 	registryFile    = "decide/registry/registry.go"
@@ -112,6 +116,8 @@
 		broken(controlsim, "TestWorse/departures", edit(registryFile, "if o.Phase == Gone || o.Phase == Draining && r.Phase == Ready {", "if o.Phase == Draining && r.Phase == Ready {"))},
 	{"DRAIN: after a loss of power", "an acknowledged drain is forgotten", "answered once the list is saved", files(leaversFile), kinds("herd_kill off", "power_off_all", "node_kill meet drain"),
 		broken(controllerTests, "TestAcknowledgedDrainOutlivesPower", edit(leaversFile, "	return !unsaved && !saving\n", "	return !unsaved || !saving\n"))},
+	{"DRAIN: services out of use", "an edge that holds a newer configuration than its feeder is not told that a replica of a service drains", "that a replica leaves is told whatever uses it", files(selectionFile), kinds("reshard", "scale_in", "core_cut behind"),
+		broken("decide/clusterstate", "TestLeaversAreToldWhateverIsUsed", edit(selectionFile, "return r.Phase == registry.Ready && !s.uses(r.Service)", "return !s.uses(r.Service)"))},
 	{"DRAIN: no new sends", "an edge goes on sending to a replica that drains", "only replicas that are up are eligible", files(moduleFile), kinds("scale_in", "release"),
 		broken(module, "TestScenarios/drain", edit(moduleFile, "= l.Standing == Up, l.Started", "= l.Standing != Gone, l.Started"))},
 	{"DRAIN: readiness", "proxies that were told to stop still call themselves ready 4 s later", "readiness goes first", files(proxyFile), kinds("roll_term", "roll_term busy"),
@@ -188,6 +194,12 @@
 		broken("decide/follower", "TestReadyOnlyWithCurrent", edit(readinessFile, "return r.wasFresh || now-r.firstAt >= readyWithout", "return r.wasFresh"))},
 	{"Acks: orders", "a proper order has no acknowledgement after order-ack-ms in a settled core", "what nobody called committed is settled by a round", files(contactFile), kinds("node_kill leader race", "config_storm", "disk_stall"),
 		broken(controllerTests, "TestHalfWrittenIsSettled", edit(contactFile, "settleAfter   = 400 * ms", "settleAfter   = 400000 * ms"), edit(contactFile, "settleBackup  = 800 * ms", "settleBackup  = 800000 * ms"))},
+	{"Acks: near controllers", "replicas are sent to a controller that refuses them", "only those that are in contact, have caught up and stay are named", files(placesFile), kinds("roll_term", "replace_core", "core_cut"),
+		broken(controllerTests, "TestNoHeartbeatsToThoseThatLeave", edit(placesFile, "if c.leaves(ip) || !c.live(ip) {", "if !c.live(ip) {"))},
+	{"Worth: replicas heard elsewhere", "replicas that another controller hears fall silent, or silent ones count as heard, after messages are lost", "the sums of a group are compared with each heartbeat", files(groupsFile, groupFile), kinds("core_cut", "net_harm", "node_kill"),
+		broken("decide/registry", "TestViewNoticesLosses", edit(groupFile, "return len(v.ids) == n.Count && v.sum == n.Sum", "return len(v.ids) == n.Count"))},
+	{"CONFIG: in force with its replicas", "a configuration is in force that uses a service of which the edge knows no replica", "what a configuration begins to use comes with it, in one update", files(selectionFile), kinds("reshard", "big_config", "config_change"),
+		broken("decide/clusterstate", "TestToldOfWhatIsUsed", edit(selectionFile, "if _, known := before[r.Service]; !known && s.uses(r.Service) {", "if false {"))},
 	{"Acks: leavers", "over a fifth of those that leave have no acknowledgement", "a majority of disks, and no particular one", files(callersFile, leaversFile), kinds("scale_in", "disk_stall", "disk_full"),
 		broken(controllerTests, "TestDrainBesideStuckDisks", edit(callersFile, "if 2*n > len(c.members()) {", "if n == len(c.members()) {"))},
 	{"Prices: held", "a request that is not served is held, and not offered", "what would be late is declined before it costs anything", files(admissionFile), kinds("burst", "srv_crash all", "srv_slow across"),
