--- a/decide/clusterstate/selection.go
+++ b/decide/clusterstate/selection.go
@@ -1,7 +1,6 @@
 package clusterstate
 
 import (
-	"maps"
 	"slices"
 
 	"willowsill/decide/registry"
@@ -75,6 +74,3 @@
 		return r.Phase == registry.Ready && !s.uses(r.Service)
 	})
 }
-
-// Used are the services that are used, by name.
-func (s *Selection) Used() []string { return slices.Sorted(maps.Keys(s.used)) }
--- a/decide/clusterstate/selection_test.go
+++ b/decide/clusterstate/selection_test.go
@@ -42,6 +42,9 @@
 // take returns what followers are told.
 func (f *feeder) take(n Update) Update { return f.selection.Update(f.State, f.State.Take(n)) }
 
+// used are the services that its configuration uses, by name.
+func (f *feeder) used() []string { return slices.Sorted(maps.Keys(f.selection.used)) }
+
 func (f *feeder) snapshot() Update { return f.selection.Snapshot(f.State) }
 
 func replicaUpdate(id, service string, seq uint64, phase registry.Phase) Update {
@@ -78,7 +81,7 @@
 	must.SliceLen(t, 2, told.Replicas)
 	follower.Take(told)
 	must.Eq(t, []string{"b1", "b2"}, ready(follower, "b"))
-	must.Eq(t, []string{"a", "b", "d"}, f.selection.Used())
+	must.Eq(t, []string{"a", "b", "d"}, f.used())
 }
 
 // TestLeaversAreToldWhateverIsUsed: that a replica drains reaches a follower that holds a newer configuration than its
@@ -197,7 +200,7 @@
 				deliver(which)
 			}
 		}
-		for _, service := range feeders[followed].selection.Used() {
+		for _, service := range feeders[followed].used() {
 			var want []string
 			for id, r := range truth {
 				if r.Service == service && r.Phase == registry.Ready {
