--- a/decide/clusterstate/selection.go
+++ b/decide/clusterstate/selection.go
@@ -24,15 +24,13 @@
 // Update returns what followers are told of an update that the state has taken in. With a configuration come all
 // replicas of the services that it begins to use, so that it is never in force without them.
 func (s *Selection) Update(state *State, update Update) Update {
-	told := update
-	told.Replicas = s.selected(update.Replicas)
-	if update.Raw == nil {
-		return told
-	}
 	before := s.used
-	s.read(update.Raw)
+	if update.Raw != nil {
+		s.read(update.Raw)
+	}
+	told := update
 	told.Replicas = s.selected(update.Replicas)
-	if before == nil { // all were told
+	if update.Raw == nil || before == nil { // nothing begins to be used, or all were told before
 		return told
 	}
 	for _, r := range state.replicas {
