Review, case 2: a replica that has departed stays ready at a controller that was cut off

A departure is told to the other controllers once. One that is cut off meanwhile keeps the replica as ready for good: its group's whole replaces the view, the entry keeps the group, and each heartbeat of that group counts it as heard. Frontends that start beside it send requests to the replica long after drain-ms.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -26,6 +26,7 @@
 		play   func(r *rig, trouble bool) error
 	}{
 		"contents": {map[string]int{"abdali-hall": 1, "hakama-hall": 1, "port-hall": 2}, contents},
+		"departed": {map[string]int{"abdali-hall": 1, "hakama-hall": 1, "port-hall": 2}, departed},
 	}
 	chosen, known := cases[os.Args[1]]
 	if !known {
