Review, case 3: two routes of one name share their terms, and an unsafe request runs twice

The module's rows are kept by the route's name. Where an unsafe and a safe route have one name, the later sets the terms of both, and a lost answer is tried again.

--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -27,6 +27,7 @@
 	}{
 		"contents": {map[string]int{"abdali-hall": 1, "hakama-hall": 1, "port-hall": 2}, contents},
 		"departed": {map[string]int{"abdali-hall": 1, "hakama-hall": 1, "port-hall": 2}, departed},
+		"names":    {map[string]int{"abdali-hall": 1, "hakama-hall": 1, "port-hall": 1}, names},
 	}
 	chosen, known := cases[os.Args[1]]
 	if !known {
