--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -41,8 +43,12 @@
 	}
 	ended := make(chan error, 1)
 	go func() { ended <- chosen.play(r, trouble) }()
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, syscall.SIGTERM, os.Interrupt)
 	select {
 	case err = <-ended:
+	case <-stopped:
+		err = errors.New("the case was stopped")
 	case <-time.After(longest):
 		err = errors.New("the case took too long")
 	}
