routingtable: a route's row is kept by host and path prefix, which no two routes share

Callers saw: a configuration with an unsafe and a safe route of one name was acknowledged, and unsafe requests whose answer was lost ran a second time.

Cause: rows of the module, which hold a route's terms, were looked up by the route's name (Table.rows, State.Rows), and the last route of a name set the terms of all. Names need not differ: the operators' list of what is invalid has two routes that share host and prefix, and no equal names, so refusing the configuration was ruled out.

Change: routeconfig.RouteID (host in lower case, prefix) keys rows, weighted splits and the counts by route. A request whose route has no row is answered with 503, not by the terms of row 0. The figures by route have the labels host and prefix: those of two routes of one name would have had one label, and showed one row's counts.

--- a/decide/clusterstate/clusterstate.go
+++ b/decide/clusterstate/clusterstate.go
@@ -20,7 +20,7 @@
 	Base     uint64            `cbor:"6,keyasint,omitempty"` // the revision that Patch makes it of
 	Patch    []byte            `cbor:"7,keyasint,omitempty"`
 	Sum      uint64            `cbor:"10,keyasint,omitempty"` // ContentSum of the configuration; 0 from a feeder of the former version
-	Raw      []byte            `cbor:"-"` // as the operator sent it; of what Take returns
+	Raw      []byte            `cbor:"-"`                     // as the operator sent it; of what Take returns
 	Replicas []registry.Record `cbor:"4,keyasint,omitempty"`
 	Fleet    Fleet             `cbor:"5,keyasint,omitempty"` // whole, where it has changed
 	Change   *FleetChange      `cbor:"8,keyasint,omitempty"` // the same as a difference, where that is shorter
--- a/decide/routeconfig/routeconfig.go
+++ b/decide/routeconfig/routeconfig.go
@@ -35,6 +35,16 @@
 	MinCoverage        float64
 }
 
+// RouteID identifies a route, within a configuration and from one to the next: no two routes share host and prefix. Names
+// are for people; several routes may have the same one, or none.
+type RouteID struct {
+	Host   string // in lower case
+	Prefix string
+}
+
+// ID returns what identifies the route.
+func (r *Route) ID() RouteID { return RouteID{strings.ToLower(r.Host), r.Prefix} }
+
 // Target is a service with its share of a route's requests.
 type Target struct {
 	Service string
@@ -110,8 +120,7 @@
 
 // check says what is wrong with a configuration that could be read.
 func (c *Configuration) check() error {
-	type place struct{ host, prefix string }
-	seen := map[place]string{}
+	seen := map[RouteID]string{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		at := ErrInvalid.With("route", r.Name)
@@ -125,11 +134,10 @@
 				return at.Errorf("routes[%d] %q: the service %q is unknown", i, r.Name, s)
 			}
 		}
-		p := place{strings.ToLower(r.Host), r.Prefix}
-		if other, ok := seen[p]; ok {
+		if other, ok := seen[r.ID()]; ok {
 			return at.Errorf("routes[%d] %q: shares host and path-prefix with %q", i, r.Name, other)
 		}
-		seen[p] = r.Name
+		seen[r.ID()] = r.Name
 		switch {
 		case len(services) == 0:
 			return at.Errorf("routes[%d] %q: names no service", i, r.Name)
--- a/decide/routingtable/routingtable.go
+++ b/decide/routingtable/routingtable.go
@@ -82,15 +82,18 @@
 // its splits.
 type State struct {
 	Config *routeconfig.Configuration
-	Rows   map[string]int                     // of each route, by name
-	Slots  map[string]int                     // of each service: the module's shard
-	Splits map[string]*weightedsplit.Sequence // of each route with a weighted split, by name
+	Rows   map[routeconfig.RouteID]int // of each route
+	Slots  map[string]int              // of each service: the module's shard
+	Splits Splits
 }
 
+// Splits are the sequences of the routes that have a weighted split.
+type Splits map[routeconfig.RouteID]*weightedsplit.Sequence
+
 // Service returns the service that a route's next request goes to; a fanout has none.
 func (s *State) Service(route *routeconfig.Route) string {
 	position := 0.0
-	if split := s.Splits[route.Name]; split != nil {
+	if split := s.Splits[route.ID()]; split != nil {
 		position = split.Next()
 	}
 	return route.Pick(position)
@@ -117,7 +120,7 @@
 	settings  settings.Settings
 	began     int64
 	config    *routeconfig.Configuration
-	rows      map[string]int
+	rows      map[routeconfig.RouteID]int
 	free      []freeRow // the longest free first
 	workloads []balance.Workload
 	slots     map[string]int
@@ -126,13 +129,13 @@
 	edges     int             // the highest number of edges of late
 	edgesAt   int64
 	known     map[string]registry.Record
-	splits    map[string]*weightedsplit.Sequence
+	splits    Splits
 	shared    map[string]int // channels by service, as they were last told
 }
 
 // New makes the table of a process that starts now.
 func New(now int64, s settings.Settings) *Table {
-	return &Table{settings: s, began: now, rows: map[string]int{}, slots: map[string]int{}, known: map[string]registry.Record{},
+	return &Table{settings: s, began: now, rows: map[routeconfig.RouteID]int{}, slots: map[string]int{}, known: map[string]registry.Record{},
 		unlisted: map[string]bool{}}
 }
 
@@ -284,13 +287,13 @@
 
 // giveRowsBack gives the rows back of routes that are gone, or that may no longer be repeated as before.
 func (t *Table) giveRowsBack(now int64, next *routeconfig.Configuration) {
-	stays := map[string]*routeconfig.Route{}
+	stays := map[routeconfig.RouteID]*routeconfig.Route{}
 	for i := range next.Routes {
-		stays[next.Routes[i].Name] = &next.Routes[i]
+		stays[next.Routes[i].ID()] = &next.Routes[i]
 	}
-	for name, row := range t.rows {
-		if r := stays[name]; r == nil || Workload(r).Effect != t.workloads[row].Effect {
-			delete(t.rows, name)
+	for id, row := range t.rows {
+		if r := stays[id]; r == nil || Workload(r).Effect != t.workloads[row].Effect {
+			delete(t.rows, id)
 			t.free = append(t.free, freeRow{row, now})
 			t.workloads[row].LatencyGoal = freeGoal
 		}
@@ -298,16 +301,19 @@
 }
 
 // serve puts a configuration in force: rows of routes and shards of services that stay keep their numbers.
+//
+// Danger: two routes in one row have one's terms for both. Where these say that the requests of an unsafe route may be
+// repeated, they run twice. So rows are kept by what no two routes share.
 func (t *Table) serve(now int64, next *routeconfig.Configuration, c *Change) {
 	t.config = next
 	t.workloads = slices.Clone(t.workloads)
 	t.giveRowsBack(now, next)
 	for i := range next.Routes {
 		r := &next.Routes[i]
-		row, ok := t.rows[r.Name]
+		row, ok := t.rows[r.ID()]
 		if !ok {
 			row = t.newRow(now)
-			t.rows[r.Name] = row
+			t.rows[r.ID()] = row
 		}
 		t.workloads[row] = Workload(r)
 	}
@@ -315,27 +321,22 @@
 		t.place(now, name)
 	}
 	t.giveShardsBack(now)
-	state := &State{Config: next, Rows: map[string]int{}, Slots: map[string]int{}, Splits: t.splitsOf(next)}
-	for name, row := range t.rows {
-		state.Rows[name] = row
-	}
-	for name, slot := range t.slots {
-		state.Slots[name] = slot
-	}
+	state := &State{Config: next, Rows: maps.Clone(t.rows), Slots: maps.Clone(t.slots), Splits: t.splitsOf(next)}
 	c.State, c.Workloads = state, t.workloads
 }
 
 // splitsOf returns the sequences of a configuration's weighted splits. One that was there before goes on: each change
 // of the configuration would otherwise begin it anew, and changes may come more often than requests.
-func (t *Table) splitsOf(next *routeconfig.Configuration) map[string]*weightedsplit.Sequence {
-	splits := map[string]*weightedsplit.Sequence{}
+func (t *Table) splitsOf(next *routeconfig.Configuration) Splits {
+	splits := Splits{}
 	for i := range next.Routes {
 		r := &next.Routes[i]
 		if len(r.Targets) < 2 {
 			continue
 		}
-		if splits[r.Name] = t.splits[r.Name]; splits[r.Name] == nil {
-			splits[r.Name] = weightedsplit.New(t.settings.IP, r.Name)
+		id := r.ID()
+		if splits[id] = t.splits[id]; splits[id] == nil {
+			splits[id] = weightedsplit.New(t.settings.IP, id.Host+id.Prefix)
 		}
 	}
 	t.splits = splits
--- a/decide/routingtable/routingtable_test.go
+++ b/decide/routingtable/routingtable_test.go
@@ -26,14 +26,22 @@
 	return settings.Settings{IP: "10.0.0.1", Bounds: settings.Bounds{RetryRatio: 0.2, RetrySlack: 60, RetryWindowS: 10}}
 }
 
+// rowOf returns the row of the route with a prefix; there is one.
+func rowOf(t *testing.T, c Change, prefix string) int {
+	t.Helper()
+	row, found := c.State.Rows[routeconfig.RouteID{Host: "h", Prefix: prefix}]
+	must.True(t, found, must.Sprint(prefix))
+	return row
+}
+
 // TestRowsStay: a route keeps its row, with what was learnt in it, for as long as it is there.
 func TestRowsStay(t *testing.T) {
 	p := New(0, testSettings())
 	c := p.Take(0, clusterstate.Update{Revision: 1, Raw: body(1, "a", "b")})
 	must.NoError(t, c.Err)
-	b := c.State.Rows["b"]
+	b := rowOf(t, c, "/b/")
 	c = p.Take(0, clusterstate.Update{Revision: 2, Raw: body(2, "b", "c")})
-	must.Eq(t, b, c.State.Rows["b"])
+	must.Eq(t, b, rowOf(t, c, "/b/"))
 	must.Eq(t, 0.5, c.Workloads[b].Floor)
 	must.Eq(t, balance.Repeatable, c.Workloads[b].Effect)
 	must.Nil(t, p.Take(0, clusterstate.Update{Revision: 1, Raw: body(1, "a")}).State)
@@ -44,14 +52,14 @@
 func TestRowsRest(t *testing.T) {
 	p := New(0, testSettings())
 	c := p.Take(0, clusterstate.Update{Revision: 1, Raw: body(1, "a")})
-	a := c.State.Rows["a"]
+	a := rowOf(t, c, "/a/")
 	c = p.Take(0, clusterstate.Update{Revision: 2, Raw: body(2, "b")})
-	must.NotEq(t, a, c.State.Rows["b"])
-	must.Less(t, c.Workloads[a].LatencyGoal, c.Workloads[c.State.Rows["b"]].LatencyGoal) // and makes no goal shorter
+	must.NotEq(t, a, rowOf(t, c, "/b/"))
+	must.Less(t, c.Workloads[a].LatencyGoal, c.Workloads[rowOf(t, c, "/b/")].LatencyGoal) // and makes no goal shorter
 	c = p.Take(rest-1, clusterstate.Update{Revision: 3, Raw: body(3, "b", "c")})
-	must.NotEq(t, a, c.State.Rows["c"])
+	must.NotEq(t, a, rowOf(t, c, "/c/"))
 	c = p.Take(rest, clusterstate.Update{Revision: 4, Raw: body(4, "b", "c", "d")})
-	must.Eq(t, a, c.State.Rows["d"])
+	must.Eq(t, a, rowOf(t, c, "/d/"))
 	now, revision := int64(rest), 5
 	for range 500 { // a route in place of another each second
 		now += 1000 * ms
@@ -67,7 +75,7 @@
 	kind := func(revision int, kind string) int {
 		raw := fmt.Appendf(nil, `{"revision":%d,"routes":[{"name":"r","host":"h","path-prefix":"/","route-kind":%q,"deadline-ms":1000,"service":"s1"}],
 "services":[{"name":"s1"}]}`, revision, kind)
-		return p.Take(0, clusterstate.Update{Revision: uint64(revision), Raw: raw}).State.Rows["r"]
+		return rowOf(t, p.Take(0, clusterstate.Update{Revision: uint64(revision), Raw: raw}), "/")
 	}
 	first := kind(1, "unsafe")
 	must.Eq(t, first, kind(2, "unsafe"))
--- a/front/clienthttp/clienthttp.go
+++ b/front/clienthttp/clienthttp.go
@@ -101,9 +101,11 @@
 	}
 	req := &replicahttp.Request{Attempt: attempt, Method: r.Method, Body: body, Head: head(r, target, len(body)),
 		Answers: map[int]*replicahttp.Answer{}}
-	query := node.Query{ID: attempt, Workload: state.Rows[route.Name], Until: until, Load: req}
+	row, known := state.Rows[route.ID()]
+	query := node.Query{ID: attempt, Workload: row, Until: until, Load: req}
 	var served bool
-	if query.Parts, served = parts(state, route); !served {
+	// Danger: a route without a row of its own would be served on another's terms.
+	if query.Parts, served = parts(state, route); !served || !known {
 		refuse(w, http.StatusServiceUnavailable, int64(time.Second))
 		return
 	}
--- a/front/clienthttp/clienthttp_test.go
+++ b/front/clienthttp/clienthttp_test.go
@@ -55,7 +55,7 @@
 	ch, err := routeconfig.Read([]byte(configuration))
 	must.NoError(t, err)
 	q := &Handler{Core: c, Now: func() int64 { return 1000 }}
-	q.Serve(&routingtable.State{Config: ch, Rows: map[string]int{"scan": 4, "debit": 9}, Slots: map[string]int{"s0": 0, "s1": 1, "s2": 2}})
+	q.Serve(&routingtable.State{Config: ch, Rows: map[routeconfig.RouteID]int{{Host: "h", Prefix: "/a/"}: 4, {Host: "h", Prefix: "/b/"}: 9}, Slots: map[string]int{"s0": 0, "s1": 1, "s2": 2}})
 	return q
 }
 
--- a/front/proxyserver/figures.go
+++ b/front/proxyserver/figures.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"willowsill/decide/routeconfig"
 	"willowsill/internal/counters"
 	"willowsill/transport/metrics"
 )
@@ -28,15 +29,17 @@
 	told.Gauge("willowsill_retries_free", s.free)
 	told.Gauge("willowsill_retries_lent", s.account.Lent(s.node.Now()))
 	told.Gauge("willowsill_retries_borrowed", s.account.Borrowed(s.node.Now()))
-	for route, row := range s.rowOf {
-		tellRoute(told, route, s.rows[row])
+	for i := range s.routes {
+		tellRoute(told, &s.routes[i], s.rows[s.rowOf[s.routes[i].ID()]])
 	}
 }
 
-func tellRoute(told metrics.Figures, route string, row *counters.Workload) {
+// tellRoute tells the counts of one route. Host and prefix are there because several routes may have one name.
+func tellRoute(told metrics.Figures, route *routeconfig.Route, row *counters.Workload) {
+	labels := fmt.Sprintf("route=%q,host=%q,prefix=%q", route.Name, route.Host, route.Prefix)
 	for outcome, count := range map[string]*counters.Count{"whole": &row.Whole, "partial": &row.Partial, "declined": &row.Declined,
 		"forfeited": &row.Forfeited, "left": &row.Left} {
-		told.Counter(fmt.Sprintf("willowsill_queries_total{route=%q,outcome=%q}", route, outcome), count.Load())
+		told.Counter(fmt.Sprintf("willowsill_queries_total{%s,outcome=%q}", labels, outcome), count.Load())
 	}
-	told.Counter(fmt.Sprintf("willowsill_queries_taken_total{route=%q}", route), row.Taken.Load())
+	told.Counter(fmt.Sprintf("willowsill_queries_taken_total{%s}", labels), row.Taken.Load())
 }
--- a/front/proxyserver/figures_test.go
+++ b/front/proxyserver/figures_test.go
@@ -12,6 +12,7 @@
 
 	"willowsill/decide/clusterstate"
 	"willowsill/decide/lending"
+	"willowsill/decide/routeconfig"
 	"willowsill/decide/routingtable"
 	"willowsill/deployment"
 	"willowsill/deployment/settings"
@@ -48,6 +49,22 @@
 	return fmt.Sprintf(`{"name":%q,"host":"h","path-prefix":"/%s/","deadline-ms":1000,"service":"s"}`, name, name)
 }
 
+func routeID(name string) routeconfig.RouteID {
+	return routeconfig.RouteID{Host: "h", Prefix: "/" + name + "/"}
+}
+
+// TestFiguresOfOneName: each of two routes of one name has counts of its own.
+func TestFiguresOfOneName(t *testing.T) {
+	s := idleServer(t)
+	s.takeRoutes(t, 3, `{"name":"r","host":"h","path-prefix":"/a/","deadline-ms":1000,"service":"s"},{"name":"r","host":"h","path-prefix":"/b/","deadline-ms":1000,"service":"s"}`)
+	s.rows[s.rowOf[routeID("a")]].Whole.Add(2)
+	s.rows[s.rowOf[routeID("b")]].Whole.Add(3)
+	recorder := httptest.NewRecorder()
+	metrics.Handler("/metrics", s.figures).ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	must.StrContains(t, recorder.Body.String(), "willowsill_queries_total{route=\"r\",host=\"h\",prefix=\"/a/\",outcome=\"whole\"} 2\n")
+	must.StrContains(t, recorder.Body.String(), "willowsill_queries_total{route=\"r\",host=\"h\",prefix=\"/b/\",outcome=\"whole\"} 3\n")
+}
+
 // TestFiguresByRoute: counts are told by the names of the routes, and those of a route that takes the row of one that was
 // taken out begin at 0.
 func TestFiguresByRoute(t *testing.T) {
@@ -64,19 +81,19 @@
 	}
 	must.StrContains(t, told(), "willowsill_configuration_revision 0\n")
 	s.takeRoutes(t, 3, route("scan"))
-	s.rows[s.rowOf["scan"]].Whole.Add(7)
+	s.rows[s.rowOf[routeID("scan")]].Whole.Add(7)
 	s.counters.Executions.Sent.Add(9)
 	text := told()
-	must.StrContains(t, text, "willowsill_queries_total{route=\"scan\",outcome=\"whole\"} 7\n")
+	must.StrContains(t, text, "willowsill_queries_total{route=\"scan\",host=\"h\",prefix=\"/scan/\",outcome=\"whole\"} 7\n")
 	must.StrContains(t, text, "willowsill_executions_sent_total 9\n")
 	must.StrContains(t, text, "willowsill_configuration_revision 3\n")
-	row := s.rowOf["scan"]
+	row := s.rowOf[routeID("scan")]
 	s.takeRoutes(t, 4, route("debit"))
-	s.renewRows(map[string]int{"debit": row})
+	s.renewRows(s.routes, map[routeconfig.RouteID]int{routeID("debit"): row})
 	text = told()
-	must.StrContains(t, text, "willowsill_queries_total{route=\"debit\",outcome=\"whole\"} 0\n")
+	must.StrContains(t, text, "willowsill_queries_total{route=\"debit\",host=\"h\",prefix=\"/debit/\",outcome=\"whole\"} 0\n")
 	must.StrNotContains(t, text, "scan")
 	s.rows[row].Whole.Add(1)
-	s.renewRows(map[string]int{"debit": row, "scan": s.rowOf["debit"] + 1})
-	must.StrContains(t, told(), "willowsill_queries_total{route=\"debit\",outcome=\"whole\"} 1\n")
+	s.renewRows(s.routes, map[routeconfig.RouteID]int{routeID("debit"): row, routeID("scan"): row + 1})
+	must.StrContains(t, told(), "willowsill_queries_total{route=\"debit\",host=\"h\",prefix=\"/debit/\",outcome=\"whole\"} 1\n")
 }
--- a/front/proxyserver/proxyserver.go
+++ b/front/proxyserver/proxyserver.go
@@ -23,6 +23,7 @@
 	"willowsill/decide/follower"
 	"willowsill/decide/lending"
 	"willowsill/decide/registry"
+	"willowsill/decide/routeconfig"
 	"willowsill/decide/routingtable"
 	"willowsill/deployment"
 	"willowsill/deployment/settings"
@@ -62,7 +63,8 @@
 	fresh     clusterstate.Freshness // as the agent said it at freshAt
 	freshAt   int64
 	rows      []*counters.Workload
-	rowOf     map[string]int // the row of each route that is served, by name
+	routes    []routeconfig.Route         // that are served
+	rowOf     map[routeconfig.RouteID]int // the row of each
 	served    []balance.Workload
 	account   *lending.Holder // of retries beyond the ratio
 	free      float64         // of these, what the node was told last
@@ -190,7 +192,7 @@
 	}
 	if change.State != nil {
 		s.served = change.Workloads
-		s.renewRows(change.State.Rows)
+		s.renewRows(change.State.Config.Routes, change.State.Rows)
 	}
 	s.account.Share(change.FurtherFree)
 	if !s.renewFree(s.node.Now()) && change.State != nil {
@@ -211,7 +213,7 @@
 }
 
 // renewRows gives each route that is new, or has taken another's row, counts that begin at 0.
-func (s *Server) renewRows(rowOf map[string]int) {
+func (s *Server) renewRows(routes []routeconfig.Route, rowOf map[routeconfig.RouteID]int) {
 	s.rows = slices.Clone(s.rows) // the node reads the former one
 	for len(s.rows) < len(s.served) {
 		s.rows = append(s.rows, &counters.Workload{})
@@ -221,7 +223,7 @@
 			s.rows[row] = &counters.Workload{}
 		}
 	}
-	s.rowOf = rowOf
+	s.routes, s.rowOf = routes, rowOf
 }
 
 // serving tells the node which workloads are served, and how many retries this edge may make beyond its ratio.
