routeconfig: a comparison tells what changed in each route, also where several have one name

Operators saw: willowctl diff said nothing of a change in a route whose name a later route has as well.

Cause: Diff compared routes by name. Change: by host and path prefix; a route that moved is still shown as one change, where its name is that of one route alone among those that came and went. Lines name the place beside the route.

TestDiffOfOneName failed before (no line for the first route's deadline).

--- a/decide/routeconfig/diff.go
+++ b/decide/routeconfig/diff.go
@@ -15,18 +15,66 @@
 	if a.Limits != b.Limits {
 		lines = append(lines, fmt.Sprintf("limits %+v -> %+v", a.Limits, b.Limits))
 	}
-	was, is := map[string]Route{}, map[string]Route{}
-	for _, r := range a.Routes {
-		was[r.Name] = r
-	}
-	for _, r := range b.Routes {
-		is[r.Name] = r
-	}
+	was, is := labelled(a.Routes, b.Routes)
 	lines = append(lines, changes("route", was, is)...)
 	return append(lines, changes("service", a.Services, b.Services)...)
 }
 
-// changes compares two sets by name and field by field.
+// labelled returns the routes of two configurations by a label that is the same for the same route, unique among them.
+func labelled(before, after []Route) (was, is map[string]Route) {
+	label := func(r *Route) string { return r.Name + " " + r.Host + r.Prefix }
+	was, is = map[string]Route{}, map[string]Route{}
+	labels := map[RouteID]string{}
+	for i := range before {
+		r := &before[i]
+		labels[r.ID()] = label(r)
+		was[label(r)] = *r
+	}
+	moved := movedRoutes(before, after)
+	for i := range after {
+		r := &after[i]
+		id := r.ID()
+		if from, found := moved[id]; found {
+			id = from
+		}
+		text, found := labels[id]
+		if !found {
+			text = label(r)
+		}
+		is[text] = *r
+	}
+	return was, is
+}
+
+// movedRoutes returns the routes that are in one place before and in another after, by the place after. A route is
+// taken to have moved where its name is that of one route alone on either side.
+func movedRoutes(before, after []Route) map[RouteID]RouteID {
+	left, come := byName(before, after), byName(after, before)
+	moved := map[RouteID]RouteID{}
+	for name, ids := range come {
+		if from := left[name]; name != "" && len(ids) == 1 && len(from) == 1 {
+			moved[ids[0]] = from[0]
+		}
+	}
+	return moved
+}
+
+// byName returns, by name, the routes of one configuration whose place is none in another.
+func byName(routes, others []Route) map[string][]RouteID {
+	stays := map[RouteID]struct{}{}
+	for i := range others {
+		stays[others[i].ID()] = struct{}{}
+	}
+	places := map[string][]RouteID{}
+	for i := range routes {
+		if _, found := stays[routes[i].ID()]; !found {
+			places[routes[i].Name] = append(places[routes[i].Name], routes[i].ID())
+		}
+	}
+	return places
+}
+
+// changes compares two sets by label and field by field.
 func changes[T any](kind string, was, is map[string]T) (lines []string) {
 	names := slices.Sorted(maps.Keys(was))
 	for n := range is {
