controlserver: calls of control are counted by kind and status, and logged where turned down

The controllers' logs and figures could not tell a call for what is not there from one that no majority answered: a 404 left no trace. willowsill_control_calls_total{call,status} counts every answer; a call that is turned down, heartbeats apart, is a line of the log. Unknown paths share one label. TestTurnedDownCallsAreCounted.

--- /dev/null
+++ b/transport/controlserver/callcounts.go
@@ -0,0 +1,90 @@
+package controlserver
+
+import (
+	"fmt"
+	"maps"
+	"net/http"
+	"slices"
+	"strings"
+	"sync"
+
+	"k8s.io/klog/v2"
+
+	"willowsill/transport/metrics"
+)
+
+// callKey is a kind of call and the status that it was answered.
+type callKey struct {
+	call   string
+	status int
+}
+
+// callCounts counts the calls that were answered since the start. The zero value is empty.
+type callCounts struct {
+	mu     sync.Mutex
+	counts map[callKey]int64
+}
+
+func (c *callCounts) add(key callKey) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.counts == nil {
+		c.counts = map[callKey]int64{}
+	}
+	c.counts[key]++
+}
+
+// tell tells each count.
+func (c *callCounts) tell(told metrics.Figures) {
+	c.mu.Lock()
+	counts := maps.Clone(c.counts)
+	c.mu.Unlock()
+	for key, count := range counts {
+		told.Counter(fmt.Sprintf("willowsill_control_calls_total{call=%q,status=\"%d\"}", key.call, key.status), count)
+	}
+}
+
+// The resources and calls that are counted under their own names. All else counts as callUnknown, so that callers cannot
+// make labels without end.
+var (
+	knownResources = []string{"replicas", "configuration", "rollouts"}
+	knownCalls     = []string{"heartbeat", "departure", "replace", "read", "begin", "abort"}
+)
+
+const (
+	callUnknown   = "unknown"
+	callHeartbeat = "replicas/heartbeat"
+)
+
+// kindOf is what a call of this path is counted as: the resource and the last part, as in configuration/read.
+func kindOf(path string) string {
+	resource, rest, _ := strings.Cut(strings.TrimPrefix(path, "/v1/"), "/")
+	call := rest[strings.LastIndexByte(rest, '/')+1:]
+	if !slices.Contains(knownResources, resource) || !slices.Contains(knownCalls, call) {
+		return callUnknown
+	}
+	return resource + "/" + call
+}
+
+// statusRecorder keeps the status of an answer.
+type statusRecorder struct {
+	http.ResponseWriter
+	status int
+}
+
+func (r *statusRecorder) WriteHeader(status int) {
+	r.status = status
+	r.ResponseWriter.WriteHeader(status)
+}
+
+// counted serves a call, counts it by its answer and logs it where it was turned down. Heartbeats are counted alone: each
+// replica sends one a second.
+func (c *callCounts) counted(w http.ResponseWriter, r *http.Request, serve func(http.ResponseWriter)) {
+	recorder := &statusRecorder{ResponseWriter: w, status: http.StatusOK}
+	serve(recorder)
+	key := callKey{kindOf(r.URL.Path), recorder.status}
+	c.add(key)
+	if key.status >= http.StatusBadRequest && key.call != callHeartbeat {
+		klog.InfoS("a call is turned down", "method", r.Method, "path", r.URL.Path, "status", key.status)
+	}
+}
--- a/transport/controlserver/controlserver.go
+++ b/transport/controlserver/controlserver.go
@@ -55,6 +55,7 @@
 	operators  watch.Feed   // those who look on: they are told of all replicas
 	loans      *watch.Loans // of retries that edges do not use
 	current    atomic.Pointer[currency]
+	answered   callCounts
 
 	mu       sync.Mutex                        // guards the rest
 	calls    map[uint64]chan controller.Answer // that wait, by number
--- a/transport/controlserver/figures.go
+++ b/transport/controlserver/figures.go
@@ -19,6 +19,7 @@
 		answer <- s.controller.Figures()
 		return controller.Out{}
 	}
+	s.answered.tell(told)
 	timeout := time.After(figuresTimeout)
 	select {
 	case s.inputs <- ask:
--- a/transport/controlserver/resources.go
+++ b/transport/controlserver/resources.go
@@ -25,7 +25,7 @@
 // handler puts the resources together.
 func (s *Server) handler() http.Handler {
 	replicas, configuration := &replicas{s}, &configuration{s}
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	serve := func(w http.ResponseWriter, r *http.Request) {
 		if id, ok := strings.CutPrefix(r.URL.Path, "/v1/replicas/"); ok {
 			id, call, _ := strings.Cut(id, "/")
 			replicas.serve(w, r, id, call)
@@ -36,6 +36,9 @@
 			return
 		}
 		refuse(w, http.StatusNotFound, "there is no such resource")
+	}
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		s.answered.counted(w, r, func(w http.ResponseWriter) { serve(w, r) })
 	})
 }
 
--- a/transport/controlserver/resources_test.go
+++ b/transport/controlserver/resources_test.go
@@ -91,6 +91,7 @@
 	must.StrContains(t, told, "willowsill_controller_up 1\n")
 	must.StrContains(t, told, "willowsill_configuration_revision 7\n")
 	must.StrContains(t, told, "willowsill_replicas{phase=\"ready\"} 0\n")
+	must.StrContains(t, told, "willowsill_control_calls_total{call=\"configuration/replace\",status=\"200\"} 1\n")
 	must.Eq(t, "willowsill_controller_up 0\n", text(&Server{inputs: make(chan func(int64) controller.Out)}))
 }
 
@@ -115,3 +116,16 @@
 		must.StrHasPrefix(t, `{"revision":7,`, w.Body.String())
 	}
 }
+
+// TestTurnedDownCallsAreCounted: a call for what is not there is told apart from one that no majority answered, by kind and
+// status, and calls of unknown kinds share one count.
+func TestTurnedDownCallsAreCounted(t *testing.T) {
+	s := newTestServer(t, "")
+	for _, path := range []string{"/v1/configuration/read", "/v1/nothing/a", "/v1/nothing/b"} {
+		s.handler().ServeHTTP(httptest.NewRecorder(), httptest.NewRequest(http.MethodGet, path, nil))
+	}
+	w := httptest.NewRecorder()
+	metrics.Handler("/metrics", s.figures).ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	must.StrContains(t, w.Body.String(), "willowsill_control_calls_total{call=\"configuration/read\",status=\"404\"} 1\n")
+	must.StrContains(t, w.Body.String(), "willowsill_control_calls_total{call=\"unknown\",status=\"404\"} 2\n")
+}
