--- a/transport/controlserver/resources_test.go
+++ b/transport/controlserver/resources_test.go
@@ -129,3 +129,21 @@
 	must.StrContains(t, w.Body.String(), "willowsill_control_calls_total{call=\"configuration/read\",status=\"404\"} 1\n")
 	must.StrContains(t, w.Body.String(), "willowsill_control_calls_total{call=\"unknown\",status=\"404\"} 2\n")
 }
+
+// TestRolloutIsAcknowledged guards against a roll-out that is begun and never acknowledged (SHORT).
+func TestRolloutIsAcknowledged(t *testing.T) {
+	handler := newTestServer(t, "").handler()
+	call := func(method, path, body string) *httptest.ResponseRecorder {
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, httptest.NewRequest(method, path, strings.NewReader(body)))
+		return w
+	}
+	must.Eq(t, http.StatusOK, replace(handler, "7", "s"))
+	order := `{"service":"s","target-revision":"v2","over-s":12}`
+	must.Eq(t, http.StatusOK, call(http.MethodPost, "/v1/rollouts/begin", order).Code)
+	must.Eq(t, http.StatusOK, call(http.MethodPost, "/v1/rollouts/begin", order).Code)
+	read := call(http.MethodGet, "/v1/rollouts/s/read", "")
+	must.Eq(t, http.StatusOK, read.Code)
+	must.StrContains(t, read.Body.String(), `"phase":"active"`)
+	must.StrContains(t, read.Body.String(), `"target-revision":"v2"`)
+}
