rollout: the state of new versions, the evidence of edges, and the verdict, as a pure package

A rollout is a value with a step that whoever changes it must name, so that a step of a former holder of the duty is not taken. A pair of an edge and a replica has a place drawn once; a share opens the pairs below it. Edges count what becomes of requests by route, distance and replica; counts only grow in an edge's life, so a report that is lost, doubled or late changes nothing. A replica's bad answers beyond half more than the middle one's count for nothing.

--- /dev/null
+++ b/decide/rollout/manager.go
@@ -0,0 +1,294 @@
+package rollout
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+)
+
+const ms = 1_000_000
+
+// Times, ns.
+const (
+	lookEvery   = 250 * ms  // between two looks at the evidence
+	stageLeast  = 800 * ms  // in a stage before the next one begins, for evidence to come in
+	stageQuiet  = 2500 * ms // the same where no request says anything
+	watchLeast  = 6500 * ms // as a canary, whatever the term: versions turn bad some seconds after their start
+	edgeSilent  = 3000 * ms // an edge whose evidence is older is not waited for: it has lost touch
+	decideAgain = 500 * ms  // before a step is proposed again that has not come to stand
+	giveUpTime  = 700 * ms  // before its term a rollout is taken back that cannot be complete by then
+)
+
+const (
+	warmShare   = 0.5 // of the other versions' replicas: so many of the target's have to be ready and warm for the canary
+	enoughShare = 0.7 // the same, ready, for more than half of the traffic
+	leastAsked  = 20  // requests that say something of a stage
+	impatience  = 0.3 // share of the time after which cold replicas do for the canary
+)
+
+// Replicas is how many ready replicas of a service there are.
+type Replicas struct {
+	Target, Warm int // of the target version, and how many of them are no longer slow from their start
+	Others       int // of the versions that it takes the place of
+	Leaving      int // that drain or are gone, of any version
+}
+
+// retired tells whether the service is being taken away, with all of its replicas.
+func (r Replicas) retired() bool { return r.Target == 0 && r.Others == 0 && r.Leaving > 0 }
+
+// Facts is what a controller knows at one moment besides the evidence.
+type Facts struct {
+	Replicas map[uint64]Replicas // by the number of the active rollout
+	Edges    []string            // that have been heard of
+	Unused   map[string]bool     // services that no route of the configuration sends to
+}
+
+// edgeView is what one edge said last.
+type edgeView struct {
+	evidence Evidence
+	at       int64
+}
+
+// tracked is one active rollout as a controller follows it.
+type tracked struct {
+	rollout    Rollout
+	began      int64   // when the order was taken, as far as is known here
+	since      int64   // when its step was learned of here
+	stageSince int64   // the same of its stage
+	stageAsked float64 // requests at the target version as the stage began
+	judge      *judge
+	edges      map[string]*edgeView
+	asked      float64 // the judge's counts of requests as the step began, of the target version
+	askedOf    float64 // and of the others
+	proposed   int64   // when a change of this step was last proposed, 0 for never
+	others     int     // the most replicas of other versions that were ready at a time
+}
+
+// Manager follows the active rollouts at one controller. Each controller has one and feeds it; only the one that holds the
+// duty acts on what it decides.
+type Manager struct {
+	version uint64
+	active  map[uint64]*tracked
+	lookAt  int64
+	holds   bool  // the duty
+	since   int64 // that it holds it
+}
+
+// NewManager makes one that knows of no rollout.
+func NewManager() *Manager { return &Manager{active: map[uint64]*tracked{}} }
+
+// Take takes in a Set that is known to stand.
+func (m *Manager) Take(now int64, set Set) {
+	if set.Version <= m.version {
+		return
+	}
+	m.version = set.Version
+	active := map[uint64]*tracked{}
+	for _, r := range set.Active() {
+		t := m.active[r.Number]
+		if t == nil {
+			t = &tracked{judge: newJudge(), edges: map[string]*edgeView{}}
+		}
+		if t.rollout.Step != r.Step || t.since == 0 {
+			t.since, t.proposed = now, 0
+			t.asked, t.askedOf = t.judge.requests()
+		}
+		if t.rollout.Stage != r.Stage || t.stageSince == 0 {
+			t.stageSince = now
+			t.stageAsked, _ = t.judge.requests()
+		}
+		// What the register has of the time holds for whoever takes the duty over; a step comes to stand a little later.
+		if began := now - r.ElapsedMs*ms; t.began == 0 || began < t.began {
+			t.began = began
+		}
+		t.rollout = r
+		active[r.Number] = t
+	}
+	m.active = active
+	m.lookAt = max(m.lookAt, now)
+}
+
+// Active returns the rollouts that are followed, by number.
+func (m *Manager) Active() (active []Rollout) {
+	for _, number := range slices.Sorted(maps.Keys(m.active)) {
+		active = append(active, m.active[number].rollout)
+	}
+	return active
+}
+
+// Report takes in what an edge has seen.
+func (m *Manager) Report(now int64, edge string, evidence []Evidence) {
+	for _, e := range evidence {
+		t := m.active[e.Number]
+		if t == nil {
+			continue
+		}
+		v := t.edges[edge]
+		if v == nil {
+			v = &edgeView{}
+			t.edges[edge] = v
+		}
+		was := v.evidence
+		switch {
+		case was.Life != e.Life:
+			was = Evidence{}
+		case e.Seq <= was.Seq:
+			continue
+		}
+		t.judge.grow(e, was)
+		v.evidence, v.at = e, now
+	}
+}
+
+// grow takes in how an edge's evidence has grown.
+func (j *judge) grow(now, was Evidence) {
+	before := make(map[countKey]Count, len(was.Counts))
+	for _, c := range was.Counts {
+		before[c.key()] = c
+	}
+	for _, c := range now.Counts {
+		j.take(c, before[c.key()])
+	}
+}
+
+// Next is when Decide wants to be called, 0 for never.
+func (m *Manager) Next() int64 {
+	if len(m.active) == 0 {
+		return 0
+	}
+	return m.lookAt
+}
+
+// Wait is called in place of Decide by a controller that does not hold the duty.
+func (m *Manager) Wait(now int64) {
+	m.holds = false
+	if now >= m.lookAt {
+		m.lookAt = now + lookEvery
+	}
+}
+
+// Decide returns the steps that are due. A step that does not come to stand is returned again.
+func (m *Manager) Decide(now int64, facts Facts) (changes []Change) {
+	if len(m.active) == 0 || now < m.lookAt {
+		return nil
+	}
+	m.lookAt = now + lookEvery
+	if !m.holds {
+		m.holds, m.since = true, now
+	}
+	for _, number := range slices.Sorted(maps.Keys(m.active)) {
+		t := m.active[number]
+		change, due := t.decide(now, situation{replicas: facts.Replicas[number], edges: facts.Edges,
+			unused: facts.Unused[t.rollout.Order.Service], heldFor: now - m.since})
+		if due && (t.proposed == 0 || now-t.proposed >= decideAgain) {
+			t.proposed = now
+			changes = append(changes, change)
+		}
+	}
+	return changes
+}
+
+// elapsed is the time since the order, ns.
+func (t *tracked) elapsed(now int64) int64 { return now - t.began }
+
+// situation is what one rollout's next step depends on besides the evidence.
+type situation struct {
+	replicas Replicas
+	edges    []string
+	unused   bool  // no route sends to the service
+	heldFor  int64 // ns that this controller has held the duty
+}
+
+// decide returns the next step of one rollout, where one is due.
+func (t *tracked) decide(now int64, s situation) (c Change, due bool) {
+	t.others = max(t.others, s.replicas.Others)
+	v := t.judge.look(s.replicas.Target == 1)
+	c = Change{Rollout: t.rollout, ElapsedMs: t.elapsed(now) / ms}
+	stage, term := t.rollout.Stage, t.rollout.Order.OverMs*ms
+	switch {
+	case v.bad:
+		return t.end(c, Reverted, v.reason), true
+	case s.replicas.retired():
+		return t.end(c, Complete, "the service is taken away with all of its replicas"), true
+	case t.elapsed(now) >= max(term-giveUpTime, term/2) && stage < stageSwitch && !t.enough(s.replicas):
+		return t.end(c, Reverted, fmt.Sprintf("%d replicas of the version were ready as its term came", s.replicas.Target)), true
+	case stage == stageSwitch:
+		return t.end(c, Complete, "no edge sends to other versions"), !v.suspicious && t.enough(s.replicas) && t.switched(now, s)
+	case !v.suspicious && t.mayAdvance(now, s, term):
+		return t.stay(c, stage+1, plan[stage+1].shares, s.replicas), true
+	}
+	target, others := t.judge.requests()
+	shares, off := plan[stage].tuned(t.rollout.Shares, target-t.asked, others-t.askedOf)
+	return t.stay(c, stage, shares, s.replicas), off && now-t.since >= stageLeast
+}
+
+// end makes a change the one that ends the rollout.
+func (t *tracked) end(c Change, phase Phase, why string) Change {
+	c.Phase, c.Reason = phase, fmt.Sprintf("%s; %s", why, t.seen())
+	return c
+}
+
+// stay makes a change one that leaves the rollout active.
+func (t *tracked) stay(c Change, stage int, shares Shares, replicas Replicas) Change {
+	c.Phase, c.Stage, c.Shares = Active, stage, shares
+	c.Reason = fmt.Sprintf("%s; %d of %d replicas ready; %s", plan[stage].name, replicas.Target, t.others, t.seen())
+	return c
+}
+
+// seen is the evidence in words.
+func (t *tracked) seen() string {
+	target, others := t.judge.requests()
+	return fmt.Sprintf("%.0f of %.0f requests went to the version, %.0f failed", target, target+others, t.judge.target.failed)
+}
+
+// mayAdvance tells whether the next stage may begin. A service that nobody asks has nothing to show.
+func (t *tracked) mayAdvance(now int64, s situation, term int64) bool {
+	next := t.rollout.Stage + 1
+	switch {
+	case next >= stageMost && !t.enough(s.replicas):
+		return false
+	case s.unused:
+		return t.enough(s.replicas)
+	case next == stageCanary:
+		return t.warm(s.replicas) || t.elapsed(now) > int64(impatience*float64(term)) && s.replicas.Target > 0
+	case t.elapsed(now) < begins(next, term) || s.heldFor < stageQuiet:
+		return false
+	case next == stageRise && now-t.stageSince < watchLeast:
+		return false
+	}
+	asked, _ := t.judge.requests()
+	return now-t.stageSince >= stageLeast && asked-t.stageAsked >= leastAsked || now-t.stageSince >= stageQuiet
+}
+
+// warm tells whether enough replicas of the target version are ready and warm for a small share of the traffic.
+func (t *tracked) warm(replicas Replicas) bool {
+	return replicas.Warm > 0 && float64(replicas.Warm) >= warmShare*float64(t.others)
+}
+
+// enough tells whether the replicas of the target version can bear the service's traffic.
+func (t *tracked) enough(replicas Replicas) bool {
+	return replicas.Target > 0 && float64(replicas.Target) >= enoughShare*float64(t.others)
+}
+
+// switched tells whether each edge in touch goes by the switch and has nothing under way at other versions. An edge that has
+// said nothing for so long is not waited for, nor one that has said nothing to whoever holds the duty for so long.
+//
+// Danger: replicas of the other versions end at once when a rollout is called complete.
+func (t *tracked) switched(now int64, s situation) bool {
+	if now-t.stageSince < stageLeast {
+		return false
+	}
+	for _, v := range t.edges {
+		settled := v.evidence.Version >= t.rollout.Changed && v.evidence.OldOut == 0
+		if !settled && now-v.at < edgeSilent {
+			return false
+		}
+	}
+	waited := min(now-t.stageSince, s.heldFor) >= edgeSilent
+	for _, ip := range s.edges {
+		if t.edges[ip] == nil && !waited {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/decide/rollout/manager_test.go
@@ -0,0 +1,152 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+// answers makes evidence of an edge that has had so many answers of each version, some of the target's failed.
+func answers(life, seq, version uint64, old, target, failed uint32) Evidence {
+	e := Evidence{Number: 1, Life: life, Seq: seq, Version: version}
+	e.Counts = append(e.Counts, Count{Route: 1, First: 8, Took: []uint32{old}})
+	for i := range 4 {
+		e.Counts = append(e.Counts, Count{Route: 1, Replica: fmt.Sprint("new", i), First: 8, Took: []uint32{target / 4}, Failed: failed / 4})
+	}
+	return e
+}
+
+// TestEvidenceCountsOnce: reports that are doubled, late or lost change nothing in what is counted; those of a new life of
+// the edge are counted from zero.
+func TestEvidenceCountsOnce(t *testing.T) {
+	set, _ := begun(t)
+	m := NewManager()
+	m.Take(1, set)
+	first, second, third := answers(1, 1, 1, 100, 8, 0), answers(1, 2, 1, 150, 16, 0), answers(1, 3, 1, 200, 20, 4)
+	for _, e := range []Evidence{first, third, second, third, first, answers(2, 1, 1, 10, 4, 0)} {
+		m.Report(2, "edge", []Evidence{e})
+	}
+	judge := m.active[1].judge
+	judge.look(false)
+	target, others := judge.requests()
+	must.Eq(t, 28, target)
+	must.Eq(t, 210, others)
+	must.Eq(t, 4, judge.target.failed)
+}
+
+// TestOneReplicaInTrouble: a replica that fails all is no evidence against its version, two of eight neither.
+func TestOneReplicaInTrouble(t *testing.T) {
+	for troubled := 1; troubled <= 2; troubled++ {
+		j := newJudge()
+		was := map[string]Count{}
+		for look := range uint32(60) {
+			for i := range 8 {
+				c := Count{Route: 1, Replica: fmt.Sprint("new", i), First: 8, Took: []uint32{2 * look}}
+				if i < troubled {
+					c.Failed, c.Took = 2*look, nil
+				}
+				j.take(c, was[c.Replica])
+				was[c.Replica] = c
+			}
+			old := Count{Route: 1, First: 8, Took: []uint32{50 * look}}
+			j.take(old, was[""])
+			was[""] = old
+			must.False(t, j.look(false).bad, must.Sprint(troubled, " replicas, look ", look))
+		}
+	}
+}
+
+// atSwitch is a manager whose only rollout has come to the switch.
+func atSwitch(t *testing.T, now int64) (*Manager, Set) {
+	set, _ := begun(t)
+	for stage := stageCanary; stage <= stageSwitch; stage++ {
+		r, _ := set.Of("s")
+		set, _ = set.Apply(Change{Rollout: r, Phase: Active, Stage: stage, Shares: plan[stage].shares})
+	}
+	m := NewManager()
+	m.Take(now, set)
+	return m, set
+}
+
+func switchFacts(edges ...string) Facts {
+	return Facts{Replicas: map[uint64]Replicas{1: {Target: 8, Warm: 8, Others: 8}}, Edges: edges}
+}
+
+// completes tells whether a call has the rollout complete.
+func completes(changes []Change) bool { return len(changes) > 0 && changes[0].Phase == Complete }
+
+// TestCompleteWaitsForEdges: a rollout is complete only once each edge in touch goes by the switch and has nothing under way
+// at other versions; one that has lost touch is not waited for.
+func TestCompleteWaitsForEdges(t *testing.T) {
+	start := int64(1000 * ms)
+	for name, c := range map[string]struct {
+		last      Evidence // of the second edge
+		completes bool
+		after     int64
+	}{
+		"settled":      {Evidence{Number: 1, Life: 1, Seq: 9, Version: 5}, true, 1500 * ms},
+		"behind":       {Evidence{Number: 1, Life: 1, Seq: 9, Version: 4}, false, 1500 * ms},
+		"under way":    {Evidence{Number: 1, Life: 1, Seq: 9, Version: 5, OldOut: 1}, false, 1500 * ms},
+		"never heard":  {Evidence{}, false, 1500 * ms},
+		"out of touch": {Evidence{Number: 1, Life: 1, Seq: 9, Version: 4}, true, 6000 * ms},
+	} {
+		m, set := atSwitch(t, start)
+		must.Eq(t, 5, set.Version)
+		m.Decide(start, switchFacts("a", "b"))
+		m.Report(start+1000*ms, "a", []Evidence{{Number: 1, Life: 1, Seq: 9, Version: 5}})
+		if c.last.Number > 0 {
+			m.Report(start+1000*ms, "b", []Evidence{c.last})
+		}
+		must.Eq(t, c.completes, completes(m.Decide(start+c.after, switchFacts("a", "b"))), must.Sprint(name))
+	}
+}
+
+// TestANewHolderOfTheDutyWaitsForEvidence: whoever takes the duty over during the switch has not heard the edges yet, which
+// told the one before.
+func TestANewHolderOfTheDutyWaitsForEvidence(t *testing.T) {
+	start := int64(1000 * ms)
+	m, _ := atSwitch(t, start)
+	m.Wait(start)
+	at := start + 20000*ms
+	must.False(t, completes(m.Decide(at, switchFacts("a"))))
+	m.Report(at+300*ms, "a", []Evidence{{Number: 1, Life: 1, Seq: 9, Version: 5, OldOut: 2}})
+	must.False(t, completes(m.Decide(at+500*ms, switchFacts("a"))))
+	m.Report(at+600*ms, "a", []Evidence{{Number: 1, Life: 1, Seq: 10, Version: 5}})
+	must.True(t, completes(m.Decide(at+1000*ms, switchFacts("a"))))
+}
+
+// TestNoReplicasInTime: a rollout whose version has no ready replicas is taken back at its term, and not before.
+func TestNoReplicasInTime(t *testing.T) {
+	set, _ := begun(t)
+	m := NewManager()
+	m.Take(1000*ms, set)
+	facts := Facts{Replicas: map[uint64]Replicas{1: {Others: 8}}}
+	must.SliceEmpty(t, m.Decide(14000*ms, facts))
+	changes := m.Decide(14900*ms, facts)
+	must.SliceLen(t, 1, changes)
+	must.Eq(t, Reverted, changes[0].Phase)
+}
+
+// TestAServiceThatNobodyAsks: no evidence is waited for, and a service that is taken away has no rollout left.
+func TestAServiceThatNobodyAsks(t *testing.T) {
+	set, _ := begun(t)
+	m := NewManager()
+	m.Take(1000*ms, set)
+	facts := switchFacts()
+	facts.Unused = map[string]bool{"s": true}
+	for now := int64(1000 * ms); now < 9000*ms; now += lookEvery {
+		for _, c := range m.Decide(now, facts) {
+			set, _ = set.Apply(c)
+			m.Take(now, set)
+		}
+	}
+	r, _ := set.Of("s")
+	must.Eq(t, Complete, r.Phase)
+
+	set, _ = begun(t)
+	m = NewManager()
+	m.Take(1000*ms, set)
+	changes := m.Decide(2000*ms, Facts{Replicas: map[uint64]Replicas{1: {Leaving: 16}}})
+	must.True(t, completes(changes))
+}
--- /dev/null
+++ b/decide/rollout/set_test.go
@@ -0,0 +1,135 @@
+package rollout
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+var order = Order{Service: "s", Target: "v2", OverMs: 14000}
+
+// begun is a Set with one rollout.
+func begun(t *testing.T) (Set, Rollout) {
+	set, verdict, changed := Set{}.Begin(order)
+	must.Eq(t, Taken, verdict)
+	must.True(t, changed)
+	r, known := set.Of("s")
+	must.True(t, known)
+	return set, r
+}
+
+func ended(t *testing.T, set Set, phase Phase) Set {
+	r, _ := set.Of("s")
+	next, changed := set.Apply(Change{Rollout: r, Phase: phase})
+	must.True(t, changed)
+	return next
+}
+
+// TestBegin: an order sent again is the rollout that it began, whatever became of it; another one of the service waits until
+// that one has ended.
+func TestBegin(t *testing.T) {
+	set, _ := begun(t)
+	other := Order{Service: "s", Target: "v3", OverMs: 14000}
+	_, verdict, changed := set.Begin(order)
+	must.Eq(t, Taken, verdict)
+	must.False(t, changed)
+	_, verdict, changed = set.Begin(other)
+	must.Eq(t, Busy, verdict)
+	must.False(t, changed)
+	for _, phase := range []Phase{Complete, Reverted} {
+		over := ended(t, set, phase)
+		_, verdict, changed = over.Begin(order)
+		must.Eq(t, Taken, verdict)
+		must.False(t, changed)
+		next, verdict, changed := over.Begin(other)
+		must.Eq(t, Taken, verdict)
+		must.True(t, changed)
+		r, _ := next.Of("s")
+		must.Eq(t, "v3", r.Order.Target)
+		must.Eq(t, Active, r.Phase)
+	}
+}
+
+// TestStepOfAFormerDutyChangesNothing: a step decided on a state that another one has replaced is not taken.
+func TestStepOfAFormerDutyChangesNothing(t *testing.T) {
+	set, seen := begun(t)
+	set, changed := set.Apply(Change{Rollout: seen, Phase: Active, Stage: stageCanary, Shares: plan[stageCanary].shares})
+	must.True(t, changed)
+	for _, phase := range []Phase{Active, Complete, Reverted} {
+		_, changed = set.Apply(Change{Rollout: seen, Phase: phase})
+		must.False(t, changed)
+	}
+	set = ended(t, set, Reverted)
+	r, _ := set.Of("s")
+	_, changed = set.Apply(Change{Rollout: r, Phase: Complete})
+	must.False(t, changed)
+	_, changed = set.Abort("s", "late")
+	must.False(t, changed)
+}
+
+// TestAVersionTakenBackStaysShut: what was reverted gets nothing, also during the next rollout and after it, unless an
+// operator orders that very version.
+func TestAVersionTakenBackStaysShut(t *testing.T) {
+	set, _ := begun(t)
+	set = ended(t, set, Reverted)
+	r, _ := set.Of("s")
+	must.False(t, r.Admits("e", "a", "v2"))
+	must.False(t, r.StandsIn("v2"))
+	must.True(t, r.Admits("e", "a", "v1"))
+	set, _, _ = set.Begin(Order{Service: "s", Target: "v3", OverMs: 1000})
+	r, _ = set.Of("s")
+	must.False(t, r.Admits("e", "a", "v2"))
+	must.False(t, r.StandsIn("v2"))
+	set = ended(t, set, Complete)
+	r, _ = set.Of("s")
+	must.False(t, r.Admits("e", "a", "v2"))
+	must.False(t, r.StandsIn("v2"))
+	must.True(t, r.Admits("e", "a", "v3"))
+	must.True(t, r.StandsIn("v1"))
+	set, _, _ = set.Begin(Order{Service: "s", Target: "v2", OverMs: 1000})
+	r, _ = set.Of("s")
+	r.Shares.Target = wholeShare
+	must.True(t, r.Admits("e", "a", "v2"))
+}
+
+// TestSharesOpenMore: a larger share opens all that a smaller one opens, and about its part of the pairs.
+func TestSharesOpenMore(t *testing.T) {
+	open := func(share int) (pairs map[string]bool) {
+		r := Rollout{Order: order, Phase: Active, Shares: Shares{Target: share, Others: wholeShare}}
+		pairs = map[string]bool{}
+		for e := range 60 {
+			for i := range 8 {
+				edge, replica := fmt.Sprint("e", e), fmt.Sprint("r", i)
+				if r.Admits(edge, replica, "v2") {
+					pairs[edge+replica] = true
+				}
+				must.True(t, r.Admits(edge, replica, "v1"))
+			}
+		}
+		return pairs
+	}
+	small, large := open(100), open(400)
+	for pair := range small {
+		must.True(t, large[pair])
+	}
+	must.Between(t, 24, len(small), 96)
+	must.Between(t, 140, len(large), 250)
+	must.MapLen(t, 480, open(wholeShare))
+	must.MapEmpty(t, open(0))
+}
+
+// TestKept: the Set does not grow for ever, and what is active stays.
+func TestKept(t *testing.T) {
+	set, _ := begun(t)
+	for n := range 3 * mostKept {
+		service := fmt.Sprint("other", n)
+		set, _, _ = set.Begin(Order{Service: service, Target: "v2", OverMs: 1000})
+		r, _ := set.Of(service)
+		set, _ = set.Apply(Change{Rollout: r, Phase: Complete})
+	}
+	must.SliceLen(t, mostKept, set.Rollouts)
+	r, known := set.Of("s")
+	must.True(t, known)
+	must.Eq(t, Active, r.Phase)
+}
