controller: rollouts stand in the register, are begun, read and taken back by operators, and carried out

Cause: the subsystem was never built. The state is a part of the register's value, under the same ballots and on the same disks as the configuration, so what is acknowledged outlives what a configuration outlives: TestRolloutSurvives (power gone everywhere, one disk wiped), TestRolloutIsToldAfterARestart. The first live member carries it out; TestRolloutIsCarriedOn kills it after each step. Answers: 200 also for the same order again, 409 beside another active one, 422 for a service that neither a configuration nor a replica names, 400 and 413 for what is no order, 503 without a majority. A replica's version is read from its heartbeats and told to edges.

--- a/decide/clusterstate/clusterstate.go
+++ b/decide/clusterstate/clusterstate.go
@@ -7,9 +7,11 @@
 package clusterstate
 
 import (
+	"cmp"
 	"slices"
 
 	"willowsill/decide/registry"
+	"willowsill/decide/rollout"
 )
 
 // Update is a whole state or a change to one.
@@ -25,6 +27,7 @@
 	Fleet    Fleet             `cbor:"5,keyasint,omitempty"` // whole, where it has changed
 	Change   *FleetChange      `cbor:"8,keyasint,omitempty"` // the same as a difference, where that is shorter
 	Services []string          `cbor:"9,keyasint,omitempty"` // begin to be used: all of their replicas are among Replicas
+	Rollouts rollout.Set       `cbor:"11,keyasint,omitzero"` // whole, where it has changed
 }
 
 // Fleet is who else is there.
@@ -65,7 +68,7 @@
 
 // Empty tells whether an update says nothing.
 func (n Update) Empty() bool {
-	return n.Revision == 0 && len(n.Replicas) == 0 && n.Fleet.Empty() && n.Change == nil
+	return n.Revision == 0 && len(n.Replicas) == 0 && n.Fleet.Empty() && n.Change == nil && n.Rollouts.IsZero()
 }
 
 // ForFollower is the update as it goes on the wire: a fleet is told whole or as a difference, not both.
@@ -85,6 +88,7 @@
 	Raw      []byte // the configuration as the operator sent it
 	Sum      uint64 // its ContentSum; 0 where a feeder of the former version gave it as a patch
 	Fleet    Fleet
+	Rollouts rollout.Set
 	Behind   bool // a patch or a difference came for what is not held: a snapshot is needed
 	packed   []byte
 	// What Behind tells of: the configuration held is not the one that a patch was for, the fleet held not the feeder's.
@@ -105,11 +109,16 @@
 	if n.Revision > b.Revision && len(n.Body)+len(n.Patch) > 0 {
 		b.revise(n, &fresh)
 	}
+	// Danger: a feeder that is behind must not open a version again that was taken back.
+	if n.Rollouts.Version > b.Rollouts.Version {
+		b.Rollouts, fresh.Rollouts = n.Rollouts, n.Rollouts
+	}
 	for _, r := range n.Replicas {
 		if b.departed.covers(r) {
 			continue
 		}
 		was, known := b.replicas[r.ID]
+		r.Version = cmp.Or(r.Version, was.Version)
 		if known && r.Phase == registry.Gone && r.Service == "" { // the id alone
 			seq := max(r.Seq, was.Seq)
 			r = was
@@ -195,7 +204,7 @@
 	if b.packed == nil && b.Revision > 0 {
 		b.packed = Pack(b.Raw)
 	}
-	n := Update{Snapshot: true, Revision: b.Revision, Body: b.packed, Sum: b.Sum, Fleet: b.Fleet}
+	n := Update{Snapshot: true, Revision: b.Revision, Body: b.packed, Sum: b.Sum, Fleet: b.Fleet, Rollouts: b.Rollouts}
 	for _, r := range b.replicas {
 		n.Replicas = append(n.Replicas, r)
 	}
--- /dev/null
+++ b/decide/clusterstate/rollouts_test.go
@@ -0,0 +1,29 @@
+package clusterstate
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"willowsill/decide/registry"
+	"willowsill/decide/rollout"
+)
+
+// TestRolloutsNeverGoBack: a feeder that is behind does not bring back an older step; a snapshot has the newest.
+func TestRolloutsNeverGoBack(t *testing.T) {
+	begun, _, _ := rollout.Set{}.Begin(rollout.Order{Service: "s", Target: "v2", OverMs: 9000})
+	reverted, _ := begun.Abort("s", "bad")
+	state := NewState()
+	must.False(t, state.Take(Update{Rollouts: reverted}).Empty())
+	must.True(t, state.Take(Update{Rollouts: begun}).Empty())
+	must.True(t, state.Take(Update{Rollouts: reverted}).Empty())
+	must.Eq(t, reverted, state.Snapshot().Rollouts)
+}
+
+// TestVersionStays: a feeder of the former version passes records on without the version; it is not forgotten for that.
+func TestVersionStays(t *testing.T) {
+	state := NewState()
+	state.Take(Update{Replicas: []registry.Record{{ID: "i", Service: "s", Version: "v2", Seq: 1}}})
+	must.SliceEmpty(t, state.Take(Update{Replicas: []registry.Record{{ID: "i", Service: "s", Seq: 2}}}).Replicas)
+	must.Eq(t, "v2", state.Snapshot().Replicas[0].Version)
+}
--- a/decide/controller/callers.go
+++ b/decide/controller/callers.go
@@ -101,6 +101,10 @@
 
 func (c *Controller) answer(t *pendingCall, status int, body []byte, reason string) {
 	c.out.Answers = append(c.out.Answers, Answer{Call: t.id, Status: status, Body: body, Reason: reason})
+	c.forgetCall(t)
+}
+
+func (c *Controller) forgetCall(t *pendingCall) {
 	c.calls = slices.DeleteFunc(c.calls, func(o *pendingCall) bool { return o == t })
 }
 
@@ -139,6 +143,8 @@
 		switch {
 		case t.order != nil:
 			c.answerOrder(t, d.Value)
+		case t.rollout != nil:
+			c.answerRollout(t, d.Value)
 		case d.Value.Revision == 0:
 			c.answer(t, statusNotFound, nil, "there is no configuration yet")
 		default:
--- a/decide/controller/contact.go
+++ b/decide/controller/contact.go
@@ -78,7 +78,7 @@
 func (c *Controller) sendHeartbeat() {
 	c.passOn() // a replica that is new in the group has to be known before
 	group, leaving := c.group.News(c.now), c.list.LeavingSum()
-	h := Heartbeat{Group: &group, LeavingReplicas: &leaving, CaughtUp: c.disk.CaughtUp, Epoch: c.committed.Epoch, Revision: c.committed.Revision, Leaving: c.leaving,
+	h := Heartbeat{Group: &group, LeavingReplicas: &leaving, CaughtUp: c.disk.CaughtUp, Epoch: c.committed.Epoch, Revision: c.committed.Revision, Rollouts: c.committed.Rollouts.Version, Leaving: c.leaving,
 		Number: c.lease.Ask(c.now), Accepted: c.disk.Accepted}
 	for _, ip := range c.all() {
 		if number := c.peers[ip].number; number > 0 {
@@ -108,7 +108,7 @@
 	for _, e := range c.edges {
 		if c.now-e.told > edgeAgain && c.now-e.heard < edgeAgain {
 			e.told = c.now
-			reports = append(reports, EdgeReport{e.Edge, e.said, c.now - e.heard})
+			reports = append(reports, EdgeReport{Edge: e.Edge, Suspects: e.said, Age: c.now - e.heard})
 		}
 	}
 	return reports
@@ -138,7 +138,7 @@
 	for _, ip := range h.Controllers {
 		c.meet(ip)
 	}
-	if h.Revision > c.committed.Revision || h.Epoch > c.committed.Epoch || c.list.Empty() {
+	if h.Revision > c.committed.Revision || h.Epoch > c.committed.Epoch || h.Rollouts > c.committed.Rollouts.Version || c.list.Empty() {
 		c.want(w.From)
 	}
 }
--- a/decide/controller/controller.go
+++ b/decide/controller/controller.go
@@ -75,6 +75,7 @@
 	edit    uint64 // of the proposer
 	read    bool
 	order   *order              // of an operator
+	rollout *rolloutCall        // likewise
 	acks    map[string]struct{} // for what must be on the disks of a majority: who has it there
 	asked   uint64
 	replica string // that leaves
@@ -109,6 +110,7 @@
 	listDirty           bool
 	savingList          bool // the save under way has the list
 	leavers             leavers
+	rollouts            rollouts
 	listAt              int64
 	dirty               bool   // the state differs from what was handed out to be saved
 	committedUnsaved    bool   // the configuration known to be committed is in no save yet
@@ -134,7 +136,7 @@
 	c := &Controller{Start: s, list: registry.New(silentBeats*s.BeatEvery, keepGone),
 		group: registry.NewGroup(groupBeats*s.BeatEvery + s.BeatEvery/2), state: clusterstate.NewState(), selection: clusterstate.NewSelection(),
 		peers: map[string]*peer{}, edges: map[string]*edge{}, pass: map[string]registry.Record{}, passed: map[string]int64{},
-		leavers: newLeavers(), lease: lease.New(s.IP + "/" + s.Life), began: now, now: now}
+		leavers: newLeavers(), rollouts: newRollouts(), lease: lease.New(s.IP + "/" + s.Life), began: now, now: now}
 	seeds := slices.Clone(s.Seeds)
 	slices.Sort(seeds)
 	seeds = slices.Compact(seeds)
@@ -167,6 +169,7 @@
 	if v := c.disk.Value; v.Revision > 0 && ConfigurationOf(v) == s.Committed {
 		c.selection.Update(c.state, c.state.Take(clusterstate.Update{Revision: v.Revision, Body: v.Body}))
 	}
+	c.takeRollouts(s.Rollouts)
 	for _, r := range s.List {
 		c.list.Take(now, r)
 	}
@@ -216,7 +219,7 @@
 		c.saves++
 		c.saving, c.dirty = c.saves, false
 		c.committedUnsaved, c.committedSaveAt = false, c.now+committedEvery
-		c.out.Save = &Save{Number: c.saves, State: c.disk.State, Committed: c.configuration}
+		c.out.Save = &Save{Number: c.saves, State: c.disk.State, Committed: c.configuration, Rollouts: c.rollouts.set}
 		if listDue {
 			c.listDirty, c.listAt, c.savingList = false, c.now+listEvery, true
 			c.leavers.handedOut(c.now)
@@ -272,6 +275,7 @@
 		c.carry(out)
 	}
 	c.settle()
+	c.tickRollouts()
 	if now >= c.dutyAt {
 		c.dutyAt = now + heartbeatEvery
 		c.duty()
@@ -288,6 +292,9 @@
 	if c.joiner != nil {
 		next = min(next, c.joinAt)
 	}
+	if at := c.rollouts.next(); at > 0 {
+		next = min(next, at)
+	}
 	if c.fleetDue {
 		next = min(next, c.fleetAt)
 	}
--- a/decide/controller/controller_test.go
+++ b/decide/controller/controller_test.go
@@ -80,7 +80,7 @@
 		Draw: func() float64 { return float64(name[len(name)-1]%8) / 8 }}
 	if x.saved != nil {
 		state := x.saved.State
-		s.State, s.Committed, s.List = &state, x.saved.Committed, x.list
+		s.State, s.Committed, s.Rollouts, s.List = &state, x.saved.Committed, x.saved.Rollouts, x.list
 	}
 	x.Controller = New(b.now, s)
 	x.follower = clusterstate.NewState()
@@ -131,6 +131,10 @@
 	for _, a := range o.Answers {
 		b.answers[a.Call] = a
 	}
+	if n := o.Update; !n.Rollouts.IsZero() {
+		must.GreaterEq(b.t, x.follower.Rollouts.Version, n.Rollouts.Version, must.Sprint("followers were taken back"))
+		x.follower.Take(clusterstate.Update{Rollouts: n.Rollouts})
+	}
 	if n := o.Update; n.Revision > 0 {
 		must.GreaterEq(b.t, x.told, n.Revision, must.Sprint("followers were taken back"))
 		x.told = n.Revision
--- a/decide/controller/disk.go
+++ b/decide/controller/disk.go
@@ -101,10 +101,10 @@
 // commit takes in a value that is known to be committed, and the ballot under which it is.
 func (c *Controller) commit(v register.Value, ballot register.Ballot) {
 	c.lease.Commit(ballot)
-	newer := v.Epoch > c.committed.Epoch || v.Revision > c.committed.Revision ||
+	newer := v.Epoch > c.committed.Epoch || v.Revision > c.committed.Revision || v.Rollouts.Version > c.committed.Rollouts.Version ||
 		v.Epoch == c.committed.Epoch && v.Revision == c.committed.Revision && len(v.Prior) < len(c.committed.Prior) ||
 		len(c.committed.Members) == 0
-	if !newer || v.Epoch < c.committed.Epoch || v.Revision < c.committed.Revision {
+	if !newer || v.Epoch < c.committed.Epoch || v.Revision < c.committed.Revision || v.Rollouts.Version < c.committed.Rollouts.Version {
 		return
 	}
 	if !slices.Equal(v.Members, c.committed.Members) {
@@ -115,12 +115,16 @@
 		c.committedUnsaved = true // that it is committed goes to disk with the next save
 		c.log("configuration stands", "revision", v.Revision, "sum", c.configuration.Sum, "bytes", len(v.Body))
 	}
+	if v.Rollouts.Version > c.committed.Rollouts.Version {
+		c.committedUnsaved = true
+	}
 	c.committed = v
 	c.proposer.Know(v)
 	for _, m := range v.Members {
 		c.meet(m)
 	}
 	c.tell(c.state.Take(clusterstate.Update{Revision: v.Revision, Body: v.Body}))
+	c.takeRollouts(v.Rollouts)
 	c.fleet()
 }
 
@@ -157,6 +161,9 @@
 		}
 		o.Revision, o.Body, o.Base, o.Patch, o.Raw, o.Sum = n.Revision, n.Body, n.Base, n.Patch, n.Raw, n.Sum
 	}
+	if !n.Rollouts.IsZero() {
+		c.out.Update.Rollouts = n.Rollouts
+	}
 	c.out.Update.Replicas = append(c.out.Update.Replicas, n.Replicas...)
 	if o := &c.out.Update; !n.Fleet.Empty() {
 		if !o.Fleet.Empty() { // a difference to what was not told yet is none
--- a/decide/controller/edges.go
+++ b/decide/controller/edges.go
@@ -15,6 +15,7 @@
 	c.now = now
 	c.sight(s, true)
 	c.fleet()
+	c.heardEvidence(s)
 	return c.done()
 }
 
--- a/decide/controller/messages.go
+++ b/decide/controller/messages.go
@@ -5,6 +5,7 @@
 	"willowsill/decide/locality"
 	"willowsill/decide/register"
 	"willowsill/decide/registry"
+	"willowsill/decide/rollout"
 )
 
 // What controllers say to each other, and what a call of the machine asks for.
@@ -28,6 +29,8 @@
 
 	WantLeaving *registry.LeavingSums `cbor:"15,keyasint,omitempty"` // wants what differs from these sums
 	Leaving     []registry.AgedRecord `cbor:"16,keyasint,omitempty"` // of replicas that leave
+
+	Evidence []EdgeEvidence `cbor:"17,keyasint,omitempty"` // to the one that holds the duty
 }
 
 // ReplicaHeartbeat tells that a replica was heard which says what it said before.
@@ -53,6 +56,8 @@
 	Group *registry.GroupNews `cbor:"11,keyasint,omitempty"` // of replicas heard here; nil in the former version
 
 	LeavingReplicas *uint64 `cbor:"12,keyasint,omitempty"` // sum of those known to leave; nil in the former version
+
+	Rollouts uint64 `cbor:"13,keyasint,omitempty"` // version of the rollouts known to be committed
 }
 
 // Receipt returns the number of the last heartbeat that was received from a controller.
@@ -66,6 +71,14 @@
 	Edge     clusterstate.Edge `cbor:"1,keyasint"`
 	Suspects []string          `cbor:"2,keyasint,omitempty"` // edges that it watches and does not hear
 	Age      int64             `cbor:"3,keyasint,omitempty"` // since it was heard of, ns
+
+	Rollouts []rollout.Evidence `cbor:"4,keyasint,omitempty"` // what it has seen of active rollouts
+}
+
+// EdgeEvidence is what one edge has seen of active rollouts.
+type EdgeEvidence struct {
+	IP       string             `cbor:"1,keyasint"`
+	Rollouts []rollout.Evidence `cbor:"2,keyasint"`
 }
 
 // Send is one message on its way.
@@ -79,6 +92,7 @@
 	Number    uint64
 	State     register.State
 	Committed register.Order    // the newest configuration known to be committed; State may hold another
+	Rollouts  rollout.Set       // known to be committed
 	List      []registry.Record // the list of replicas, nil where it is as it was
 }
 
@@ -88,6 +102,7 @@
 	Status          int // of HTTP
 	Body            []byte
 	Reason          string
+	Rollouts        []rollout.Rollout
 	HeartbeatTarget string // IP of the controller for the replica's later heartbeats; empty for any
 }
 
@@ -117,6 +132,7 @@
 	Bootstrap bool              // the first start of the whole system
 	State     *register.State   // as it was saved; nil for an empty disk
 	Committed register.Order    // the newest configuration known to be committed, as it was saved
+	Rollouts  rollout.Set       // likewise
 	List      []registry.Record // of replicas, likewise
 	BeatEvery int64             // of replicas, ns
 	Draw      func() float64
--- a/decide/controller/receive.go
+++ b/decide/controller/receive.go
@@ -27,6 +27,7 @@
 	if w.Group.Whole {
 		c.takeGroup(w.From, p, w.Group)
 	}
+	c.takeEvidence(w.Evidence)
 	c.answerQuestions(w)
 	return c.done()
 }
--- a/decide/register/copy.go
+++ b/decide/register/copy.go
@@ -121,7 +121,7 @@
 	for _, m := range v.Prior {
 		b = appendText(b, m)
 	}
-	return appendText(appendText(b, string(v.Body)), string(v.Orders))
+	return v.Rollouts.Key(appendText(appendText(b, string(v.Body)), string(v.Orders)))
 }
 
 func appendStates(b []byte, states map[string]State) []byte {
--- a/decide/register/register.go
+++ b/decide/register/register.go
@@ -12,6 +12,8 @@
 import (
 	"cmp"
 	"slices"
+
+	"willowsill/decide/rollout"
 )
 
 // Ballot orders rounds.
@@ -32,6 +34,8 @@
 	Body     []byte   `cbor:"5,keyasint,omitempty"` // the configuration as the operator sent it
 	Size     int      `cbor:"6,keyasint,omitempty"` // members that there should be; more are there only for a while
 	Orders   Orders   `cbor:"7,keyasint,omitempty"` // which content was confirmed under which revision
+
+	Rollouts rollout.Set `cbor:"8,keyasint,omitzero"`
 }
 
 // State is what one disk keeps.
--- a/decide/registry/group.go
+++ b/decide/registry/group.go
@@ -23,7 +23,7 @@
 // CallOf is the call that a record is known by.
 func CallOf(r Record) Call { return Call{r.ID, r.Seq, contentOf(r)} }
 
-// contentOf sums up what Same compares of two records of ready replicas.
+// contentOf sums up what may change of a ready replica; its version stays for its life.
 func contentOf(r Record) uint64 {
 	var sum xxhash.Digest
 	sum.Reset()
--- a/decide/registry/registry.go
+++ b/decide/registry/registry.go
@@ -45,6 +45,7 @@
 	Phase    Phase  `cbor:"6,keyasint,omitempty"`
 	Seq      uint64 `cbor:"7,keyasint,omitempty"`
 	WarmMs   int64  `cbor:"8,keyasint,omitempty"` // how much longer it is slow from its start, ms
+	Version  string `cbor:"9,keyasint,omitempty"` // of its software; empty where one of the former version passed it on
 }
 
 // Newer tells whether r says more than o of the same replica. What is leaving stays so, whatever comes late.
@@ -64,7 +65,7 @@
 // Same tells whether two records say the same of where a replica is and whether it may be sent anything.
 func (r Record) Same(o Record) bool {
 	return r.Service == o.Service && r.Address == o.Address && r.Phase == o.Phase && r.Zone == o.Zone &&
-		r.Capacity == o.Capacity
+		r.Capacity == o.Capacity && r.Version == o.Version
 }
 
 // Leaving tells whether a replica has said that it leaves or has left. It is not ready again after that.
@@ -110,6 +111,7 @@
 		r = e.Record
 		r.Phase, r.Seq = Gone, seq
 	}
+	r.Version = cmp.Or(r.Version, e.Version)
 	changed = !r.Same(e.Record)
 	reg.replace(e, r)
 	if r.Phase != Silent {
@@ -257,6 +259,16 @@
 	return all
 }
 
+// OfService is what is known of a service's replicas. It looks at all replicas.
+func (reg *Registry) OfService(service string) (records []Record) {
+	for _, e := range reg.entries {
+		if e.Service == service {
+			records = append(records, e.Record)
+		}
+	}
+	return records
+}
+
 // Get is what is known of one replica.
 func (reg *Registry) Get(id string) (Record, bool) {
 	if e := reg.entries[id]; e != nil {
--- a/decide/routeconfig/used.go
+++ b/decide/routeconfig/used.go
@@ -39,3 +39,26 @@
 		return d.Skip()
 	})
 }
+
+// NamesService tells whether a configuration names a service among its services. Like UsedServices it reads nothing else.
+func NamesService(body []byte, service string) (named bool, err error) {
+	err = jx.DecodeBytes(body).Obj(func(d *jx.Decoder, key string) error {
+		if key != "services" {
+			return d.Skip()
+		}
+		return d.Arr(func(d *jx.Decoder) error {
+			return d.Obj(func(d *jx.Decoder, key string) error {
+				if key != "name" {
+					return d.Skip()
+				}
+				name, err := d.Str()
+				named = named || name == service
+				return err
+			})
+		})
+	})
+	if err != nil {
+		return false, ErrInvalid.Wrapf(err, "the services cannot be read")
+	}
+	return named, nil
+}
--- a/lab/controlsim/disk.go
+++ b/lab/controlsim/disk.go
@@ -6,6 +6,7 @@
 	"willowsill/decide/controller"
 	"willowsill/decide/register"
 	"willowsill/decide/registry"
+	"willowsill/decide/rollout"
 )
 
 // Times of a disk, ns.
@@ -24,6 +25,7 @@
 type image struct {
 	state     register.State
 	committed register.Order
+	rollouts  rollout.Set // committed
 	list      []registry.Record
 }
 
@@ -48,7 +50,7 @@
 		d.world.after(refusedAfter, func() { m.dispatch(life, func() { done(errDiskFull) }) })
 		return
 	}
-	next := &image{state: s.State, committed: s.Committed, list: s.List}
+	next := &image{state: s.State, committed: s.Committed, rollouts: s.Rollouts, list: s.List}
 	if s.List == nil && d.written != nil {
 		next.list = d.written.list
 	}
--- a/lab/controlsim/server.go
+++ b/lab/controlsim/server.go
@@ -108,7 +108,7 @@
 		Draw: draw.Float64}
 	if found := s.disk.open(); found != nil {
 		state := found.state
-		start.State, start.Committed, start.List = &state, found.committed, found.list
+		start.State, start.Committed, start.Rollouts, start.List = &state, found.committed, found.rollouts, found.list
 	}
 	if !s.bootstrap {
 		start.Seeds = w.seeds()
--- a/transport/controlserver/controlserver.go
+++ b/transport/controlserver/controlserver.go
@@ -81,7 +81,7 @@
 		start.Bootstrap = false
 		os.Remove(statestore.Path(local.DataDir))
 	}
-	start.State, start.Committed, start.List = found.State, found.Committed, found.List
+	start.State, start.Committed, start.Rollouts, start.List = found.State, found.Committed, found.Rollouts, found.List
 	klog.InfoS("controller", "ip", local.IP, "bootstrap", local.Bootstrap, "found", found.State != nil, "committed", found.Committed.Revision, "sum", found.Committed.Sum,
 		"replicas", len(found.List))
 	s.controller = controller.New(s.now(), start)
--- a/transport/controlserver/resources.go
+++ b/transport/controlserver/resources.go
@@ -24,7 +24,7 @@
 
 // handler puts the resources together.
 func (s *Server) handler() http.Handler {
-	replicas, configuration := &replicas{s}, &configuration{s}
+	replicas, configuration, rollouts := &replicas{s}, &configuration{s}, &rollouts{s}
 	serve := func(w http.ResponseWriter, r *http.Request) {
 		if id, ok := strings.CutPrefix(r.URL.Path, "/v1/replicas/"); ok {
 			id, call, _ := strings.Cut(id, "/")
@@ -35,6 +35,10 @@
 			configuration.serve(w, r, call)
 			return
 		}
+		if call, ok := strings.CutPrefix(r.URL.Path, "/v1/rollouts/"); ok {
+			rollouts.serve(w, r, call)
+			return
+		}
 		refuse(w, http.StatusNotFound, "there is no such resource")
 	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -131,6 +135,8 @@
 			r.Address, err = d.Str()
 		case "zone":
 			r.Zone, err = d.Str()
+		case "revision":
+			r.Version, err = d.Str()
 		case "capacity":
 			r.Capacity, err = d.Int()
 		case "phase":
--- a/transport/controlserver/resources_test.go
+++ b/transport/controlserver/resources_test.go
@@ -147,3 +147,27 @@
 	must.StrContains(t, read.Body.String(), `"phase":"active"`)
 	must.StrContains(t, read.Body.String(), `"target-revision":"v2"`)
 }
+
+// TestInvalidRollouts: what is no order gets a clear refusal and begins nothing.
+func TestInvalidRollouts(t *testing.T) {
+	handler := newTestServer(t, "").handler()
+	must.Eq(t, http.StatusOK, replace(handler, "7", "s"))
+	for body, want := range map[string]int{
+		`{"service":"s","target-revision":"v2"}`:                 http.StatusBadRequest,
+		`{"service":"s","target-revision":"v2","over-s":0}`:      http.StatusBadRequest,
+		`{"service":"s","target-revision":"v2","over-s":-3}`:     http.StatusBadRequest,
+		`{"service":"s","target-revision":"v2","over-s":1e9}`:    http.StatusBadRequest,
+		`{"service":"s","target-revision":"","over-s":9}`:        http.StatusBadRequest,
+		`{"target-revision":"v2","over-s":9}`:                    http.StatusBadRequest,
+		`{"service":"s","target-revision":"v2","over-s":9`:       http.StatusBadRequest,
+		`{"service":"nobody","target-revision":"v2","over-s":9}`: http.StatusUnprocessableEntity,
+		strings.Repeat(" ", orderMost+1):                         http.StatusRequestEntityTooLarge,
+	} {
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/rollouts/begin", strings.NewReader(body)))
+		must.Eq(t, want, w.Code, must.Sprint(body))
+	}
+	w := httptest.NewRecorder()
+	handler.ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/v1/rollouts/s/read", nil))
+	must.Eq(t, http.StatusNotFound, w.Code)
+}
--- /dev/null
+++ b/transport/controlserver/rollouts.go
@@ -0,0 +1,148 @@
+package controlserver
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/go-faster/jx"
+	"k8s.io/klog/v2"
+
+	"willowsill/decide/controller"
+	"willowsill/decide/rollout"
+)
+
+// Bounds of an order.
+const (
+	orderMost   = 4 << 10 // bytes
+	nameMost    = 256     // bytes of the name of a service or a version
+	overSMost   = 7 * 24 * 3600
+	msPerSecond = 1000
+)
+
+// rollouts is the resource of rollouts: begin, history, and of each service read and abort.
+type rollouts struct{ server *Server }
+
+func (h *rollouts) serve(w http.ResponseWriter, r *http.Request, call string) {
+	service, ofService, named := strings.Cut(call, "/")
+	control := h.server.controller
+	switch {
+	case call == "begin" && r.Method == http.MethodPost:
+		h.begin(w, r)
+	case call == "history" && r.Method == http.MethodGet:
+		h.call(w, r.Context(), control.ListRollouts, encodeRollouts)
+	case named && service != "" && ofService == "read" && r.Method == http.MethodGet:
+		h.call(w, r.Context(), func(now int64, id uint64) controller.Out { return control.ReadRollout(now, id, service) }, encodeNewest)
+	case named && service != "" && ofService == "abort" && r.Method == http.MethodPost:
+		h.call(w, r.Context(), func(now int64, id uint64) controller.Out { return control.AbortRollout(now, id, service) }, encodeNewest)
+	default:
+		refuse(w, http.StatusNotFound, "rollouts have begin (POST), history (GET), SERVICE/read (GET) and SERVICE/abort (POST)")
+	}
+}
+
+// begin takes an operator's order.
+func (h *rollouts) begin(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, orderMost+1))
+	if err != nil {
+		refuse(w, http.StatusServiceUnavailable, "the order did not come whole")
+		return
+	}
+	if len(body) > orderMost {
+		refuse(w, http.StatusRequestEntityTooLarge, "the order is too long")
+		return
+	}
+	order, err := readOrder(body)
+	if err != nil {
+		refuse(w, http.StatusBadRequest, err.Error())
+		return
+	}
+	klog.InfoS("a rollout was ordered", "service", order.Service, "target", order.Target, "overMs", order.OverMs)
+	h.call(w, r.Context(), func(now int64, id uint64) controller.Out { return h.server.controller.BeginRollout(now, id, order) }, encodeNewest)
+}
+
+// call puts a call to the controller and answers it.
+func (h *rollouts) call(w http.ResponseWriter, ctx context.Context, in func(now int64, id uint64) controller.Out, encode func([]rollout.Rollout) []byte) {
+	a, ok := h.server.call(ctx, in)
+	if ok && a.Status == http.StatusOK {
+		a.Body = encode(a.Rollouts)
+	}
+	answer(w, a, ok)
+}
+
+// readOrder reads an order field by field.
+func readOrder(body []byte) (o rollout.Order, err error) {
+	seconds := 0.0
+	err = jx.DecodeBytes(body).Obj(func(d *jx.Decoder, key string) (err error) {
+		switch key {
+		case "service":
+			o.Service, err = d.Str()
+		case "target-revision":
+			o.Target, err = d.Str()
+		case "over-s":
+			seconds, err = d.Float64()
+		default:
+			return d.Skip()
+		}
+		if err != nil {
+			return ErrControlServer.Wrapf(err, "%s", key)
+		}
+		return nil
+	})
+	if err != nil {
+		return o, err
+	}
+	for name, value := range map[string]string{"service": o.Service, "target-revision": o.Target} {
+		if value == "" || len(value) > nameMost {
+			return o, fmt.Errorf("%s is missing or longer than %d bytes", name, nameMost)
+		}
+	}
+	if !(seconds > 0 && seconds <= overSMost) {
+		return o, errors.New("over-s is missing, 0 or below, or longer than a week")
+	}
+	o.OverMs = max(int64(seconds*msPerSecond), 1)
+	return o, nil
+}
+
+// encodeNewest encodes the one rollout of an answer.
+func encodeNewest(all []rollout.Rollout) []byte {
+	e := jx.Encoder{}
+	for _, r := range all {
+		encodeRollout(&e, r)
+	}
+	return e.Bytes()
+}
+
+// encodeRollouts encodes the rollouts of an answer as an array.
+func encodeRollouts(all []rollout.Rollout) []byte {
+	e := jx.Encoder{}
+	e.ObjStart()
+	e.FieldStart("rollouts")
+	e.ArrStart()
+	for _, r := range all {
+		encodeRollout(&e, r)
+	}
+	e.ArrEnd()
+	e.ObjEnd()
+	return e.Bytes()
+}
+
+func encodeRollout(e *jx.Encoder, r rollout.Rollout) {
+	e.ObjStart()
+	for _, field := range []struct{ name, value string }{{"phase", r.Phase.String()}, {"target-revision", r.Order.Target}, {"service", r.Order.Service},
+		{"stage", r.StageName()}, {"reason", r.Reason}} {
+		e.FieldStart(field.name)
+		e.Str(field.value)
+	}
+	for _, field := range []struct {
+		name  string
+		value int64
+	}{{"number", int64(r.Number)}, {"step", int64(r.Step)}, {"over-ms", r.Order.OverMs}, {"elapsed-ms", r.ElapsedMs},
+		{"target-share", int64(r.Shares.Target)}, {"others-share", int64(r.Shares.Others)}} {
+		e.FieldStart(field.name)
+		e.Int64(field.value)
+	}
+	e.ObjEnd()
+}
--- a/transport/statestore/statestore.go
+++ b/transport/statestore/statestore.go
@@ -19,6 +19,7 @@
 	"willowsill/decide/controller"
 	"willowsill/decide/register"
 	"willowsill/decide/registry"
+	"willowsill/decide/rollout"
 )
 
 // ErrStore is the class of this package's errors.
@@ -59,12 +60,14 @@
 	State             register.State `cbor:"1,keyasint"`
 	CommittedRevision uint64         `cbor:"2,keyasint,omitempty"`
 	CommittedSum      uint64         `cbor:"3,keyasint,omitempty"` // of its content; 0 in a file of the former version
+	CommittedRollouts rollout.Set    `cbor:"4,keyasint,omitzero"`
 }
 
 // Found is what the file held when it was opened.
 type Found struct {
 	State     *register.State   // nil where none was ever saved
 	Committed register.Order    // the configuration last known to be committed
+	Rollouts  rollout.Set       // last known to be committed
 	List      []registry.Record // as it was last saved
 }
 
@@ -131,6 +134,7 @@
 			if n, ok := unseal([]byte(text), &k); ok && n > b.number {
 				b.number, found.State = n, &k.State
 				found.Committed = register.Order{Revision: k.CommittedRevision, Sum: k.CommittedSum}
+				found.Rollouts = k.CommittedRollouts
 			}
 		}
 		if text, err := tx.Get(listKey); err == nil {
@@ -149,7 +153,7 @@
 // Danger: a new file lasts only once the folder that holds its name is synced as well.
 func (b *Store) Save(s controller.Save) error {
 	n := b.number + 1
-	text, err := seal(n, kept{s.State, s.Committed.Revision, s.Committed.Sum})
+	text, err := seal(n, kept{s.State, s.Committed.Revision, s.Committed.Sum, s.Rollouts})
 	if err != nil {
 		return ErrStore.Wrapf(err, "encoding")
 	}
--- a/transport/statestore/statestore_test.go
+++ b/transport/statestore/statestore_test.go
@@ -11,6 +11,7 @@
 	"willowsill/decide/controller"
 	"willowsill/decide/register"
 	"willowsill/decide/registry"
+	"willowsill/decide/rollout"
 )
 
 func save(n uint64) controller.Save {
@@ -148,3 +149,20 @@
 		b.ReportMetric(float64(most)/1e6, "MB/file")
 	}
 }
+
+// TestRolloutsAreKept: rollouts come back as they were saved, accepted and committed ones each by itself.
+func TestRolloutsAreKept(t *testing.T) {
+	dir := t.TempDir()
+	b, _, err := Open(dir)
+	must.NoError(t, err)
+	committed, _, _ := rollout.Set{}.Begin(rollout.Order{Service: "s", Target: "v2", OverMs: 9000})
+	accepted, _ := committed.Abort("s", "an operator's word")
+	next := save(3)
+	next.State.Value.Rollouts, next.Rollouts = accepted, committed
+	must.NoError(t, b.Save(next))
+	must.NoError(t, b.Close())
+	_, found, err := Open(dir)
+	must.NoError(t, err)
+	must.Eq(t, accepted, found.State.Value.Rollouts)
+	must.Eq(t, committed, found.Rollouts)
+}
