willowctl: rollout begin, watch, abort and history

Steps, shares of the open pairs, the reason for each step and for being taken back, as lines or as JSON. The same order sent again is acknowledged again, so begin may be repeated as it is.

--- a/cmd/willowctl/main.go
+++ b/cmd/willowctl/main.go
@@ -29,7 +29,7 @@
 )
 
 type command struct {
-	name, args, does, example string
+	name, args, does, example string // args in brackets are counted by the command itself
 	run                       func(ctx context.Context, f *flags, args []string) error
 }
 
@@ -39,6 +39,7 @@
 	watch    string
 	revision string
 	within   time.Duration
+	over     time.Duration
 	json     bool
 	out      io.Writer
 }
@@ -53,6 +54,9 @@
 	{"send", "FILE", "sends a configuration until it is acknowledged or refused", "willowctl -control 10.0.0.4:8080 -revision auto send next.json", send},
 	{"diff", "A B", "says what configuration B has otherwise than A; - stands for the newest", "willowctl -control 10.0.0.4:8080 diff - next.json", diff},
 	{"explain", "HOST PATH", "says which route of the newest configuration takes a request, and to which services", "willowctl -control 10.0.0.4:8080 explain hall.example /scan/x", explain},
+	{"rollout", "[begin SERVICE VERSION|watch SERVICE|abort SERVICE|history]",
+		"moves a service's traffic to another version of its replicas, follows that, takes it back, or lists what was done",
+		"willowctl -control 10.0.0.4:8080 -over 10m rollout begin till-catalogue v42", rollout},
 	{"show", "", "shows what a controller or an agent tells its followers", "willowctl -watch 10.0.0.4:7081 show", show},
 	{"snapshot", "save|verify|restore FILE", "keeps the newest configuration in a file, says whether a file is whole, or gives it to a system that has none",
 		"willowctl -control 10.0.0.4:8080 snapshot save monday.json", snapshot},
@@ -68,6 +72,7 @@
 	f.StringVar(&f.watch, "watch", "", "`address` where a controller or an agent is followed: its IP and the second internal port")
 	f.StringVar(&f.revision, "revision", "", "for send: the `number` to send under instead of the file's; auto for one above the newest")
 	f.DurationVar(&f.within, "within", 10*time.Second, "how long to try")
+	f.DurationVar(&f.over, "over", 0, "for rollout begin: the `time` that it may take")
 	f.BoolVar(&f.json, "json", false, "print JSON")
 	f.Usage = func() {
 		fmt.Fprintln(errs, "willowctl is the operators' client of willowsill.")
@@ -85,13 +90,13 @@
 		return 2
 	}
 	at := slices.IndexFunc(commands, func(c command) bool { return c.name == f.Arg(0) })
-	if at < 0 || f.NArg()-1 != len(strings.Fields(commands[at].args)) {
+	if at < 0 || !strings.HasPrefix(commands[at].args, "[") && f.NArg()-1 != len(strings.Fields(commands[at].args)) {
 		f.Usage()
 		return 2
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	if commands[at].name != "watch" {
+	if !slices.Contains(f.Args()[:min(f.NArg(), 2)], "watch") { // these go on until they are stopped
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, f.within)
 		defer cancel()
--- /dev/null
+++ b/cmd/willowctl/rollout.go
@@ -0,0 +1,102 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"text/tabwriter"
+	"time"
+
+	"willowsill/transport/controlclient"
+)
+
+// rolloutPoll is the time between two looks at a rollout that is watched.
+const rolloutPoll = 500 * time.Millisecond
+
+// rolloutArguments is how many arguments follow each action of the rollout command.
+var rolloutArguments = map[string]int{"begin": 2, "watch": 1, "abort": 1, "history": 0}
+
+// rollout begins a rollout, follows one until it ends, takes one back, or lists those that are kept.
+func rollout(ctx context.Context, f *flags, args []string) error {
+	if len(args) == 0 {
+		return wrong(fmt.Errorf("rollout: one of begin, watch, abort and history is missing"))
+	}
+	count, known := rolloutArguments[args[0]]
+	if !known || len(args)-1 != count {
+		return wrong(fmt.Errorf("rollout: %q is none of begin SERVICE VERSION, watch SERVICE, abort SERVICE and history", args))
+	}
+	switch control := f.addresses(); args[0] {
+	case "begin":
+		if f.over <= 0 {
+			return wrong(fmt.Errorf("rollout begin: -over is missing: the time that it may take, as in -over 10m"))
+		}
+		r, err := control.BeginRollout(ctx, args[1], args[2], f.over.Seconds())
+		return f.sayRollout(r, err)
+	case "abort":
+		r, err := control.AbortRollout(ctx, args[1])
+		return f.sayRollout(r, err)
+	case "watch":
+		return watchRollout(ctx, f, control, args[1])
+	}
+	return rolloutHistory(ctx, f)
+}
+
+// watchRollout prints each step of a service's newest rollout until it has ended.
+func watchRollout(ctx context.Context, f *flags, control *controlclient.Control, service string) error {
+	var last controlclient.Rollout
+	for {
+		within, cancel := context.WithTimeout(ctx, f.within)
+		r, err := control.ReadRollout(within, service)
+		cancel()
+		if ctx.Err() != nil {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if r != last {
+			if err := f.sayRollout(r, nil); err != nil {
+				return err
+			}
+		}
+		if last = r; !r.Active() {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(rolloutPoll):
+		}
+	}
+}
+
+func rolloutHistory(ctx context.Context, f *flags) error {
+	all, err := f.addresses().Rollouts(ctx)
+	if err != nil {
+		return err
+	}
+	if f.json {
+		return json.NewEncoder(f.out).Encode(all)
+	}
+	w := tabwriter.NewWriter(f.out, 0, 4, 2, ' ', 0)
+	for _, r := range all {
+		fmt.Fprintf(w, "%d\t%s\t%s\t%s\t%s\t%s\n", r.Number, r.Service, r.Target, r.Phase, time.Duration(r.ElapsedMs)*time.Millisecond, r.Reason)
+	}
+	return w.Flush()
+}
+
+// sayRollout prints where a rollout stands.
+func (f *flags) sayRollout(r controlclient.Rollout, err error) error {
+	if err != nil {
+		return err
+	}
+	if f.json {
+		return json.NewEncoder(f.out).Encode(r)
+	}
+	fmt.Fprintf(f.out, "rollout %d of %s to %s is %s", r.Number, r.Service, r.Target, r.Phase)
+	if r.Active() {
+		fmt.Fprintf(f.out, ", stage %s: %.1f%% of the ways to %s are open, %.1f%% of the others", r.Stage, float64(r.TargetShare)/10, r.Target, float64(r.OthersShare)/10)
+	}
+	fmt.Fprintf(f.out, "; %s of %s: %s\n", time.Duration(r.ElapsedMs)*time.Millisecond, time.Duration(r.OverMs)*time.Millisecond, r.Reason)
+	return nil
+}
--- a/cmd/willowctl/willowctl_test.go
+++ b/cmd/willowctl/willowctl_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 
@@ -98,3 +99,46 @@
 		must.StrContains(t, errs, c.says)
 	}
 }
+
+// TestRollout: an order goes out as it was given, a watch ends with the rollout and prints each step once, and what is wrong with a call is
+// told without one.
+func TestRollout(t *testing.T) {
+	var order string
+	steps := []string{`"phase":"active","stage":"canary","step":1`, `"phase":"active","stage":"canary","step":1`, `"phase":"reverted","stage":"reverted","step":2,"reason":"fails more"`}
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		step := slices.Concat(steps, []string{""})[0]
+		switch r.URL.Path {
+		case "/v1/rollouts/begin":
+			body, _ := io.ReadAll(r.Body)
+			order = string(body)
+		case "/v1/rollouts/s/read":
+			steps = steps[1:]
+		case "/v1/rollouts/history":
+			io.WriteString(w, `{"rollouts":[{"number":3,"service":"s","phase":"complete"}]}`)
+			return
+		default:
+			w.WriteHeader(http.StatusNotFound)
+			return
+		}
+		io.WriteString(w, `{"number":3,"service":"s","target-revision":"v2",`+step+`}`)
+	}))
+	defer s.Close()
+	address := strings.TrimPrefix(s.URL, "http://")
+	code, out, errs := run("-control", address, "-over", "90s", "rollout", "begin", "s", "v2")
+	must.Eq(t, 0, code, must.Sprint(errs))
+	must.Eq(t, `{"service":"s","target-revision":"v2","over-s":90}`, order)
+	must.StrContains(t, out, "rollout 3 of s to v2 is active, stage canary")
+	code, out, errs = run("-control", address, "rollout", "watch", "s")
+	must.Eq(t, 0, code, must.Sprint(errs))
+	must.Eq(t, 2, strings.Count(out, "\n"), must.Sprint(out))
+	must.StrContains(t, out, "is reverted; 0s of 0s: fails more")
+	code, out, _ = run("-control", address, "-json", "rollout", "history")
+	must.Eq(t, 0, code)
+	must.StrContains(t, out, `"number":3`)
+	code, _, _ = run("-control", address, "rollout", "abort", "other")
+	must.Eq(t, 1, code)
+	for _, args := range [][]string{{"rollout"}, {"rollout", "begin", "s"}, {"rollout", "begin", "s", "v2"}, {"rollout", "stop", "s"}} {
+		code, _, _ = run(append([]string{"-control", address}, args...)...)
+		must.Eq(t, 2, code, must.Sprint(args))
+	}
+}
--- /dev/null
+++ b/transport/controlclient/rollouts.go
@@ -0,0 +1,78 @@
+package controlclient
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/url"
+)
+
+// Rollout is a rollout as controllers tell it.
+type Rollout struct {
+	Number      uint64 `json:"number"`
+	Service     string `json:"service"`
+	Target      string `json:"target-revision"`
+	Phase       string `json:"phase"` // active, complete or reverted
+	Stage       string `json:"stage"`
+	Step        uint64 `json:"step"`
+	TargetShare int    `json:"target-share"` // thousandths of the pairs of an edge and a replica that are open
+	OthersShare int    `json:"others-share"` // the same with replicas of other versions
+	OverMs      int64  `json:"over-ms"`
+	ElapsedMs   int64  `json:"elapsed-ms"` // from the order to the newest step
+	Reason      string `json:"reason"`     // for the newest step
+}
+
+// Active tells whether the rollout has not ended.
+func (r Rollout) Active() bool { return r.Phase == "active" }
+
+// rolloutOrder is an order as it goes on the wire.
+type rolloutOrder struct {
+	Service string  `json:"service"`
+	Target  string  `json:"target-revision"`
+	OverS   float64 `json:"over-s"`
+}
+
+// BeginRollout orders that a service's traffic be moved to a version within so many seconds. The same order sent again is
+// acknowledged again.
+func (c *Control) BeginRollout(ctx context.Context, service, target string, overS float64) (r Rollout, err error) {
+	body, err := json.Marshal(rolloutOrder{service, target, overS})
+	if err != nil {
+		return r, ErrClient.Wrap(err)
+	}
+	return r, c.callInto(ctx, http.MethodPost, "/v1/rollouts/begin", body, &r)
+}
+
+// ReadRollout is the newest rollout of a service.
+func (c *Control) ReadRollout(ctx context.Context, service string) (r Rollout, err error) {
+	return r, c.callInto(ctx, http.MethodGet, "/v1/rollouts/"+url.PathEscape(service)+"/read", nil, &r)
+}
+
+// AbortRollout takes the active rollout of a service back, and returns what stands then.
+func (c *Control) AbortRollout(ctx context.Context, service string) (r Rollout, err error) {
+	return r, c.callInto(ctx, http.MethodPost, "/v1/rollouts/"+url.PathEscape(service)+"/abort", nil, &r)
+}
+
+// Rollouts are those that are kept, the oldest first.
+func (c *Control) Rollouts(ctx context.Context) ([]Rollout, error) {
+	var all struct {
+		Rollouts []Rollout `json:"rollouts"`
+	}
+	err := c.callInto(ctx, http.MethodGet, "/v1/rollouts/history", nil, &all)
+	return all.Rollouts, err
+}
+
+// callInto makes a call and decodes its answer.
+func (c *Control) callInto(ctx context.Context, method, path string, body []byte, into any) error {
+	status, answer, err := c.call(ctx, method, path, body)
+	switch {
+	case err != nil:
+		return err
+	case status != http.StatusOK:
+		return ErrClient.Errorf("status %d: %s", status, bytes.TrimSpace(answer))
+	}
+	if err := json.Unmarshal(answer, into); err != nil {
+		return ErrClient.Wrapf(err, "the answer to %s", path)
+	}
+	return nil
+}
