follower: a feeder that says itself that it is cut off is left after a quarter of a second

Cause: the relay was left at an age of 3 s, then three controllers of the smaller part of a split core one after the other, each stayed with for a second, though its first message says that it is cut off: 6.1 s for a contact-ms of 5 s (TestFreshFeederWithinContact).

--- a/decide/follower/follower.go
+++ b/decide/follower/follower.go
@@ -12,12 +12,17 @@
 	"willowsill/decide/clusterstate"
 )
 
+// shortTries is how many feeders in a row are left after shortStay: a smaller part of the control servers that is cut off. A
+// moment without any majority is waited out, for each visit costs a snapshot.
+const shortTries = 4
+
 // Times, ns.
 const (
 	ms            = 1_000_000
 	staleDirect   = 2000 * ms // a control server's word that is older than this counts as that of one that is cut off
 	staleRelayed  = 3000 * ms // a relay's: the relay itself leaves its feeder first, and those below it need not move
 	leastStay     = 1000 * ms // with a feeder that is not fresh, before the next one is tried
+	shortStay     = 250 * ms  // the same with one that says itself that it is cut off
 	longStay      = 4000 * ms // the same once all have been tried: none of them is fresh, and each visit costs a snapshot
 	readyWithout  = 3000 * ms // from the first configuration on: a new edge that finds no fresh feeder for so long is ready
 	behindAllowed = 1000 * ms // from the word of a newer revision until it has to be here
@@ -55,8 +60,11 @@
 // stays with it keeps an old configuration.
 func (f *Follower) Leave(now int64) bool {
 	stay := int64(leastStay)
-	if f.tried > f.alternatives {
+	switch {
+	case f.tried > f.alternatives:
 		stay = longStay
+	case f.heard.Known && f.tried <= shortTries:
+		stay = shortStay
 	}
 	if f.alternatives == 0 || f.fresh(now) || now-f.connectedAt < stay {
 		return false
--- a/decide/follower/follower_test.go
+++ b/decide/follower/follower_test.go
@@ -66,6 +66,25 @@
 	must.True(t, f.Leave(now+1000*ms))
 }
 
+// TestFewShortVisits: of feeders that say themselves that they are cut off the first are left soon; where they all do, the rest are
+// stayed with as others are, so that a moment without any majority does not have each edge fetch every feeder's snapshot.
+func TestFewShortVisits(t *testing.T) {
+	const alternatives = 8
+	var f Follower
+	var stays []int64
+	for range alternatives + 2 {
+		f.Connected(0, alternatives)
+		f.Heard(0, said(5000*ms, 0))
+		now := int64(0)
+		for ; !f.Leave(now); now += 10 * ms {
+			f.Heard(now, said(5000*ms+now, 0))
+		}
+		stays = append(stays, now)
+	}
+	short, least := int64(shortStay), int64(leastStay)
+	must.Eq(t, []int64{short, short, short, short, short, least, least, least, least, longStay}, stays)
+}
+
 // TestAgeGrows: what is passed on has grown by the time that it lay here, and by a hop.
 func TestAgeGrows(t *testing.T) {
 	var f Follower
