--- a/decide/controller/controller_test.go
+++ b/decide/controller/controller_test.go
@@ -291,6 +291,20 @@
 	}
 }
 
+// loseAllPower has all controllers lose power at once and one its disk, and start again.
+func (b *cluster) loseAllPower(wiped int) {
+	for _, n := range b.names {
+		b.servers[n].up = false
+	}
+	b.events = nil
+	b.servers[b.names[wiped]].saved, b.servers[b.names[wiped]].list = nil, nil
+	b.run(500 * ms)
+	for _, n := range b.names {
+		b.start(n, false)
+	}
+	b.run(2000 * ms)
+}
+
 // TestAcknowledgedThenLost: the power goes everywhere right after the answer, and one disk is emptied as
 // well.
 func TestAcknowledgedThenLost(t *testing.T) {
@@ -302,16 +316,7 @@
 			b.run(ms)
 		}
 		must.Eq(t, 200, b.answers[id].Status)
-		for _, n := range b.names {
-			b.servers[n].up = false
-		}
-		b.events = nil
-		b.servers[b.names[wiped]].saved, b.servers[b.names[wiped]].list = nil, nil
-		b.run(500 * ms)
-		for _, n := range b.names {
-			b.start(n, false)
-		}
-		b.run(2000 * ms)
+		b.loseAllPower(wiped)
 		a := b.read(b.names[(wiped+1)%5])
 		must.Eq(t, "five", string(a.Body))
 		must.True(t, b.servers[b.names[wiped]].disk.CaughtUp)
--- a/decide/controller/rollouts_test.go
+++ b/decide/controller/rollouts_test.go
@@ -67,16 +67,7 @@
 	for wiped := range 5 {
 		b := withRollouts(t)
 		must.Eq(t, statusOK, b.begin(b.names[2], "s", "v2").Status)
-		for _, n := range b.names {
-			b.servers[n].up = false
-		}
-		b.events = nil
-		b.servers[b.names[wiped]].saved, b.servers[b.names[wiped]].list = nil, nil
-		b.run(500 * ms)
-		for _, n := range b.names {
-			b.start(n, false)
-		}
-		b.run(2000 * ms)
+		b.loseAllPower(wiped)
 		read := b.readRollout(b.names[(wiped+1)%5], "s")
 		must.Eq(t, statusOK, read.Status)
 		must.Eq(t, "v2", read.Rollouts[0].Order.Target)
