rollout: what a trial gets follows the deployment's exposure-share

What callers would have seen: on a deployment whose exposure-share is below 0.1 a bad version gets more than the rule allows (EXPOSURE), for the plan's shares were written for 0.1 and no program read the bound. What a stage sends is now a multiple of the share (0.55 as a canary, 1.6 at the rise), 0.1 where the file names none; under that value nothing changes. A share that is none is refused with its key.

--- a/decide/controller/controller.go
+++ b/decide/controller/controller.go
@@ -136,7 +136,7 @@
 	c := &Controller{Start: s, list: registry.New(silentBeats*s.BeatEvery, keepGone),
 		group: registry.NewGroup(groupBeats*s.BeatEvery + s.BeatEvery/2), state: clusterstate.NewState(), selection: clusterstate.NewSelection(),
 		peers: map[string]*peer{}, edges: map[string]*edge{}, pass: map[string]registry.Record{}, passed: map[string]int64{},
-		leavers: newLeavers(), rollouts: newRollouts(), lease: lease.New(s.IP + "/" + s.Life), began: now, now: now}
+		leavers: newLeavers(), rollouts: newRollouts(s.Rolling), lease: lease.New(s.IP + "/" + s.Life), began: now, now: now}
 	seeds := slices.Clone(s.Seeds)
 	slices.Sort(seeds)
 	seeds = slices.Compact(seeds)
--- a/decide/controller/messages.go
+++ b/decide/controller/messages.go
@@ -135,5 +135,6 @@
 	Rollouts  rollout.Set       // likewise
 	List      []registry.Record // of replicas, likewise
 	BeatEvery int64             // of replicas, ns
+	Rolling   rollout.Terms     // bounds on rollouts
 	Draw      func() float64
 }
--- a/decide/controller/rollouts.go
+++ b/decide/controller/rollouts.go
@@ -28,8 +28,8 @@
 	warmAt     map[string]int64 // when a replica is no longer slow from its start, by id
 }
 
-func newRollouts() rollouts {
-	return rollouts{manager: rollout.NewManager(), pending: map[string][]rollout.Evidence{}, warmAt: map[string]int64{}}
+func newRollouts(terms rollout.Terms) rollouts {
+	return rollouts{manager: rollout.NewManager(terms), pending: map[string][]rollout.Evidence{}, warmAt: map[string]int64{}}
 }
 
 // next is when tickRollouts wants to be called at the latest, 0 for never.
--- a/decide/rollout/fleet_test.go
+++ b/decide/rollout/fleet_test.go
@@ -45,10 +45,11 @@
 	bad       badness
 
 	toTarget, all, badAnswers int
+	trial                     int // of the target version's requests, those before it got more than its trial
 }
 
-func newFleet(seed uint64, bad badness) *fleet {
-	f := &fleet{draw: rand.New(rand.NewPCG(seed, 1)), now: 1000 * ms, manager: NewManager(), bad: bad}
+func newFleet(seed uint64, bad badness, terms Terms) *fleet {
+	f := &fleet{draw: rand.New(rand.NewPCG(seed, 1)), now: 1000 * ms, manager: NewManager(terms), bad: bad}
 	f.set, _, _ = Set{}.Begin(order)
 	for i := range fleetReplicas {
 		f.replicas = append(f.replicas, Replica{ID: fmt.Sprint("old", i), Service: "s", Version: "v1"}, Replica{ID: fmt.Sprint("new", i), Service: "s", Version: "v2"})
@@ -117,6 +118,9 @@
 			ready.Target, ready.Warm = fleetReplicas, fleetReplicas
 		}
 		for _, c := range f.manager.Decide(f.now, Facts{Replicas: map[uint64]Replicas{rollout.Number: ready}}) {
+			if c.Stage == stageMost && f.trial == 0 {
+				f.trial = f.toTarget
+			}
 			f.set, _ = f.set.Apply(c)
 			for _, r := range f.recorders {
 				r.Watch(f.set, f.replicas)
@@ -151,7 +155,7 @@
 	} {
 		t.Run(bad.name, func(t *testing.T) {
 			for seed := range seeds {
-				f := newFleet(100*seed, bad)
+				f := newFleet(100*seed, bad, Terms{})
 				r := f.play()
 				if bad.share == 0 || bad.trouble {
 					must.Eq(t, Complete, r.Phase, must.Sprint("seed ", seed, ": ", r.Reason))
@@ -167,8 +171,20 @@
 
 // TestAGoodVersionIsInTime: it is complete before its term.
 func TestAGoodVersionIsInTime(t *testing.T) {
-	f := newFleet(7, badness{})
+	f := newFleet(7, badness{}, Terms{})
 	began := f.now
 	must.Eq(t, Complete, f.play().Phase)
 	must.LessEq(t, order.OverMs*ms, f.now-began)
 }
+
+// TestTrialFollowsTheExposureShare (EXPOSURE): what a version gets before all others' traffic is moved stays below the share that
+// operators name, whatever that is, and is not much less, for a smaller trial shows less.
+func TestTrialFollowsTheExposureShare(t *testing.T) {
+	term := float64(order.OverMs * ms / fleetTick * perTick)
+	for _, share := range []float64{0.03, 0.05, 0.1, 0.2} {
+		f := newFleet(11, badness{}, Terms{ExposureShare: share})
+		must.Eq(t, Complete, f.play().Phase)
+		must.LessEq(t, 0.9*share*term, float64(f.trial), must.Sprint("share ", share))
+		must.GreaterEq(t, 0.3*share*term, float64(f.trial), must.Sprint("share ", share))
+	}
+}
--- a/decide/rollout/manager.go
+++ b/decide/rollout/manager.go
@@ -52,6 +52,7 @@
 // tracked is one active rollout as a controller follows it.
 type tracked struct {
 	rollout    Rollout
+	terms      Terms
 	began      int64   // when the order was taken, as far as is known here
 	since      int64   // when its step was learned of here
 	stageSince int64   // the same of its stage
@@ -67,6 +68,7 @@
 // Manager follows the active rollouts at one controller. Each controller has one and feeds it; only the one that holds the
 // duty acts on what it decides.
 type Manager struct {
+	terms   Terms
 	version uint64
 	active  map[uint64]*tracked
 	lookAt  int64
@@ -75,7 +77,7 @@
 }
 
 // NewManager makes one that knows of no rollout.
-func NewManager() *Manager { return &Manager{active: map[uint64]*tracked{}} }
+func NewManager(terms Terms) *Manager { return &Manager{terms: terms, active: map[uint64]*tracked{}} }
 
 // Take takes in a Set that is known to stand.
 func (m *Manager) Take(now int64, set Set) {
@@ -87,7 +89,7 @@
 	for _, r := range set.Active() {
 		t := m.active[r.Number]
 		if t == nil {
-			t = &tracked{judge: newJudge(), edges: map[string]*edgeView{}}
+			t = &tracked{terms: m.terms, judge: newJudge(), edges: map[string]*edgeView{}}
 		}
 		if t.rollout.Step != r.Step || t.since == 0 {
 			t.since, t.proposed = now, 0
@@ -215,10 +217,10 @@
 	case stage == stageSwitch:
 		return t.end(c, Complete, "no edge sends to other versions"), !v.suspicious && t.enough(s.replicas) && t.switched(now, s)
 	case !v.suspicious && t.mayAdvance(now, s, term):
-		return t.stay(c, stage+1, plan[stage+1].shares, s.replicas), true
+		return t.stay(c, stage+1, t.terms.opening(stage+1), s.replicas), true
 	}
 	target, others := t.judge.requests()
-	shares, off := plan[stage].tuned(t.rollout.Shares, target-t.asked, others-t.askedOf)
+	shares, off := t.terms.tuned(stage, t.rollout.Shares, target-t.asked, others-t.askedOf)
 	return t.stay(c, stage, shares, s.replicas), off && now-t.since >= stageLeast
 }
 
@@ -241,7 +243,7 @@
 	return fmt.Sprintf("%.0f of %.0f requests went to the version, %.0f failed", target, target+others, t.judge.target.failed)
 }
 
-// mayAdvance tells whether the next stage may begin. A service that nobody asks has nothing to show.
+// mayAdvance tells whether the next stage may begin.
 func (t *tracked) mayAdvance(now int64, s situation, term int64) bool {
 	next := t.rollout.Stage + 1
 	switch {
--- a/decide/rollout/manager_test.go
+++ b/decide/rollout/manager_test.go
@@ -21,7 +21,7 @@
 // the edge are counted from zero.
 func TestEvidenceCountsOnce(t *testing.T) {
 	set, _ := begun(t)
-	m := NewManager()
+	m := NewManager(Terms{})
 	m.Take(1, set)
 	first, second, third := answers(1, 1, 1, 100, 8, 0), answers(1, 2, 1, 150, 16, 0), answers(1, 3, 1, 200, 20, 4)
 	for _, e := range []Evidence{first, third, second, third, first, answers(2, 1, 1, 10, 4, 0)} {
@@ -64,7 +64,7 @@
 		r, _ := set.Of("s")
 		set, _ = set.Apply(Change{Rollout: r, Phase: Active, Stage: stage, Shares: plan[stage].shares})
 	}
-	m := NewManager()
+	m := NewManager(Terms{})
 	m.Take(now, set)
 	return m, set
 }
@@ -119,7 +119,7 @@
 // TestNoReplicasInTime: a rollout whose version has no ready replicas is taken back at its term, and not before.
 func TestNoReplicasInTime(t *testing.T) {
 	set, _ := begun(t)
-	m := NewManager()
+	m := NewManager(Terms{})
 	m.Take(1000*ms, set)
 	facts := Facts{Replicas: map[uint64]Replicas{1: {Others: 8}}}
 	must.SliceEmpty(t, m.Decide(14000*ms, facts))
@@ -131,7 +131,7 @@
 // TestAServiceThatNobodyAsks: no evidence is waited for, and a service that is taken away has no rollout left.
 func TestAServiceThatNobodyAsks(t *testing.T) {
 	set, _ := begun(t)
-	m := NewManager()
+	m := NewManager(Terms{})
 	m.Take(1000*ms, set)
 	facts := switchFacts()
 	facts.Unused = map[string]bool{"s": true}
@@ -145,7 +145,7 @@
 	must.Eq(t, Complete, r.Phase)
 
 	set, _ = begun(t)
-	m = NewManager()
+	m = NewManager(Terms{})
 	m.Take(1000*ms, set)
 	changes := m.Decide(2000*ms, Facts{Replicas: map[uint64]Replicas{1: {Leaving: 16}}})
 	must.True(t, completes(changes))
--- a/decide/rollout/plan.go
+++ b/decide/rollout/plan.go
@@ -2,7 +2,8 @@
 
 // The plan: a version gets a small share until more than half of the time is over, for some versions turn bad late, and then
 // more in a few short steps, since others turn bad under load alone. What a bad version is sent in all is bounded by
-// operators as a share of the service's requests (exposure-share) between the order and its term.
+// operators as a share of the service's requests between the order and its term (Terms), so what a stage sends is a
+// multiple of that share.
 
 // The places in the plan.
 const (
@@ -16,19 +17,49 @@
 // stage is one place in the plan.
 type stage struct {
 	name    string
-	shares  Shares
-	traffic float64 // share of the service's requests that the target version is to get, 0 for what the shares bring
+	shares  Shares  // as it begins, under the usual terms
+	traffic float64 // what the target version is to get, as a multiple of the exposure share; 0 for what the shares bring
 	from    float64 // share of the time before the switch after which it begins
 }
 
 var plan = [...]stage{
 	stageWait:   {"waits for replicas", Shares{0, wholeShare}, 0, 0},
-	stageCanary: {"canary", Shares{180, wholeShare}, 0.055, 0},
-	stageRise:   {"rise", Shares{400, wholeShare}, 0.16, 0.72},
+	stageCanary: {"canary", Shares{180, wholeShare}, 0.55, 0},
+	stageRise:   {"rise", Shares{400, wholeShare}, 1.6, 0.72},
 	stageMost:   {"most", Shares{wholeShare, 400}, 0, 0.87},
 	stageSwitch: {"switch", Shares{wholeShare, 0}, 0, 1},
 }
 
+// Terms are the deployment's bounds on rollouts.
+type Terms struct {
+	ExposureShare float64 // of a service's requests between the order and its term: most for a version that may be bad; 0 for the usual
+}
+
+const (
+	usualExposure = 0.1
+	mostExposure  = 0.3 // more would be no trial but a switch
+)
+
+// exposure is the share that the plan goes by.
+func (t Terms) exposure() float64 {
+	if t.ExposureShare <= 0 {
+		return usualExposure
+	}
+	return min(t.ExposureShare, mostExposure)
+}
+
+// opening are the shares that a stage begins with.
+func (t Terms) opening(number int) Shares {
+	s := plan[number]
+	if s.traffic > 0 {
+		s.shares.Target = bounded(int(float64(s.shares.Target) * t.exposure() / usualExposure))
+	}
+	return s.shares
+}
+
+// bounded keeps a share of the pairs with the target version within what a trial may have.
+func bounded(pairs int) int { return min(max(pairs, fewestPairs), mostPairs) }
+
 // switchTime is how long before the term the switch begins: time for all edges to follow and to end what is under way.
 const switchTime = 2800 * ms
 
@@ -56,16 +87,17 @@
 	requestsNone = 0.5 // taken for the requests where there were none
 )
 
-// tuned returns the shares that bring the traffic closer to what the stage is to have; false where they are close enough.
-func (s stage) tuned(now Shares, target, others float64) (Shares, bool) {
-	if s.traffic == 0 || target+others < tuneLeast {
+// tuned returns the shares that bring the traffic closer to what a stage is to have; false where they are close enough.
+func (t Terms) tuned(number int, now Shares, target, others float64) (Shares, bool) {
+	wanted := plan[number].traffic * t.exposure()
+	if wanted == 0 || target+others < tuneLeast {
 		return now, false
 	}
 	is := max(target, requestsNone) / (target + others)
-	if is >= tuneWithin*s.traffic && is <= s.traffic/tuneWithin {
+	if is >= tuneWithin*wanted && is <= wanted/tuneWithin {
 		return now, false
 	}
-	factor := min(max(s.traffic/is, 1/tuneFactor), tuneFactor)
-	next := Shares{Target: min(max(int(float64(now.Target)*factor), fewestPairs), mostPairs), Others: now.Others}
+	factor := min(max(wanted/is, 1/tuneFactor), tuneFactor)
+	next := Shares{Target: bounded(int(float64(now.Target) * factor)), Others: now.Others}
 	return next, next != now
 }
--- a/deployment/settings/settings.go
+++ b/deployment/settings/settings.go
@@ -79,6 +79,8 @@
 	RetryRatio   float64 `toml:"retry-ratio"`
 	RetryWindowS float64 `toml:"retry-window-s"`
 	RetrySlack   float64 `toml:"retry-slack"`
+
+	ExposureShare float64 `toml:"exposure-share"` // of a service's requests, most for a version that may be bad; 0 where no rule bounds it
 }
 
 // RetryWindow is RetryWindowS in ns, 0 where no rule bounds retries.
@@ -153,6 +155,9 @@
 	if s.Limits.MemoryMB < 0 || s.Limits.Files < 0 {
 		return at("limits", "has a figure below 0")
 	}
+	if share := s.Bounds.ExposureShare; share < 0 || share > 1 {
+		return at("bounds.exposure-share", "is %v: a share from 0 to 1 is wanted", share)
+	}
 	if s.BeatMs <= 0 {
 		s.BeatMs = defaultBeatMs
 	}
--- a/lab/rolloutcheck/rolloutcheck.go
+++ b/lab/rolloutcheck/rolloutcheck.go
@@ -79,7 +79,7 @@
 	}
 	w := world{now: 1, set: set}
 	for i := range w.managers {
-		w.managers[i] = rollout.NewManager()
+		w.managers[i] = rollout.NewManager(rollout.Terms{})
 		w.managers[i].Take(second, set)
 	}
 	for i := range w.edges {
--- a/lab/rules/all.go
+++ b/lab/rules/all.go
@@ -45,6 +45,7 @@
 	rolloutSetFile  = "decide/rollout/set.go"
 	judgeFile       = "decide/rollout/judge.go"
 	managerFile     = "decide/rollout/manager.go"
+	planFile        = "decide/rollout/plan.go"
 	rolloutsFile    = "decide/controller/rollouts.go"
 	versionsFile    = "decide/routingtable/rollouts.go"
 	rolloutTests    = "decide/rollout"
@@ -209,6 +210,8 @@
 	// New versions.
 	{"EXPOSURE: verdict", "a bad version gets over exposure-share of its service's requests, or any later than rollback-ms after its 50th bad answer", "a likelihood ratio test on failed and slow answers beside the other version's", files(judgeFile), kinds("rollout_bad"),
 		broken(rolloutTests, "TestVerdicts", edit(judgeFile, "threshold = 7.0", "threshold = 700.0"))},
+	{"EXPOSURE: share", "a trial gets more than the deployment's exposure-share before the version is known to be good", "what a stage sends is a multiple of that share", files(planFile), kinds("rollout_bad late"),
+		broken(rolloutTests, "TestTrialFollowsTheExposureShare", edit(planFile, "return min(t.ExposureShare, mostExposure)", "return usualExposure"))},
 	{"EXPOSURE: shut", "requests go to a version that was taken back", "an edge admits no replica of it", files(rolloutFile, versionsFile), kinds("rollout_bad"),
 		broken(proxyserver, "TestRolloutOnTheWholePath", edit(rolloutFile, "return !target && !slices.Contains(r.Reverted, version)", "return true"))},
 	{"EXPOSURE: former duty", "a step that was decided before the duty changed hands opens a version that was taken back", "a step names the state that it was decided on", files(rolloutSetFile), kinds("rollout_bad", "node_kill leader"),
--- a/transport/controlserver/controlserver.go
+++ b/transport/controlserver/controlserver.go
@@ -21,6 +21,7 @@
 	"willowsill/decide/controller"
 	"willowsill/decide/lease"
 	"willowsill/decide/registry"
+	"willowsill/decide/rollout"
 	"willowsill/deployment/settings"
 	"willowsill/transport/metrics"
 	"willowsill/transport/peer"
@@ -69,7 +70,7 @@
 		saves:  make(chan controller.Save, 1), calls: map[uint64]chan controller.Answer{}}
 	life := strconv.FormatUint(rand.Uint64(), 36)
 	start := controller.Start{IP: local.IP, Life: life, Zone: local.Zone, Regions: local.Zones, Seeds: local.SeedIPs(), Bootstrap: local.Bootstrap,
-		BeatEvery: local.BeatMs * int64(time.Millisecond), Draw: rand.Float64}
+		BeatEvery: local.BeatMs * int64(time.Millisecond), Rolling: rollout.Terms{ExposureShare: local.Bounds.ExposureShare}, Draw: rand.Float64}
 	store, found, err := statestore.Open(local.DataDir)
 	if errors.Is(err, statestore.ErrNewerFormat) {
 		return ErrControlServer.Wrap(err) // the file stays for the version that wrote it
