rollout: a version that nobody has asked keeps its trial, whatever its term

Cause: a service that no route used had its rollout switched as soon as replicas were ready, with no evidence at all; after_ack_wipe, as any change of routes may, then sent it all of a route's requests. Class: no evidence taken for good evidence. Fix: more than the trial wants 20 requests of the version, or three times the term, used service or not; the special case for unused services is gone. A good version that nobody asks is complete late (a price, no rule). TestAServiceThatNobodyAsks asked for the fault itself, complete before the term without evidence; TestAnUnseenVersionGetsNoMoreThanItsTrial takes its place and fails on the former text, TestAServiceThatIsTakenAway has the rest.

--- a/decide/clusterstate/selection.go
+++ b/decide/clusterstate/selection.go
@@ -34,7 +34,7 @@
 		return told
 	}
 	for _, r := range state.replicas {
-		if _, known := before[r.Service]; !known && s.Uses(r.Service) {
+		if _, known := before[r.Service]; !known && s.uses(r.Service) {
 			told.Replicas = append(told.Replicas, r)
 			told.Services = append(told.Services, r.Service)
 		}
@@ -60,8 +60,8 @@
 	s.used = used
 }
 
-// Uses tells whether a service is used.
-func (s *Selection) Uses(service string) bool {
+// uses tells whether a service is used.
+func (s *Selection) uses(service string) bool {
 	_, used := s.used[service]
 	return used || s.used == nil
 }
@@ -69,6 +69,6 @@
 // selected are those of the replicas that followers are told of.
 func (s *Selection) selected(all []registry.Record) []registry.Record {
 	return slices.DeleteFunc(slices.Clone(all), func(r registry.Record) bool {
-		return r.Phase == registry.Ready && !s.Uses(r.Service)
+		return r.Phase == registry.Ready && !s.uses(r.Service)
 	})
 }
--- a/decide/controller/rollouts.go
+++ b/decide/controller/rollouts.go
@@ -218,7 +218,7 @@
 
 // rolloutFacts counts the replicas of services with an active rollout, and names the edges.
 func (c *Controller) rolloutFacts() rollout.Facts {
-	facts := rollout.Facts{Replicas: map[uint64]rollout.Replicas{}, Unused: map[string]bool{}}
+	facts := rollout.Facts{Replicas: map[uint64]rollout.Replicas{}}
 	warmAt := map[string]int64{}
 	for _, r := range c.rollouts.manager.Active() {
 		var count rollout.Replicas
@@ -238,7 +238,6 @@
 			}
 		}
 		facts.Replicas[r.Number] = count
-		facts.Unused[r.Order.Service] = !c.selection.Uses(r.Order.Service)
 	}
 	c.rollouts.warmAt = warmAt
 	for ip, e := range c.edges {
--- a/decide/rollout/manager.go
+++ b/decide/rollout/manager.go
@@ -22,8 +22,9 @@
 const (
 	warmShare   = 0.5 // of the other versions' replicas: so many of the target's have to be ready and warm for the canary
 	enoughShare = 0.7 // the same, ready, for more than half of the traffic
-	leastAsked  = 20  // requests that say something of a stage
+	leastAsked  = 20  // requests that say something of a stage, or of a version
 	impatience  = 0.3 // share of the time after which cold replicas do for the canary
+	unseenTerms = 3   // multiple of the time after which a version that nobody asks gets more than its trial all the same
 )
 
 // Replicas is how many ready replicas of a service there are.
@@ -40,7 +41,6 @@
 type Facts struct {
 	Replicas map[uint64]Replicas // by the number of the active rollout
 	Edges    []string            // that have been heard of
-	Unused   map[string]bool     // services that no route of the configuration sends to
 }
 
 // edgeView is what one edge said last.
@@ -180,8 +180,7 @@
 	}
 	for _, number := range slices.Sorted(maps.Keys(m.active)) {
 		t := m.active[number]
-		change, due := t.decide(now, situation{replicas: facts.Replicas[number], edges: facts.Edges,
-			unused: facts.Unused[t.rollout.Order.Service], heldFor: now - m.since})
+		change, due := t.decide(now, situation{replicas: facts.Replicas[number], edges: facts.Edges, heldFor: now - m.since})
 		if due && (t.proposed == 0 || now-t.proposed >= decideAgain) {
 			t.proposed = now
 			changes = append(changes, change)
@@ -197,7 +196,6 @@
 type situation struct {
 	replicas Replicas
 	edges    []string
-	unused   bool  // no route sends to the service
 	heldFor  int64 // ns that this controller has held the duty
 }
 
@@ -247,10 +245,8 @@
 func (t *tracked) mayAdvance(now int64, s situation, term int64) bool {
 	next := t.rollout.Stage + 1
 	switch {
-	case next >= stageMost && !t.enough(s.replicas):
+	case next >= stageMost && (!t.enough(s.replicas) || !t.seenEnough(now, term)):
 		return false
-	case s.unused:
-		return t.enough(s.replicas)
 	case next == stageCanary:
 		return t.warm(s.replicas) || t.elapsed(now) > int64(impatience*float64(term)) && s.replicas.Target > 0
 	case t.elapsed(now) < begins(next, term) || s.heldFor < stageQuiet:
@@ -262,6 +258,14 @@
 	return now-t.stageSince >= stageLeast && asked-t.stageAsked >= leastAsked || now-t.stageSince >= stageQuiet
 }
 
+// seenEnough tells whether enough requests went to the version for it to get more than its trial.
+//
+// Danger: a service that no route sends to may be sent all of a route's requests by the next configuration.
+func (t *tracked) seenEnough(now, term int64) bool {
+	asked, _ := t.judge.requests()
+	return asked >= leastAsked || t.elapsed(now) >= unseenTerms*term
+}
+
 // warm tells whether enough replicas of the target version are ready and warm for a small share of the traffic.
 func (t *tracked) warm(replicas Replicas) bool {
 	return replicas.Warm > 0 && float64(replicas.Warm) >= warmShare*float64(t.others)
--- a/decide/rollout/manager_test.go
+++ b/decide/rollout/manager_test.go
@@ -128,24 +128,51 @@
 	must.Eq(t, Reverted, changes[0].Phase)
 }
 
-// TestAServiceThatNobodyAsks: no evidence is waited for, and a service that is taken away has no rollout left.
-func TestAServiceThatNobodyAsks(t *testing.T) {
+// TestAnUnseenVersionGetsNoMoreThanItsTrial (EXPOSURE): a version that nobody asks keeps its trial beyond the term, for the next
+// configuration may send everything there; once it is asked and answers badly it is taken back.
+func TestAnUnseenVersionGetsNoMoreThanItsTrial(t *testing.T) {
+	start := int64(1000 * ms)
 	set, _ := begun(t)
 	m := NewManager(Terms{})
-	m.Take(1000*ms, set)
-	facts := switchFacts()
-	facts.Unused = map[string]bool{"s": true}
-	for now := int64(1000 * ms); now < 9000*ms; now += lookEvery {
-		for _, c := range m.Decide(now, facts) {
+	m.Take(start, set)
+	ended := int64(0)
+	for now := start; now < start+4*order.OverMs*ms && ended == 0; now += lookEvery {
+		for _, c := range m.Decide(now, switchFacts()) {
+			must.True(t, c.Stage <= stageRise || now-start >= unseenTerms*order.OverMs*ms, must.Sprint(now))
 			set, _ = set.Apply(c)
 			m.Take(now, set)
+			if c.Phase != Active {
+				ended = now
+			}
 		}
 	}
 	r, _ := set.Of("s")
 	must.Eq(t, Complete, r.Phase)
+	must.GreaterEq(t, start+unseenTerms*order.OverMs*ms, ended)
 
 	set, _ = begun(t)
 	m = NewManager(Terms{})
+	m.Take(start, set)
+	began := start + order.OverMs*ms // the requests, after the term
+	for now, seq := start, uint32(0); now < began+3000*ms; now += lookEvery {
+		if now >= began {
+			seq++
+			m.Report(now, "edge", []Evidence{answers(1, uint64(seq), set.Version, 40*seq, 4*seq, 4*seq)})
+		}
+		for _, c := range m.Decide(now, switchFacts()) {
+			set, _ = set.Apply(c)
+			m.Take(now, set)
+		}
+	}
+	r, _ = set.Of("s")
+	must.Eq(t, Reverted, r.Phase)
+	must.LessEq(t, stageRise, r.Stage)
+}
+
+// TestAServiceThatIsTakenAway: it has no rollout left.
+func TestAServiceThatIsTakenAway(t *testing.T) {
+	set, _ := begun(t)
+	m := NewManager(Terms{})
 	m.Take(1000*ms, set)
 	changes := m.Decide(2000*ms, Facts{Replicas: map[uint64]Replicas{1: {Leaving: 16}}})
 	must.True(t, completes(changes))
--- a/lab/rules/all.go
+++ b/lab/rules/all.go
@@ -212,6 +212,8 @@
 		broken(rolloutTests, "TestVerdicts", edit(judgeFile, "threshold = 7.0", "threshold = 700.0"))},
 	{"EXPOSURE: share", "a trial gets more than the deployment's exposure-share before the version is known to be good", "what a stage sends is a multiple of that share", files(planFile), kinds("rollout_bad late"),
 		broken(rolloutTests, "TestTrialFollowsTheExposureShare", edit(planFile, "return min(t.ExposureShare, mostExposure)", "return usualExposure"))},
+	{"EXPOSURE: unseen", "a version that nobody asked gets all of the traffic, which a configuration sends to its service later", "it keeps its trial until enough requests have said something of it", files(managerFile), kinds("rollout_bad", "config_change route"),
+		broken(rolloutTests, "TestAnUnseenVersionGetsNoMoreThanItsTrial", edit(managerFile, "return asked >= leastAsked || ", "return asked >= 0 || "))},
 	{"EXPOSURE: shut", "requests go to a version that was taken back", "an edge admits no replica of it", files(rolloutFile, versionsFile), kinds("rollout_bad"),
 		broken(proxyserver, "TestRolloutOnTheWholePath", edit(rolloutFile, "return !target && !slices.Contains(r.Reverted, version)", "return true"))},
 	{"EXPOSURE: former duty", "a step that was decided before the duty changed hands opens a version that was taken back", "a step names the state that it was decided on", files(rolloutSetFile), kinds("rollout_bad", "node_kill leader"),
