rollout: answers on new connections count with their times, and times are not compared at the switch

Cause: times of answers on connections that were opened for them were left out, and where a service is seldom asked nearly all answers are such. Failures alone are tested for at the switch. That trouble that strikes both reverts nothing is what the tests are for.

--- a/decide/rollout/evidence.go
+++ b/decide/rollout/evidence.go
@@ -25,11 +25,11 @@
 	First   int      `cbor:"4,keyasint,omitempty"` // the bucket of Took[0]
 	Took    []uint32 `cbor:"5,keyasint,omitempty"` // the others, by how long they took
 
-	Distance uint8  `cbor:"6,keyasint,omitempty"` // between the edge and the replicas: to be compared are those equally far
-	Fresh    uint32 `cbor:"7,keyasint,omitempty"` // answered on a connection that was opened for them; how long it took says little
+	Distance uint8 `cbor:"6,keyasint,omitempty"` // between the edge and the replicas: to be compared are those equally far
+	Fresh    bool  `cbor:"7,keyasint,omitempty"` // on connections that were opened for them, which cost the replica time as well
 }
 
-func (c Count) key() countKey { return countKey{c.Route, c.Replica, c.Distance} }
+func (c Count) key() countKey { return countKey{c.Route, c.Replica, c.Distance, c.Fresh} }
 
 const (
 	buckets        = 26        // the last one holds all that took longer
@@ -80,7 +80,7 @@
 // The outcomes that count.
 const (
 	Answered      Outcome = iota // whole, or given up for another replica's answer: it took that long at least
-	AnsweredFresh                // on a connection that was opened for it
+	AnsweredFresh                // the same on a connection that was opened for it
 	Failed
 	Unknown // says nothing of the version: turned away, withdrawn, or the connection did not come up
 )
@@ -96,11 +96,23 @@
 	route    uint32
 	replica  string // empty for the replicas of other versions
 	distance uint8
+	fresh    bool
+}
+
+func (k countKey) compare(o countKey) int {
+	freshLast := 0
+	if k.fresh != o.fresh {
+		freshLast = -1
+	}
+	if k.fresh {
+		freshLast = -freshLast
+	}
+	return cmp.Or(cmp.Compare(k.route, o.route), cmp.Compare(k.replica, o.replica), cmp.Compare(k.distance, o.distance), freshLast)
 }
 
 type tally struct {
-	failed, fresh uint32
-	took          histogram
+	failed uint32
+	took   histogram
 }
 
 // recording is what an edge has seen of one rollout.
@@ -172,7 +184,7 @@
 	return true
 }
 
-// Ended counts the end of a request that Sent counted.
+// Ended counts the end of a request that Sent counted; took is how long the replica had it, ns.
 func (r *Recorder) Ended(replica string, route uint32, outcome Outcome, took int64) {
 	w := r.replicas[replica]
 	if w == nil {
@@ -183,7 +195,7 @@
 	if recording == nil || outcome == Unknown {
 		return
 	}
-	key := countKey{route: route, distance: w.distance}
+	key := countKey{route: route, distance: w.distance, fresh: outcome == AnsweredFresh}
 	if w.target {
 		key.replica = replica
 	}
@@ -195,8 +207,6 @@
 	switch outcome {
 	case Failed:
 		t.failed++
-	case AnsweredFresh:
-		t.fresh++
 	default:
 		t.took[bucketOf(took)]++
 	}
@@ -217,13 +227,11 @@
 	for _, recording := range r.active {
 		e := Evidence{Number: recording.number, Life: r.life, Seq: r.seq, Version: r.version, OldOut: out[recording.number]}
 		for key, t := range recording.counts {
-			c := Count{Route: key.route, Replica: key.replica, Distance: key.distance, Failed: t.failed, Fresh: t.fresh}
+			c := Count{Route: key.route, Replica: key.replica, Distance: key.distance, Fresh: key.fresh, Failed: t.failed}
 			c.pack(t.took)
 			e.Counts = append(e.Counts, c)
 		}
-		slices.SortFunc(e.Counts, func(a, b Count) int {
-			return cmp.Or(cmp.Compare(a.Route, b.Route), cmp.Compare(a.Replica, b.Replica), cmp.Compare(a.Distance, b.Distance))
-		})
+		slices.SortFunc(e.Counts, func(a, b Count) int { return a.key().compare(b.key()) })
 		all = append(all, e)
 	}
 	slices.SortFunc(all, func(a, b Evidence) int { return cmp.Compare(a.Number, b.Number) })
--- a/decide/rollout/fleet_test.go
+++ b/decide/rollout/fleet_test.go
@@ -146,6 +146,7 @@
 	for _, bad := range []badness{
 		{name: "good"},
 		{name: "burst strikes both", share: 0.4, slow: 4, from: 3000 * ms, trouble: true},
+		{name: "burst at the switch", share: 0.4, slow: 4, from: 11300 * ms, trouble: true},
 		{name: "failures strike both", share: 0.2, from: 4000 * ms, trouble: true},
 		{name: "fails", share: 0.5},
 		{name: "fails now and then", share: 0.15},
--- a/decide/rollout/manager.go
+++ b/decide/rollout/manager.go
@@ -202,7 +202,7 @@
 // decide returns the next step of one rollout, where one is due.
 func (t *tracked) decide(now int64, s situation) (c Change, due bool) {
 	t.others = max(t.others, s.replicas.Others)
-	v := t.judge.look(s.replicas.Target == 1)
+	v := t.judge.look(trial{single: s.replicas.Target == 1, alone: t.rollout.Stage == stageSwitch})
 	c = Change{Rollout: t.rollout, ElapsedMs: t.elapsed(now) / ms}
 	stage, term := t.rollout.Stage, t.rollout.Order.OverMs*ms
 	switch {
--- a/front/proxyserver/evidence.go
+++ b/front/proxyserver/evidence.go
@@ -63,15 +63,14 @@
 // outcomeOf says what an execution's end says of the replica's version.
 func outcomeOf(end node.Execution) rollout.Outcome {
 	switch end.Result {
-	case balance.Fulfilled:
-		if end.Fresh {
+	case balance.Fulfilled, balance.Cancelled:
+		switch {
+		case end.Took == 0:
+			return rollout.Unknown
+		case end.Fresh:
 			return rollout.AnsweredFresh
 		}
 		return rollout.Answered
-	case balance.Cancelled:
-		if !end.Fresh {
-			return rollout.Answered
-		}
 	case balance.Errored, balance.TimedOut, balance.Reset:
 		return rollout.Failed
 	}
--- a/node/book.go
+++ b/node/book.go
@@ -62,7 +62,7 @@
 	q := e.query
 	q.out--
 	if e.observed != "" {
-		n.observer.Ended(e.observed, Execution{Workload: q.Workload, Result: result, Took: max(at-e.sentAt, 0), Fresh: e.ticket.Fresh})
+		n.observer.Ended(e.observed, Execution{Workload: q.Workload, Result: result, Took: e.answeredIn(at), Fresh: e.ticket.Fresh})
 	}
 	if n.zoneHealth != nil {
 		n.zoneHealth.Ended(now, e.replica, result, max(at-e.sentAt, 0))
--- a/node/node.go
+++ b/node/node.go
@@ -115,7 +115,7 @@
 type Execution struct {
 	Workload int
 	Result   balance.Result
-	Took     int64 // ns
+	Took     int64 // ns from when its connection was up; 0 where it never was
 	Fresh    bool  // a connection was opened for it
 }
 
--- a/node/send.go
+++ b/node/send.go
@@ -21,6 +21,15 @@
 	observed     string // the replica's host, where the observer wants to hear of the end
 }
 
+// answeredIn is the time, ns, that the replica took: how long a connection takes to open says nothing of it. 0 where none was up.
+func (e *execution) answeredIn(at int64) int64 {
+	connected := e.ticket.Connected.Load()
+	if connected == 0 {
+		return 0
+	}
+	return max(at-connected, 1)
+}
+
 const waitUnit = 1e6 // ns: replicas are told in whole ms how long a part is waited for
 
 // send starts executions. What goes to the same replica in one round travels in calls of as many parts as
--- a/transport/replica/pool.go
+++ b/transport/replica/pool.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"sync/atomic"
 
 	"willowsill/balance"
 	"willowsill/internal/counters"
@@ -17,11 +18,14 @@
 // the pool reports it, or the owner gives it up.
 type Ticket struct {
 	Part
-	Load  any  // what its query has for a carrier of another kind, nil for none
-	Fresh bool // a connection was opened for it; carriers of another kind set it
-	conn  *connection
-	frame *frame
-	since int64
+	Load any // what its query has for a carrier of another kind, nil for none
+	// Fresh tells that a connection was opened for it, Connected when its connection was up, ns, 0 before. Carriers of another
+	// kind set them.
+	Fresh     bool
+	Connected atomic.Int64
+	conn      *connection
+	frame     *frame
+	since     int64
 }
 
 // Report tells how a ticket ended.
--- a/transport/replicahttp/connection.go
+++ b/transport/replicahttp/connection.go
@@ -89,6 +89,7 @@
 		conn.Close()
 	}
 	c.mu.Unlock()
+	e.ticket.Connected.Store(c.pool.now())
 	go c.write(e)
 	err = c.read(conn)
 	conn.Close()
--- a/transport/replicahttp/replicahttp.go
+++ b/transport/replicahttp/replicahttp.go
@@ -136,6 +136,7 @@
 		l.out++
 		c := p.idle(l)
 		if c != nil {
+			t.Connected.Store(p.now())
 			c.begin(e)
 			go c.write(e)
 			continue
--- a/transport/replicahttp/reuse_test.go
+++ b/transport/replicahttp/reuse_test.go
@@ -1,6 +1,8 @@
 package replicahttp
 
 import (
+	"context"
+	"net"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,3 +47,22 @@
 		must.SliceLen(t, 1, s.heads)
 	})
 }
+
+// TestOpeningIsNotTheReplicasTime: a part's ticket says when its connection was up, whether it was opened for it or was at hand.
+func TestOpeningIsNotTheReplicasTime(t *testing.T) {
+	good := text("200 OK", "ID", "s", "abc")
+	withPool(t, &server{answers: []string{good, good}}, func(d *poolTest) {
+		dial := d.Dial
+		d.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			time.Sleep(300 * time.Millisecond)
+			return dial(ctx, network, address)
+		}
+		for _, opening := range []time.Duration{300 * time.Millisecond, 0} {
+			ticket := &replica.Ticket{Load: &Request{Attempt: "x1", Method: "GET", Answers: map[int]*Answer{}, Head: []byte("GET / HTTP/1.1\r\nHost: h\r\n" + HeaderAttempt + ": x1\r\n")}}
+			before := d.now()
+			must.True(t, d.Call(0, []*replica.Ticket{ticket}))
+			d.Note(<-d.notes)
+			must.Eq(t, before+int64(opening), ticket.Connected.Load())
+		}
+	})
+}
