--- a/lab/rules/all.go
+++ b/lab/rules/all.go
@@ -131,7 +131,7 @@
 	{"DRAIN: after a loss of power", "an acknowledged drain is forgotten", "answered once the list is saved", files(leaversFile), kinds("herd_kill off", "power_off_all", "node_kill meet drain"),
 		broken(controllerTests, "TestAcknowledgedDrainOutlivesPower", edit(leaversFile, "	return !unsaved && !saving\n", "	return !unsaved || !saving\n"))},
 	{"DRAIN: services out of use", "an edge that holds a newer configuration than its feeder is not told that a replica of a service drains", "that a replica leaves is told whatever uses it", files(selectionFile), kinds("reshard", "scale_in", "core_cut behind"),
-		broken("decide/clusterstate", "TestLeaversAreToldWhateverIsUsed", edit(selectionFile, "return r.Phase == registry.Ready && !s.uses(r.Service)", "return !s.Uses(r.Service)"))},
+		broken("decide/clusterstate", "TestLeaversAreToldWhateverIsUsed", edit(selectionFile, "return r.Phase == registry.Ready && !s.uses(r.Service)", "return !s.uses(r.Service)"))},
 	{"DRAIN: no new sends", "an edge goes on sending to a replica that drains", "only replicas that are up are eligible", files(moduleFile), kinds("scale_in", "release"),
 		broken(module, "TestScenarios/drain", edit(moduleFile, "= l.Standing == Up, l.Started", "= l.Standing != Gone, l.Started"))},
 	{"DRAIN: readiness", "proxies that were told to stop still call themselves ready 4 s later", "readiness goes first", files(proxyFile), kinds("roll_term", "roll_term busy"),
