--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -67,6 +67,7 @@
 		klog.ErrorS(err, "the program cannot run")
 		return 1
 	}
+	klog.InfoS("the program ends") // a log whose last line is another one ends with a kill or a panic
 	return 0
 }
 
