controller: a disk that refuses for a moment is waited for, its state file stays

What callers saw: a controller that met any error in opening or reading its state file, also too few descriptors or a disk that refused, removed the file and joined as one whose disk was emptied; with 8 descriptors it then ended as well, and again at each restart. Where a majority meets that in one minute, what was acknowledged is gone. A missing folder left it without a disk for good.

Cause: every error but a newer format was taken for damaged content. Class: what passes is taken for what lasts.

Errors of the system are waited for without a limit and logged; only content that cannot be read is removed (ErrDamaged), a newer format and a missing data-dir end the start at once, a missing folder is made.

--- a/transport/controlserver/controlserver.go
+++ b/transport/controlserver/controlserver.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -42,7 +41,6 @@
 	readTimeout       = 5 * time.Second // longest time to read a whole request
 	idleTimeout       = 15 * time.Second
 	maxHeaderBytes    = 16 << 10
-	reopenDelay       = 300 * time.Millisecond // delay after a failed attempt to open the state file
 )
 
 // Server is a running controller: the decider with its sockets and its disk.
@@ -70,26 +68,10 @@
 	s := &Server{settings: local, base: time.Now().Add(-time.Hour), loans: watch.NewLoans(local.Bounds.RetryWindow()),
 		inputs: make(chan func(int64) controller.Effects, inputQueue),
 		saves:  make(chan controller.Save, 1), calls: map[uint64]chan controller.Answer{}}
-	incarnation := strconv.FormatUint(rand.Uint64(), 36)
-	options := controller.Options{IP: local.IP, Incarnation: incarnation, Zone: local.Zone, Regions: local.Zones, Seeds: local.SeedIPs(), Bootstrap: local.Bootstrap,
-		ReplicaHeartbeatInterval: local.HeartbeatIntervalMs * int64(time.Millisecond), RolloutTerms: rollout.Bounds{ExposureShare: local.Bounds.ExposureShare}, Random: rand.Float64}
-	store, found, err := statestore.Open(local.DataDir)
-	if errors.Is(err, statestore.ErrNewerFormat) {
-		return ErrControlServer.Wrap(err) // the file stays for the version that wrote it
-	}
+	store, err := s.start(ctx)
 	if err != nil {
-		// Danger: a disk that cannot be read must not be taken for the empty disk of a first start. The controller
-		// joins as one whose disk was emptied, which doesn't count in the quorum until the others have sent it the
-		// committed state.
-		klog.ErrorS(err, "the disk cannot be read; this controller joins as one whose disk is empty")
-		options.Bootstrap = false
-		os.Remove(statestore.Path(local.DataDir))
+		return ErrControlServer.Wrap(err)
 	}
-	options.RegisterState, options.CommittedConfiguration, options.Rollouts, options.Replicas = found.State, found.Committed, found.Rollouts, found.Replicas
-	klog.InfoS("controller", "ip", local.IP, "bootstrap", local.Bootstrap, "found", found.State != nil, "committed", found.Committed.Revision, "sum", found.Committed.Sum,
-		"replicas", len(found.Replicas))
-	s.controller = controller.New(s.now(), options)
-
 	peerListener, err := peer.Listen(local.InternalAddress(local.IP, settings.PortControllers))
 	if err != nil {
 		return ErrControlServer.Wrap(err)
@@ -131,6 +113,25 @@
 	return nil
 }
 
+// start opens the state file and creates the controller with what the file holds.
+func (s *Server) start(ctx context.Context) (*statestore.Store, error) {
+	local := s.settings
+	opened, err := openState(ctx, local.DataDir, func(err error) { klog.ErrorS(err, "waiting for the disk") })
+	if err != nil {
+		return nil, err
+	}
+	found := opened.found
+	incarnation := strconv.FormatUint(rand.Uint64(), 36)
+	klog.InfoS("controller", "ip", local.IP, "bootstrap", local.Bootstrap, "found", found.State != nil, "committed", found.Committed.Revision, "sum", found.Committed.Sum,
+		"replicas", len(found.Replicas))
+	s.controller = controller.New(s.now(), controller.Options{IP: local.IP, Incarnation: incarnation, Zone: local.Zone, Regions: local.Zones, Seeds: local.SeedIPs(),
+		// A damaged disk is not the empty disk of a first start.
+		Bootstrap:                local.Bootstrap && !opened.damaged,
+		ReplicaHeartbeatInterval: local.HeartbeatIntervalMs * int64(time.Millisecond), RolloutTerms: rollout.Bounds{ExposureShare: local.Bounds.ExposureShare}, Random: rand.Float64,
+		RegisterState: found.State, CommittedConfiguration: found.Committed, Rollouts: found.Rollouts, Replicas: found.Replicas})
+	return opened.store, nil
+}
+
 func (s *Server) now() int64 { return int64(time.Since(s.base)) }
 
 // currentInfo states how current the controller's state was when the loop last recorded it.
@@ -222,24 +223,6 @@
 	}
 }
 
-// saveLoop writes states to the disk one after another, in its own goroutine.
-//
-// Danger: a disk that hangs must not delay heartbeats and reads.
-func (s *Server) saveLoop(store *statestore.Store) {
-	for save := range s.saves {
-		var err error
-		if store == nil {
-			if store, _, err = statestore.Open(s.settings.DataDir); err != nil {
-				time.Sleep(reopenDelay)
-			}
-		}
-		if err == nil {
-			err = store.Save(save)
-		}
-		s.inputs <- func(now int64) controller.Effects { return s.controller.SaveFinished(now, save.Number, err) }
-	}
-}
-
 // receivePeer passes the messages of another controller to this one until the link ends.
 func (s *Server) receivePeer(link *peer.Link) {
 	for {
--- a/transport/statestore/statestore.go
+++ b/transport/statestore/statestore.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"hash/crc32"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -45,6 +46,9 @@
 	compactMinBytes = 24 << 20 // size of the file from which it is compacted
 )
 
+// ErrDamaged is returned if the content of the file cannot be read, though the system read it without an error.
+var ErrDamaged = errors.New("the content of the state file is damaged")
+
 // Store is the open state file of a controller.
 type Store struct {
 	db             *buntdb.DB
@@ -72,17 +76,28 @@
 	Replicas  []registry.Record // the list of replicas that was saved last
 }
 
-// Open opens the file in a folder. The error wraps ErrNewerFormat if a newer version of the program wrote the
-// file, which then stays unchanged.
+// errNoFolder is returned if the settings name no folder.
+var errNoFolder = errors.New("data-dir is not set")
+
+// Open opens the file in a folder, and creates both if they are missing. The error wraps ErrNewerFormat if a newer version of the
+// program wrote the file, which then stays unchanged, and ErrDamaged if the content cannot be read. Other errors are those of the
+// system; they say nothing about the content.
 func Open(dir string) (s *Store, found Found, err error) {
-	path := filepath.Join(dir, fileName)
+	if dir == "" {
+		return nil, found, ErrStore.Wrap(errNoFolder)
+	}
+	path := Path(dir)
 	if err := truncateTornEnd(path); err != nil {
 		return nil, found, ErrStore.Wrapf(err, "opening %s", path)
 	}
 	// Remove the copy of an interrupted compaction: the file itself is still the previous one.
 	os.Remove(filepath.Join(dir, compactedName))
 	s = &Store{dir: dir, sync: (*os.File).Sync, rename: os.Rename}
-	if err := s.openFile(); err != nil {
+	err = s.openFile()
+	if errors.Is(err, fs.ErrNotExist) { // the folder is missing
+		err = errors.Join(os.MkdirAll(dir, 0o700), s.openFile())
+	}
+	if err != nil {
 		return nil, found, ErrStore.Wrapf(err, "opening %s", path)
 	}
 	if found, err = s.load(); err != nil {
@@ -92,9 +107,17 @@
 	return s, found, nil
 }
 
+// Remove removes the file in a folder.
+func Remove(dir string) error {
+	if err := os.Remove(Path(dir)); err != nil {
+		return ErrStore.Wrap(err)
+	}
+	return nil
+}
+
 // openFile opens the database, and its file a second time for syncing.
 func (s *Store) openFile() error {
-	path := filepath.Join(s.dir, fileName)
+	path := Path(s.dir)
 	db, err := openDB(path)
 	if err != nil {
 		return err
@@ -111,8 +134,11 @@
 // openDB opens the database without its automatic syncs, whose errors it ignores. Store syncs the file itself.
 func openDB(path string) (*buntdb.DB, error) {
 	db, err := buntdb.Open(path)
-	if err != nil {
+	var refused *fs.PathError
+	if errors.As(err, &refused) {
 		return nil, err
+	} else if err != nil {
+		return nil, errors.Join(ErrDamaged, err)
 	}
 	if err := db.SetConfig(buntdb.Config{SyncPolicy: buntdb.Never, AutoShrinkDisabled: true}); err != nil {
 		db.Close()
@@ -248,7 +274,7 @@
 
 // replaceWith renames a new file to the name of the open one, and opens it.
 func (s *Store) replaceWith(path string) error {
-	if err := s.rename(path, filepath.Join(s.dir, fileName)); err != nil {
+	if err := s.rename(path, Path(s.dir)); err != nil {
 		os.Remove(path)
 		return nil
 	}
