statestore: a failed compaction loses no save, and a panic of the database ends no process

Found by reading, looking for the same cause elsewhere. Where the compacted file had replaced the former one and could not be opened (no descriptors, say), saves went on to the former file, which had no name any more: they were acknowledged and gone at the next start. And the database panics where a write that was refused midway cannot be undone, which would end the process. Both now return ErrUnusable, and the controller opens the file again before its next save. TestFileThatIsGoneAfterACompaction and TestPanicOfTheDatabase cannot be built on the code before, which has no ErrUnusable; the panic was reproduced by a sync that panics, not by a disk.

--- a/transport/controlserver/statefile.go
+++ b/transport/controlserver/statefile.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"k8s.io/klog/v2"
 
@@ -12,6 +13,8 @@
 	"willowsill/transport/statestore"
 )
 
+const reopenDelay = 300 * time.Millisecond // delay after a failed attempt to reopen the state file
+
 // openedState is an open state file and what it holds.
 type openedState struct {
 	store   *statestore.Store
@@ -47,7 +50,18 @@
 // Danger: a disk that hangs must not delay heartbeats and reads.
 func (s *Server) saveLoop(store *statestore.Store) {
 	for save := range s.saves {
-		err := store.Save(save)
+		var err error
+		if store == nil {
+			if store, _, err = statestore.Open(s.settings.DataDir); err != nil {
+				time.Sleep(reopenDelay)
+			}
+		}
+		if err == nil {
+			err = store.Save(save)
+		}
+		if errors.Is(err, statestore.ErrUnusable) {
+			store = nil
+		}
 		s.inputs <- func(now int64) controller.Effects { return s.controller.SaveFinished(now, save.Number, err) }
 	}
 }
--- a/transport/statestore/statestore.go
+++ b/transport/statestore/statestore.go
@@ -49,6 +49,9 @@
 // ErrDamaged is returned if the content of the file cannot be read, though the system read it without an error.
 var ErrDamaged = errors.New("the content of the state file is damaged")
 
+// ErrUnusable is returned if a store can save nothing more. The file holds the last successful save, and can be opened again.
+var ErrUnusable = errors.New("the state file has to be opened again")
+
 // Store is the open state file of a controller.
 type Store struct {
 	db             *buntdb.DB
@@ -175,10 +178,23 @@
 	return found, err
 }
 
-// Save returns nil once the state is synced to disk.
+// Save returns nil once the state is synced to disk. After an error that wraps ErrUnusable no other method may be called.
+//
+// Danger: the database panics where it cannot undo a write that the disk has refused, and would end the process with it.
+func (s *Store) Save(save controller.Save) (err error) {
+	defer func() {
+		if reason := recover(); reason != nil {
+			s.file.Close() // the database stays locked and cannot be closed
+			err = ErrStore.Wrapf(ErrUnusable, "saving: %v", reason)
+		}
+	}()
+	return s.write(save)
+}
+
+// write writes a save and syncs it.
 //
 // Danger: a new file is only durable once its folder is synced as well.
-func (s *Store) Save(save controller.Save) error {
+func (s *Store) write(save controller.Save) error {
 	n := s.lastSave + 1
 	text, err := seal(n, savedState{save.RegisterState, save.CommittedConfiguration.Revision, save.CommittedConfiguration.Sum, save.Rollouts})
 	if err != nil {
@@ -273,16 +289,17 @@
 }
 
 // replaceWith renames a new file to the name of the open one, and opens it.
+//
+// Danger: once the file is renamed, a save to the previous one would be lost, as it has no name any more.
 func (s *Store) replaceWith(path string) error {
 	if err := s.rename(path, Path(s.dir)); err != nil {
 		os.Remove(path)
 		return nil
 	}
-	previous := *s
+	s.Close()
 	if err := s.openFile(); err != nil {
-		return ErrStore.Wrapf(err, "opening the compacted file")
+		return ErrStore.Wrapf(errors.Join(ErrUnusable, err), "opening the compacted file")
 	}
-	previous.Close()
 	if err := s.syncDir(); err != nil {
 		return ErrStore.Wrapf(err, "syncing the folder")
 	}
--- a/transport/statestore/statestore_test.go
+++ b/transport/statestore/statestore_test.go
@@ -167,3 +167,41 @@
 	must.Eq(t, accepted, found.State.Value.Rollouts)
 	must.Eq(t, committed, found.Rollouts)
 }
+
+// TestFileThatIsGoneAfterACompaction (LOST): where the compacted file cannot be opened, no save goes to the previous file, which
+// has no name any more; the store has to be opened again, and finds the last save.
+func TestFileThatIsGoneAfterACompaction(t *testing.T) {
+	dir := t.TempDir()
+	store, _, err := Open(dir)
+	must.NoError(t, err)
+	must.NoError(t, store.Save(save(1)))
+	moved := Path(dir) + ".moved"
+	store.rename = func(from, to string) error {
+		must.NoError(t, os.Rename(from, moved))
+		must.NoError(t, os.Remove(to))
+		return os.Mkdir(to, 0o700) // a folder in place of the file makes its opening fail
+	}
+	must.ErrorIs(t, store.compact(), ErrUnusable)
+	must.NoError(t, os.Remove(Path(dir)))
+	must.NoError(t, os.Rename(moved, Path(dir)))
+	must.Error(t, store.Save(save(2)))
+	store, found, err := Open(dir)
+	must.NoError(t, err)
+	must.Eq(t, 1, found.State.Value.Revision)
+	must.NoError(t, store.Save(save(3)))
+	must.NoError(t, store.Close())
+}
+
+// TestPanicOfTheDatabase (FAULT): a panic while saving does not end the process. The store has to be opened again.
+func TestPanicOfTheDatabase(t *testing.T) {
+	dir := t.TempDir()
+	store, _, err := Open(dir)
+	must.NoError(t, err)
+	must.NoError(t, store.Save(save(1)))
+	store.sync = func(*os.File) error { panic("the write cannot be undone") }
+	must.ErrorIs(t, store.Save(save(2)), ErrUnusable)
+	store, _, err = Open(dir)
+	must.NoError(t, err)
+	must.NoError(t, store.Save(save(3)))
+	must.NoError(t, store.Close())
+}
