All programs wait for a port that is still held, in one place

What callers saw: a program that started while one of its ports was still held (a process that drains or is slow to end, another program, an outgoing connection that happens to have it) ended with 1 at once, and again at each restart until the port was free; its metrics were never served in that life.

Cause: each listener was tried once, in seven places with habits of their own. Class: what passes is taken for what lasts.

Change: transport/listen opens all listeners, also those of willowsill and its gateway. A held or absent address and a lack of descriptors are waited for, without a limit, and logged; anything else, also a missing address, ends the start at once with the setting's name. Only three waits hold a program up: a proxy's port for clients (it must not say that it is ready), willowsill's, and a controller's port between controllers, which is now opened before the state file so that two processes never write one file.

--- a/cmd/willowsill/sitegateway_off.go
+++ b/cmd/willowsill/sitegateway_off.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"context"
 	"errors"
 
 	"go.uber.org/zap"
@@ -19,7 +20,7 @@
 // gateway's dependencies would take memory.
 type siteGateway struct{}
 
-func openSiteGateway(_ deployment.Config, o *operator.Settings, own *node.Node, _ node.Clock, _ *counters.Counters, _ replica.Dial,
+func openSiteGateway(_ context.Context, _ deployment.Config, o *operator.Settings, own *node.Node, _ node.Clock, _ *counters.Counters, _ replica.Dial,
 	_ *front.SwitchableGuard, _ *zap.Logger) (front.Core, *siteGateway, error) {
 	if o.Site != nil {
 		return nil, nil, errors.New("this build has no gateway; site and link need one without the tag platform")
--- a/decide/transient/transient.go
+++ b/decide/transient/transient.go
@@ -14,7 +14,8 @@
 
 // The operations.
 const (
-	OpenState Operation = iota // opening the file with a controller's state
+	Listen    Operation = iota // opening a listener
+	OpenState                  // opening the file with a controller's state
 )
 
 // Failure is the kind of a failure.
@@ -45,7 +46,8 @@
 const ms = int64(time.Millisecond)
 
 var rules = map[Operation]rule{
-	// Without a limit: a controller that went on would take a disk that refuses for an empty one.
+	// Without a limit: a process that ended would be started again into the same wait.
+	Listen:    {passes: passing(AddressTaken, AddressAbsent, Exhausted), firstDelay: 50 * ms, maxDelay: 250 * ms},
 	OpenState: {passes: passing(FileRefused, Exhausted), firstDelay: 100 * ms, maxDelay: 500 * ms},
 }
 
--- a/front/proxyserver/proxyserver.go
+++ b/front/proxyserver/proxyserver.go
@@ -32,6 +32,7 @@
 	"willowsill/internal/counters"
 	"willowsill/node"
 	"willowsill/transport/discovery"
+	"willowsill/transport/listen"
 	"willowsill/transport/metrics"
 	"willowsill/transport/replicahttp"
 	"willowsill/transport/watch"
@@ -91,13 +92,13 @@
 			s.pool = replicahttp.NewPool(notify, now)
 			return s.pool
 		}})
-	front, err := net.Listen("tcp", local.Bind.Front)
+	front, err := listen.TCP(ctx, klog.ErrorS, listen.Endpoint{Setting: "bind-addrs.front", Address: local.Bind.Front})
 	if err != nil {
-		return ErrProxy.Wrapf(err, "bind-addrs.front")
+		return ErrProxy.Wrap(err)
 	}
-	ready, err := net.Listen("tcp", local.Bind.Readiness)
+	ready, err := listen.Later(ctx, klog.ErrorS, listen.Endpoint{Setting: "bind-addrs.readiness", Address: local.Bind.Readiness})
 	if err != nil {
-		return ErrProxy.Wrapf(err, "bind-addrs.readiness")
+		return ErrProxy.Wrap(err)
 	}
 	s.handler = &clienthttp.Handler{Core: s.node, Now: clock.Now}
 	s.servers, s.address = &clienthttp.Servers{Handler: s.handler}, front.Addr()
--- a/transport/agentserver/agentserver.go
+++ b/transport/agentserver/agentserver.go
@@ -21,6 +21,7 @@
 	"willowsill/decide/relaytree"
 	"willowsill/decide/rollout"
 	"willowsill/deployment/settings"
+	"willowsill/transport/listen"
 	"willowsill/transport/metrics"
 	"willowsill/transport/peer"
 	"willowsill/transport/watch"
@@ -65,17 +66,19 @@
 func Run(ctx context.Context, local settings.Settings) error {
 	s := &Server{settings: local, base: time.Now().Add(-time.Hour), state: clusterstate.NewState(), detector: failuredetector.New(local.IP),
 		downstream: map[string]downstreamReport{}, loans: watch.NewLoans(local.Bounds.RetryWindow())}
-	proxy, err := peer.Listen(local.InternalAddress(local.Loopback(), settings.PortAgent))
+	internal := func(ip string, port int) listen.Endpoint {
+		return listen.Endpoint{Setting: "internal-ports", Address: local.InternalAddress(ip, port)}
+	}
+	proxy, err := listen.Later(ctx, klog.ErrorS, internal(local.Loopback(), settings.PortAgent))
 	if err != nil {
 		return ErrAgent.Wrap(err)
 	}
-	relay, err := peer.Listen(local.InternalAddress(local.IP, settings.PortWatch))
+	defer proxy.Close()
+	relay, err := listen.Later(ctx, klog.ErrorS, internal(local.IP, settings.PortWatch))
 	if err != nil {
 		return ErrAgent.Wrap(err)
 	}
-	if s.heartbeats, err = net.ListenPacket("udp", local.InternalAddress(local.IP, settings.PortHeartbeats)); err != nil {
-		return ErrAgent.Wrapf(err, "listening for heartbeats")
-	}
+	defer relay.Close()
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	s.upstream = watch.Upstream{Report: s.report, Addresses: s.upstreamAddresses, Apply: s.applyUpdate,
@@ -84,8 +87,7 @@
 	go peer.Serve(proxy, func(l *peer.Link) { s.serveDownstream(l, &s.proxyFeed) })
 	go peer.Serve(relay, func(l *peer.Link) { s.serveDownstream(l, &s.relayFeed) })
 	go s.proxyFeed.SendHeartbeats(running, s.upstream.Freshness)
-	go s.receiveHeartbeats()
-	go s.sendHeartbeats(running)
+	go s.exchangeHeartbeats(running, internal(local.IP, settings.PortHeartbeats))
 	go s.upstream.Run(running)
 	metrics.Serve(running, local.IP, local.Metrics, s.writeMetrics)
 	<-ctx.Done()
@@ -173,6 +175,20 @@
 	feed.Leave(link)
 }
 
+// exchangeHeartbeats opens the socket for heartbeats once its address is free, and sends and receives heartbeats until ctx ends.
+func (s *Server) exchangeHeartbeats(ctx context.Context, endpoint listen.Endpoint) {
+	socket, err := listen.UDP(ctx, klog.ErrorS, endpoint)
+	if err != nil {
+		if ctx.Err() == nil {
+			klog.ErrorS(err, "no heartbeats are exchanged with other edges")
+		}
+		return
+	}
+	s.heartbeats = socket
+	go s.receiveHeartbeats()
+	s.sendHeartbeats(ctx)
+}
+
 // sendHeartbeats sends heartbeats to the edges that monitor this one and records which edges are suspected to
 // have failed, until ctx ends.
 func (s *Server) sendHeartbeats(ctx context.Context) {
--- a/transport/controlserver/controlserver.go
+++ b/transport/controlserver/controlserver.go
@@ -7,7 +7,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -23,6 +22,7 @@
 	"willowsill/decide/registry"
 	"willowsill/decide/rollout"
 	"willowsill/deployment/settings"
+	"willowsill/transport/listen"
 	"willowsill/transport/metrics"
 	"willowsill/transport/peer"
 	"willowsill/transport/statestore"
@@ -68,21 +68,27 @@
 	s := &Server{settings: local, base: time.Now().Add(-time.Hour), loans: watch.NewLoans(local.Bounds.RetryWindow()),
 		inputs: make(chan func(int64) controller.Effects, inputQueue),
 		saves:  make(chan controller.Save, 1), calls: map[uint64]chan controller.Answer{}}
-	store, err := s.start(ctx)
+	internal := func(port int) listen.Endpoint {
+		return listen.Endpoint{Setting: "internal-ports", Address: local.InternalAddress(local.IP, port)}
+	}
+	// Danger: two processes that write one state file destroy it. So this port is opened first: only one process at a time has it.
+	peerListener, err := listen.TCP(ctx, klog.ErrorS, internal(settings.PortControllers))
 	if err != nil {
 		return ErrControlServer.Wrap(err)
 	}
-	peerListener, err := peer.Listen(local.InternalAddress(local.IP, settings.PortControllers))
+	defer peerListener.Close()
+	store, err := s.start(ctx)
 	if err != nil {
 		return ErrControlServer.Wrap(err)
 	}
-	edgeListener, err := peer.Listen(local.InternalAddress(local.IP, settings.PortWatch))
+	edgeListener, err := listen.Later(ctx, klog.ErrorS, internal(settings.PortWatch))
 	if err != nil {
 		return ErrControlServer.Wrap(err)
 	}
-	httpListener, err := net.Listen("tcp", local.Bind.Control)
+	defer edgeListener.Close()
+	httpListener, err := listen.Later(ctx, klog.ErrorS, listen.Endpoint{Setting: "bind-addrs.control", Address: local.Bind.Control})
 	if err != nil {
-		return ErrControlServer.Wrapf(err, "bind-addrs.control")
+		return ErrControlServer.Wrap(err)
 	}
 	running, cancelRunning := context.WithCancel(context.Background())
 	defer cancelRunning()
@@ -108,8 +114,6 @@
 		cancel()
 	}()
 	s.loop(wait)
-	peerListener.Close()
-	edgeListener.Close()
 	return nil
 }
 
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -63,11 +64,20 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go cancelOnStop(received.stop, cancel)
-	if err := run(ctx, s); err != nil {
+	return exitCode(run(ctx, s))
+}
+
+// exitCode logs why the daemon ends and returns its exit code. A log without such a line ends with a kill or a panic.
+func exitCode(err error) int {
+	switch {
+	case err == nil:
+		klog.InfoS("the program ends")
+	case errors.Is(err, context.Canceled):
+		klog.InfoS("the program ends; it was stopped before it had started", "waitedFor", err.Error())
+	default:
 		klog.ErrorS(err, "the program cannot run")
 		return 1
 	}
-	klog.InfoS("the program ends") // a log whose last line is another one ends with a kill or a panic
 	return 0
 }
 
--- a/transport/metrics/metrics.go
+++ b/transport/metrics/metrics.go
@@ -13,6 +13,8 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/samber/oops"
 	"k8s.io/klog/v2"
+
+	"willowsill/transport/listen"
 )
 
 // ErrMetrics builds this package's errors, which have the code metrics.
@@ -77,8 +79,8 @@
 }
 
 // Serve serves metrics at an IP of this machine and an endpoint written as PORT/PATH until ctx ends; without an
-// endpoint it serves none. A failure to listen is only logged, because the process still serves without its
-// metrics.
+// endpoint it serves none. It returns at once: a port that is in use is waited for beside the process's work, and any other failure
+// is only logged, because the process still serves without its metrics.
 func Serve(ctx context.Context, ip, endpoint string, collect Collector) {
 	if endpoint == "" {
 		return
@@ -88,7 +90,7 @@
 		klog.ErrorS(err, "no figures are served")
 		return
 	}
-	listener, err := net.Listen("tcp", net.JoinHostPort(ip, strconv.Itoa(parsed.Port)))
+	listener, err := listen.Later(ctx, klog.ErrorS, listen.Endpoint{Setting: "metrics", Address: net.JoinHostPort(ip, strconv.Itoa(parsed.Port))})
 	if err != nil {
 		klog.ErrorS(ErrMetrics.Wrap(err), "no figures are served")
 		return
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -206,12 +206,3 @@
 		}()
 	}
 }
-
-// Listen opens a TCP listener for links; Serve accepts them.
-func Listen(address string) (net.Listener, error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, ErrLink.Wrapf(err, "listening on %s", address)
-	}
-	return listener, nil
-}
