A listener that cannot accept for a while goes on accepting

What callers saw: descriptors ran out once while connections came in, and a controller's or agent's ports for controllers and for followers accepted nothing ever after; the process lived and nobody noticed. The HTTP servers had the same end for errors that net/http does not take for passing (too little memory, say). Only the proxy's port for clients went on.

Cause: the accept loop returned at the first error that was no timeout. The loop of the proxy, which waited, stands in transport/listen now and serves all: accept fails once the listener is closed, everything else is waited for and logged every ten seconds.

--- a/decide/transient/transient.go
+++ b/decide/transient/transient.go
@@ -15,6 +15,7 @@
 // The operations.
 const (
 	Listen    Operation = iota // opening a listener
+	Accept                     // accepting a connection
 	OpenState                  // opening the file with a controller's state
 )
 
@@ -48,6 +49,7 @@
 var rules = map[Operation]rule{
 	// Without a limit: a process that ended would be started again into the same wait.
 	Listen:    {passes: passing(AddressTaken, AddressAbsent, Exhausted), firstDelay: 50 * ms, maxDelay: 250 * ms},
+	Accept:    {passes: func(f Failure) bool { return f != Closed }, firstDelay: 10 * ms, maxDelay: 100 * ms},
 	OpenState: {passes: passing(FileRefused, Exhausted), firstDelay: 100 * ms, maxDelay: 500 * ms},
 }
 
--- a/decide/transient/transient_test.go
+++ b/decide/transient/transient_test.go
@@ -11,6 +11,7 @@
 	all := []Failure{Other, AddressTaken, AddressAbsent, Exhausted, FileRefused, Closed}
 	for operation, want := range map[Operation][]Failure{
 		Listen:    {AddressTaken, AddressAbsent, Exhausted},
+		Accept:    {Other, AddressTaken, AddressAbsent, Exhausted, FileRefused},
 		OpenState: {Exhausted, FileRefused},
 	} {
 		var waited []Failure
@@ -21,7 +22,7 @@
 		}
 		must.SliceContainsAll(t, want, waited, must.Sprint(operation))
 	}
-	must.MapLen(t, 2, rules)
+	must.MapLen(t, 3, rules)
 }
 
 // waitFor lets an operation fail for a time and returns when its waits were logged and when it was given up, -1 for never, in ms.
--- a/front/clienthttp/server.go
+++ b/front/clienthttp/server.go
@@ -1,7 +1,6 @@
 package clienthttp
 
 import (
-	"errors"
 	"net"
 	"net/http"
 	"slices"
@@ -106,22 +105,13 @@
 	d.Close()
 }
 
-// Accept passes connections from the listener to the current server until the listener is closed.
+// Accept passes connections from the listener to the current server until the listener fails, and returns the error. A listener
+// of the package listen fails only once it is closed.
 func (s *Servers) Accept(ln net.Listener) error {
 	for {
 		c, err := ln.Accept()
 		if err != nil {
-			var netErr net.Error
-			if errors.As(err, &netErr) && netErr.Timeout() {
-				continue
-			}
-			if errors.Is(err, net.ErrClosed) {
-				return nil
-			}
-			// Danger: accept fails while the process has no free descriptors. A server that stopped accepting then
-			// would serve no clients any more.
-			time.Sleep(10 * time.Millisecond)
-			continue
+			return err
 		}
 		s.mu.Lock()
 		d := s.current
--- a/transport/listen/listen.go
+++ b/transport/listen/listen.go
@@ -1,4 +1,4 @@
-// Package listen opens the listeners of all programs under one rule: what can pass is waited for
+// Package listen opens the listeners of all programs and accepts their connections, under one rule: what can pass is waited for
 // and logged, what cannot pass is an error at once. It makes no decisions of its own: decide/transient decides which is which.
 package listen
 
@@ -35,9 +35,14 @@
 
 var errNotSet = errors.New("the setting is missing")
 
-// TCP opens a listener. It waits until the address is free or ctx ends; the error then wraps that of ctx.
+// TCP opens a listener. It waits until the address is free or ctx ends; the error then wraps that of ctx. The listener's Accept
+// returns an error only once the listener is closed.
 func TCP(ctx context.Context, log LogError, endpoint Endpoint) (net.Listener, error) {
-	return open(ctx, log, endpoint, func() (net.Listener, error) { return net.Listen("tcp", endpoint.Address) })
+	listener, err := open(ctx, log, endpoint, func() (net.Listener, error) { return net.Listen("tcp", endpoint.Address) })
+	if err != nil {
+		return nil, err
+	}
+	return &persistent{Listener: listener, log: log, endpoint: endpoint}, nil
 }
 
 // Later returns a listener at once, whose Accept waits like TCP where the address is not free. So the caller's other work is not held
@@ -140,3 +145,25 @@
 	}
 	return listener, nil
 }
+
+// persistent is a listener whose Accept fails only once it is closed.
+type persistent struct {
+	net.Listener
+	log      LogError
+	endpoint Endpoint
+}
+
+// Accept returns the next connection. It waits through failures, which it logs.
+//
+// Danger: accept fails while the process has no free descriptors. A server that stopped accepting then would live on and serve
+// nobody.
+func (p *persistent) Accept() (conn net.Conn, err error) {
+	logWait := func(err error) {
+		p.log(err, "a connection cannot be accepted", "setting", p.endpoint.Setting, "address", p.endpoint.Address)
+	}
+	err = retry.Do(context.Background(), transient.Accept, logWait, func() (err error) {
+		conn, err = p.Listener.Accept()
+		return err
+	})
+	return conn, err
+}
--- a/transport/listen/listen_test.go
+++ b/transport/listen/listen_test.go
@@ -76,3 +76,33 @@
 	_, err = Later(t.Context(), silent, Endpoint{"metrics", "127.0.0.1"})
 	must.ErrorContains(t, err, "metrics")
 }
+
+// failing fails to accept a number of times, and then is closed.
+type failing struct {
+	net.Listener
+	failures []error
+}
+
+func (f *failing) Accept() (net.Conn, error) {
+	err := f.failures[0]
+	f.failures = f.failures[1:]
+	if err == nil {
+		near, _ := net.Pipe()
+		return near, nil
+	}
+	return nil, err
+}
+
+// TestAcceptOutlastsAShortageOfDescriptors: whatever accept fails with, the next connection is accepted, until the listener is
+// closed.
+func TestAcceptOutlastsAShortageOfDescriptors(t *testing.T) {
+	f := &failing{failures: []error{syscall.EMFILE, syscall.ENOBUFS, syscall.EPROTO, nil, errors.New("unknown"), net.ErrClosed}}
+	logged := 0
+	p := &persistent{Listener: f, log: func(error, string, ...any) { logged++ }}
+	conn, err := p.Accept()
+	must.NoError(t, err)
+	must.NoError(t, conn.Close())
+	_, err = p.Accept()
+	must.ErrorIs(t, err, net.ErrClosed)
+	must.Eq(t, 2, logged)
+}
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -184,14 +184,12 @@
 // Ended returns a channel that is closed when the link is.
 func (l *Link) Ended() <-chan struct{} { return l.ended }
 
-// Serve accepts links until the listener is closed, and serves each in its own goroutine.
+// Serve accepts links until the listener fails, and serves each in its own goroutine. A listener of the package listen fails
+// only once it is closed.
 func Serve(listener net.Listener, serve func(*Link)) {
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
-			if ne, ok := err.(net.Error); ok && ne.Timeout() {
-				continue
-			}
 			return
 		}
 		if tcp, ok := conn.(*net.TCPConn); ok {
