Outgoing connections hold no port that a listener wants

Where a program's ports lie in the range of ephemeral ports, the kernel may give one of them to an outgoing connection of the same machine, which may last for hours: a listener that waits for it would wait as long. Outgoing connections of the system have SO_REUSEADDR, so a listener can have the port beside them.

--- a/transport/listen/listen.go
+++ b/transport/listen/listen.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"syscall"
 
 	"willowsill/decide/transient"
 	"willowsill/transport/retry"
@@ -167,3 +168,18 @@
 	})
 	return conn, err
 }
+
+// ShareLocalPort lets a listener use the local port that the system chooses for an outgoing connection. A net.Dialer calls it as
+// its Control.
+//
+// Danger: where a program's own ports lie in the range of ephemeral ports, an outgoing connection may hold one of them, and no
+// process could listen there until it is closed.
+func ShareLocalPort(_, _ string, raw syscall.RawConn) error {
+	var err error
+	if controlErr := raw.Control(func(fd uintptr) {
+		err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)
+	}); controlErr != nil {
+		return controlErr
+	}
+	return err
+}
--- a/transport/listen/listen_test.go
+++ b/transport/listen/listen_test.go
@@ -106,3 +106,17 @@
 	must.ErrorIs(t, err, net.ErrClosed)
 	must.Eq(t, 2, logged)
 }
+
+// TestOwnConnectionHoldsNoPort: the local port of an outgoing connection can be listened on.
+func TestOwnConnectionHoldsNoPort(t *testing.T) {
+	target, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer target.Close()
+	dialer := net.Dialer{Control: ShareLocalPort}
+	conn, err := dialer.Dial("tcp", target.Addr().String())
+	must.NoError(t, err)
+	defer conn.Close()
+	listener, err := net.Listen("tcp", conn.LocalAddr().String())
+	must.NoError(t, err)
+	must.NoError(t, listener.Close())
+}
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"context"
 	"encoding/binary"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -15,6 +16,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
 	"golang.org/x/sys/unix"
+
+	"willowsill/transport/listen"
 )
 
 // ErrLink builds this package's errors, which have the code link.
@@ -55,6 +58,11 @@
 	return err
 }
 
+// PrepareOutgoing sets the options of the socket of an outgoing connection. A net.Dialer calls it as its Control.
+func PrepareOutgoing(network, address string, raw syscall.RawConn) error {
+	return errors.Join(SetUserTimeout(network, address, raw), listen.ShareLocalPort(network, address, raw))
+}
+
 // Link is a connection. Send may be called from any goroutine, Receive from only one.
 type Link struct {
 	conn        net.Conn
@@ -76,7 +84,7 @@
 
 // Dial opens a link to an address and fails after dialTimeout.
 func Dial(ctx context.Context, address string) (*Link, error) {
-	dialer := net.Dialer{Timeout: dialTimeout, Control: SetUserTimeout, KeepAlive: -1}
+	dialer := net.Dialer{Timeout: dialTimeout, Control: PrepareOutgoing, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, ErrLink.Wrapf(err, "dialling %s", address)
--- a/transport/replicahttp/replicahttp.go
+++ b/transport/replicahttp/replicahttp.go
@@ -97,7 +97,7 @@
 
 // NewPool returns a pool whose connections pass their notices to notify, from their own goroutines.
 func NewPool(notify func(any), now func() int64) *Pool {
-	d := net.Dialer{Control: peer.SetUserTimeout, KeepAlive: -1}
+	d := net.Dialer{Control: peer.PrepareOutgoing, KeepAlive: -1}
 	return &Pool{notify: notify, now: now, exchanges: map[*replica.Ticket]*exchange{}, Dial: d.DialContext}
 }
 
