settings: a figure may be a whole number, a fraction, true or false

What callers saw: contact-ms = 5000.0, memory-mb = 284.5 or memory-mb = true ended all three programs with 2 at the start, in a form that the platform's pages allow for any figure. Half of the keys that did so were read by nobody.

Cause: figures were held as Go's int64, which the TOML library takes no fraction for. Now each is a Figure: whole number or fraction; true and false state no number and count as left out. Keys without a reader are not held at all, so nothing in them can end a program.

--- a/decide/routingtable/routingtable.go
+++ b/decide/routingtable/routingtable.go
@@ -45,7 +45,7 @@
 	d := balance.Deployment{Index: int(xxhash.Sum64String(s.IP) % maxShards), Aggregators: 1, Seed: seed, Tick: minRoundInterval,
 		Shards: maxShards, Cells: maxShards, CellsPerShard: 1, PartsPerCall: 1, MaxExecutions: 1, CanCancel: true, MaxRetryAfter: maxRetryAfter,
 		ColdCapacity: coldUnlimited, OverloadFactor: coldUnlimited, OverloadSpan: unboundedSpan, PriorWeight: latencyPriorWeight,
-		Budgeted: true, RetryRatio: retryRatioShare * s.Bounds.RetryRatio, RetryWindow: s.Bounds.RetryWindow(),
+		Budgeted: true, RetryRatio: retryRatioShare * float64(s.Bounds.RetryRatio), RetryWindow: s.Bounds.RetryWindow(),
 		ShardBudgets: maxShards}
 	if s.Bounds.RetryWindow() == 0 { // no rule bounds retries
 		d.Budgeted, d.RetryWindow = false, unboundedSpan
@@ -356,7 +356,7 @@
 	if t.edges == 0 || now-t.startedAt <= t.settings.Bounds.RetryWindow() {
 		return 0
 	}
-	return retrySlackShare * t.settings.Bounds.RetrySlack / float64(t.edges)
+	return retrySlackShare * float64(t.settings.Bounds.RetrySlack) / float64(t.edges)
 }
 
 // ReadyReplicas returns the number of ready replicas.
--- a/deployment/settings/settings.go
+++ b/deployment/settings/settings.go
@@ -20,31 +20,24 @@
 // ErrSettings builds this package's errors, which carry the code "settings".
 var ErrSettings = oops.Code("settings")
 
-// Settings are the contents of the settings file. Units are in the names of the fields.
+// Settings are the settings that a program reads. Units are in the names of the fields.
 type Settings struct {
 	File                string   `toml:"-"`
 	Name                string   `toml:"node-name"`
-	Role                string   `toml:"role"`
-	MachineClass        string   `toml:"machine-class"`
-	Serves              []string `toml:"serves"`
 	IP                  string   `toml:"ip"`
 	Zone                string   `toml:"zone"`
-	Region              string   `toml:"region"`
 	DataDir             string   `toml:"data-dir"`
-	InternalPorts       []int    `toml:"internal-ports"`
+	InternalPorts       []Figure `toml:"internal-ports"`
 	SeedNodes           []string `toml:"seed-nodes"`
 	Bootstrap           bool     `toml:"bootstrap"`
-	QuorumMember        bool     `toml:"quorum-member"`
-	HeartbeatIntervalMs int64    `toml:"beat-interval-ms"`
-	ActiveRules         []string `toml:"active-rules"`
+	HeartbeatIntervalMs Figure   `toml:"beat-interval-ms"`
 	ConfigMode          string   `toml:"config_mode"`
 	// PORT/PATH at which the process serves its metrics; empty for none.
-	Metrics     string            `toml:"metrics"`
-	Zones       map[string]string `toml:"zones"`
-	Bind        Bind              `toml:"bind-addrs"`
-	Limits      Limits            `toml:"limits"`
-	FaultBudget FaultBudget       `toml:"fault-budget"`
-	Bounds      Bounds            `toml:"bounds"`
+	Metrics string            `toml:"metrics"`
+	Zones   map[string]string `toml:"zones"`
+	Bind    Bind              `toml:"bind-addrs"`
+	Limits  Limits            `toml:"limits"`
+	Bounds  Bounds            `toml:"bounds"`
 }
 
 // Bind holds the addresses to listen on, empty for those that the role does not serve.
@@ -54,40 +47,33 @@
 	Control   string `toml:"control"`
 }
 
-// Limits describe the resources of the machine and the process.
+// Limits describe the resources of the process.
 type Limits struct {
-	CPUFraction    float64 `toml:"cpu-fraction"`
-	Cores          float64 `toml:"core-count"`
-	MemoryMB       int64   `toml:"memory-mb"`
-	MaxDescriptors int     `toml:"max-fds"`
-	LinkMbps       float64 `toml:"link-mbps"`
-	DiskMB         int64   `toml:"disk-mb"`
-}
-
-// FaultBudget is how many failures at the same time the system must survive.
-type FaultBudget struct {
-	Machines int `toml:"machines"`
-	Zones    int `toml:"zones"`
-	Regions  int `toml:"regions"`
+	MemoryMB Figure `toml:"memory-mb"`
 }
 
 // Bounds are the limits that the platform's rules set.
 type Bounds struct {
-	ContactMs    int64   `toml:"contact-ms"`
-	DrainMs      int64   `toml:"drain-ms"`
-	GraceS       float64 `toml:"grace-s"`
-	ApplyMs      int64   `toml:"apply-ms"`
-	RetryRatio   float64 `toml:"retry-ratio"`
-	RetryWindowS float64 `toml:"retry-window-s"`
-	RetrySlack   float64 `toml:"retry-slack"`
+	GraceS       Figure `toml:"grace-s"`
+	RetryRatio   Figure `toml:"retry-ratio"`
+	RetryWindowS Figure `toml:"retry-window-s"`
+	RetrySlack   Figure `toml:"retry-slack"`
 
 	// ExposureShare limits the share of a service's requests that goes to a version that may be bad; 0 if no rule
 	// limits it.
-	ExposureShare float64 `toml:"exposure-share"`
+	ExposureShare Figure `toml:"exposure-share"`
 }
 
 // RetryWindow returns RetryWindowS in ns, 0 if no rule limits retries.
-func (b Bounds) RetryWindow() int64 { return int64(b.RetryWindowS * float64(time.Second)) }
+func (b Bounds) RetryWindow() int64 { return int64(b.RetryWindowS * Figure(time.Second)) }
+
+// Grace returns the time from SIGTERM to the end of the process.
+func (b Bounds) Grace() time.Duration { return time.Duration(b.GraceS * Figure(time.Second)) }
+
+// HeartbeatInterval returns the time between two heartbeats of a replica, ns.
+func (s *Settings) HeartbeatInterval() int64 {
+	return int64(s.HeartbeatIntervalMs * Figure(time.Millisecond))
+}
 
 // Defaults for settings that are missing, and the least number of internal ports.
 const (
@@ -154,8 +140,8 @@
 			return at(key, "is %q: %v", a, err)
 		}
 	}
-	if s.Limits.MemoryMB < 0 || s.Limits.MaxDescriptors < 0 {
-		return at("limits", "has a figure below 0")
+	if s.Limits.MemoryMB < 0 {
+		return at("limits.memory-mb", "is %v, below 0", s.Limits.MemoryMB)
 	}
 	if share := s.Bounds.ExposureShare; share < 0 || share > 1 {
 		return at("bounds.exposure-share", "is %v: a share from 0 to 1 is wanted", share)
@@ -172,7 +158,7 @@
 // InternalAddress returns the address on a machine for the port with this number, counted from the first internal
 // one.
 func (s *Settings) InternalAddress(ip string, port int) string {
-	return net.JoinHostPort(ip, strconv.Itoa(s.InternalPorts[0]+port))
+	return net.JoinHostPort(ip, strconv.Itoa(int(s.InternalPorts[0])+port))
 }
 
 // Loopback returns the address on which processes of this machine reach each other. A machine that is simulated on
--- a/front/proxyserver/proxyserver.go
+++ b/front/proxyserver/proxyserver.go
@@ -132,7 +132,7 @@
 // Danger: the platform goes on sending requests until it notices the shutdown. A request that was read must be
 // answered.
 func (s *Server) drain(front net.Listener) {
-	deadline := time.Now().Add(time.Duration(s.settings.Bounds.GraceS*float64(time.Second)) - stopMargin)
+	deadline := time.Now().Add(s.settings.Bounds.Grace() - stopMargin)
 	klog.InfoS("leaving")
 	s.leaving.Store(true)
 	s.handler.Draining.Store(true)
--- a/transport/agentserver/agentserver.go
+++ b/transport/agentserver/agentserver.go
@@ -92,7 +92,7 @@
 	metrics.Serve(running, local.IP, local.Metrics, s.writeMetrics)
 	<-ctx.Done()
 	// Danger: a proxy that drains still serves queries for a while and needs updates until it disconnects.
-	deadline := time.Now().Add(time.Duration(local.Bounds.GraceS*float64(time.Second)) - graceMargin)
+	deadline := time.Now().Add(local.Bounds.Grace() - graceMargin)
 	for time.Now().Before(deadline) && s.proxyFeed.Count() > 0 {
 		time.Sleep(leavePoll)
 	}
--- a/transport/controlserver/controlserver.go
+++ b/transport/controlserver/controlserver.go
@@ -131,7 +131,7 @@
 	s.controller = controller.New(s.now(), controller.Options{IP: local.IP, Incarnation: incarnation, Zone: local.Zone, Regions: local.Zones, Seeds: local.SeedIPs(),
 		// A damaged disk is not the empty disk of a first start.
 		Bootstrap:                local.Bootstrap && !opened.damaged,
-		ReplicaHeartbeatInterval: local.HeartbeatIntervalMs * int64(time.Millisecond), RolloutTerms: rollout.Bounds{ExposureShare: local.Bounds.ExposureShare}, Random: rand.Float64,
+		ReplicaHeartbeatInterval: local.HeartbeatInterval(), RolloutTerms: rollout.Bounds{ExposureShare: float64(local.Bounds.ExposureShare)}, Random: rand.Float64,
 		RegisterState: found.State, CommittedConfiguration: found.Committed, Rollouts: found.Rollouts, Replicas: found.Replicas})
 	return opened.store, nil
 }
--- a/transport/logs/logs.go
+++ b/transport/logs/logs.go
@@ -12,7 +12,10 @@
 	"willowsill/deployment/settings"
 )
 
-const softMemoryLimitShare = 0.6 // share of the memory limit beyond which the garbage collector runs more often
+const (
+	softMemoryLimitShare = 0.6 // share of the memory limit beyond which the garbage collector runs more often
+	bytesPerMB           = 1 << 20
+)
 
 // Setup configures the logs of a program, and the garbage collector's soft memory limit.
 func Setup(program string, s settings.Settings) {
@@ -24,7 +27,7 @@
 	}})
 	klog.SetSlogLogger(slog.New(h).With("program", program, "node", s.Name))
 	if s.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(softMemoryLimitShare * float64(s.Limits.MemoryMB<<20)))
+		debug.SetMemoryLimit(int64(softMemoryLimitShare * bytesPerMB * s.Limits.MemoryMB))
 	}
 }
 
