Programs that start while their settings file is written read it again for two seconds

What callers saw: a settings file that is missing, empty or half-written at the moment of a start ended the program with 2. Same class as the held port; one rule in decide/transient, used by the daemons and by willowsill for its configuration and script.

--- a/cmd/willowsill/main.go
+++ b/cmd/willowsill/main.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
+	"willowsill/decide/transient"
 	"willowsill/deployment"
 	"willowsill/deployment/operator"
 	"willowsill/front"
@@ -27,6 +28,7 @@
 	"willowsill/transport/discovery"
 	"willowsill/transport/listen"
 	"willowsill/transport/replica"
+	"willowsill/transport/retry"
 	"willowsill/transport/sockets"
 )
 
@@ -54,10 +56,12 @@
 // serve runs the aggregator with the configuration from the environment and, unless empty, the operator's script. It returns
 // the exit code.
 func serve(reload <-chan os.Signal, script string) int {
-	start, err := deployment.FromEnvironment(os.Getenv)
-	settings := &operator.Settings{}
-	if err == nil && script != "" {
-		settings, err = operator.Read(script)
+	stop, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	cancelOnSignal(cancel)
+	start, settings, err := awaitConfiguration(stop, script)
+	if errors.Is(err, context.Canceled) {
+		return 0
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "willowsill:", err)
@@ -70,9 +74,6 @@
 		zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), out, zap.InfoLevel),
 		logSampleInterval, logSampleFirst, logSampleThereafter)).With(zap.String("aggregator", start.Name))
 	defer out.Stop()
-	stop, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	cancelOnSignal(cancel)
 	listener, err := listen.TCP(stop, listenLog(log), listen.Endpoint{Setting: "variable NODE_LISTEN", Address: start.Listen})
 	if err == nil {
 		// TCP keep-alive is off: it would not notice a machine that vanished, and every part has its own timeout.
@@ -89,6 +90,20 @@
 	return 0
 }
 
+// awaitConfiguration reads the configuration from the environment and, unless empty, the operator's script. It waits for a while
+// for a file that is missing or invalid, as somebody may be writing it.
+func awaitConfiguration(stop context.Context, script string) (start deployment.Config, settings *operator.Settings, err error) {
+	logWait := func(err error) { fmt.Fprintln(os.Stderr, "willowsill: the configuration is read again:", err) }
+	err = retry.Do(stop, transient.ReadSettings, logWait, func() (err error) {
+		settings = &operator.Settings{}
+		if start, err = deployment.FromEnvironment(os.Getenv); err == nil && script != "" {
+			settings, err = operator.Read(script)
+		}
+		return err
+	})
+	return start, settings, err
+}
+
 // listenLog returns a function that logs what happens to listeners.
 func listenLog(log *zap.Logger) listen.LogError {
 	return func(err error, message string, keysAndValues ...any) {
--- a/decide/transient/transient.go
+++ b/decide/transient/transient.go
@@ -14,9 +14,10 @@
 
 // The operations.
 const (
-	Listen    Operation = iota // opening a listener
-	Accept                     // accepting a connection
-	OpenState                  // opening the file with a controller's state
+	Listen       Operation = iota // opening a listener
+	Accept                        // accepting a connection
+	ReadSettings                  // reading the settings file at the start
+	OpenState                     // opening the file with a controller's state
 )
 
 // Failure is the kind of a failure.
@@ -48,9 +49,11 @@
 
 var rules = map[Operation]rule{
 	// Without a limit: a process that ended would be started again into the same wait.
-	Listen:    {passes: passing(AddressTaken, AddressAbsent, Exhausted), firstDelay: 50 * ms, maxDelay: 250 * ms},
-	Accept:    {passes: func(f Failure) bool { return f != Closed }, firstDelay: 10 * ms, maxDelay: 100 * ms},
-	OpenState: {passes: passing(FileRefused, Exhausted), firstDelay: 100 * ms, maxDelay: 500 * ms},
+	Listen: {passes: passing(AddressTaken, AddressAbsent, Exhausted), firstDelay: 50 * ms, maxDelay: 250 * ms},
+	Accept: {passes: func(f Failure) bool { return f != Closed }, firstDelay: 10 * ms, maxDelay: 100 * ms},
+	// The platform may be writing the file, which takes it less than the limit.
+	ReadSettings: {passes: func(Failure) bool { return true }, firstDelay: 50 * ms, maxDelay: 200 * ms, limit: 2000 * ms},
+	OpenState:    {passes: passing(FileRefused, Exhausted), firstDelay: 100 * ms, maxDelay: 500 * ms},
 }
 
 const logInterval = 10_000 * ms // time between two failures of one operation that are logged
--- a/decide/transient/transient_test.go
+++ b/decide/transient/transient_test.go
@@ -10,9 +10,10 @@
 func TestWhatIsWaitedFor(t *testing.T) {
 	all := []Failure{Other, AddressTaken, AddressAbsent, Exhausted, FileRefused, Closed}
 	for operation, want := range map[Operation][]Failure{
-		Listen:    {AddressTaken, AddressAbsent, Exhausted},
-		Accept:    {Other, AddressTaken, AddressAbsent, Exhausted, FileRefused},
-		OpenState: {Exhausted, FileRefused},
+		Listen:       {AddressTaken, AddressAbsent, Exhausted},
+		Accept:       {Other, AddressTaken, AddressAbsent, Exhausted, FileRefused},
+		ReadSettings: all,
+		OpenState:    {Exhausted, FileRefused},
 	} {
 		var waited []Failure
 		for _, failure := range all {
@@ -22,7 +23,7 @@
 		}
 		must.SliceContainsAll(t, want, waited, must.Sprint(operation))
 	}
-	must.MapLen(t, 3, rules)
+	must.MapLen(t, 4, rules)
 }
 
 // waitFor lets an operation fail for a time and returns when its waits were logged and when it was given up, -1 for never, in ms.
@@ -41,12 +42,14 @@
 	return logged, -1
 }
 
-// TestWaits: a port is waited for without a limit and logged every ten seconds, and a failure that cannot
+// TestWaits: a port is waited for without a limit and logged every ten seconds, settings for two seconds, and a failure that cannot
 // pass ends the wait for one that can.
 func TestWaits(t *testing.T) {
 	logged, gaveUp := waitFor(Listen, AddressTaken, 25_000)
 	must.Eq(t, -1, gaveUp)
 	must.SliceLen(t, 3, logged)
+	_, gaveUp = waitFor(ReadSettings, Other, 25_000)
+	must.Between(t, 2000, gaveUp, 2200)
 	_, gaveUp = waitFor(OpenState, FileRefused, 600_000)
 	must.Eq(t, -1, gaveUp)
 	a := NewAttempts(Listen)
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -13,11 +13,26 @@
 
 	"k8s.io/klog/v2"
 
+	"willowsill/decide/transient"
 	"willowsill/deployment/settings"
 	"willowsill/transport/logs"
 	"willowsill/transport/metrics"
+	"willowsill/transport/retry"
 )
 
+// Exit codes of a daemon.
+const (
+	exitStopped  = 0 // the daemon was stopped by a signal
+	exitFailed   = 1 // the daemon cannot run
+	exitSettings = 2 // the arguments or the settings are invalid
+)
+
+// arguments are the values of a daemon's flags.
+type arguments struct {
+	check   string // a settings file that is only to be checked
+	metrics string // goes before the setting of the same name
+}
+
 // Main runs a daemon and exits. run must return once ctx ends, which SIGTERM brings about. The exit code is 2
 // if the settings are invalid.
 func Main(program, purpose string, run func(ctx context.Context, s settings.Settings) error) {
@@ -28,46 +43,35 @@
 // installed, so the process should exit afterwards.
 func Run(program, purpose string, args []string, run func(ctx context.Context, s settings.Settings) error) int {
 	received := catchSignals()
-	flags := flag.NewFlagSet(program, flag.ContinueOnError)
-	check := flags.String("check", "", "read this settings `file`, say what is wrong with it and end")
-	endpoint := flags.String("metrics", "", "tell the process's own figures at `PORT/PATH`, as in 9464/metrics")
-	flags.Usage = func() {
-		fmt.Fprintf(flags.Output(), "%s %s, as the settings file named by %s says.\n\n  %s\n  %s --check /etc/willowsill/local.toml\n  %s --metrics 9464/metrics\n\n",
-			program, purpose, settings.FileVariable, program, program, program)
-		flags.PrintDefaults()
-	}
-	if err := flags.Parse(args); err != nil {
-		return 2
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go cancelOnStop(received.stop, cancel)
+	parsed, err := parse(program, purpose, args)
+	if err != nil {
+		return exitSettings
 	}
-	if *check != "" {
-		if _, err := settings.Read(*check); err != nil {
+	if parsed.check != "" {
+		if _, err := settings.Read(parsed.check); err != nil {
 			fmt.Fprintln(os.Stderr, err)
-			return 2
+			return exitSettings
 		}
-		return 0
+		return exitStopped
+	}
+	s, err := awaitSettings(ctx, parsed)
+	if errors.Is(err, context.Canceled) {
+		return exitStopped
 	}
-	s, err := settings.FromEnvironment(os.Getenv)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return 2
-	}
-	if *endpoint != "" {
-		if _, err := metrics.ParseEndpoint(*endpoint); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return 2
-		}
-		s.Metrics = *endpoint
+		return exitSettings
 	}
 	logs.Setup(program, s)
 	defer logs.Flush()
 	go rereadSettings(received.reload, s.File)
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go cancelOnStop(received.stop, cancel)
 	return exitCode(run(ctx, s))
 }
 
-// exitCode logs why the daemon ends and returns its exit code. A log without such a line ends with a kill or a panic.
+// exitCode logs why the daemon ends and returns its exit code.
 func exitCode(err error) int {
 	switch {
 	case err == nil:
@@ -76,9 +80,45 @@
 		klog.InfoS("the program ends; it was stopped before it had started", "waitedFor", err.Error())
 	default:
 		klog.ErrorS(err, "the program cannot run")
-		return 1
+		return exitFailed
+	}
+	return exitStopped
+}
+
+// parse parses the arguments. It has printed the error that it returns.
+func parse(program, purpose string, args []string) (parsed arguments, err error) {
+	flags := flag.NewFlagSet(program, flag.ContinueOnError)
+	flags.StringVar(&parsed.check, "check", "", "read this settings `file`, say what is wrong with it and end")
+	flags.StringVar(&parsed.metrics, "metrics", "", "tell the process's own figures at `PORT/PATH`, as in 9464/metrics")
+	flags.Usage = func() {
+		fmt.Fprintf(flags.Output(), "%s %s, as the settings file named by %s says.\n\n  %s\n  %s --check /etc/willowsill/local.toml\n  %s --metrics 9464/metrics\n\n",
+			program, purpose, settings.FileVariable, program, program, program)
+		flags.PrintDefaults()
+	}
+	if err := flags.Parse(args); err != nil {
+		return parsed, err
+	}
+	if parsed.metrics != "" {
+		if _, err = metrics.ParseEndpoint(parsed.metrics); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}
+	return parsed, err
+}
+
+// awaitSettings reads the settings. It waits for a while for a file that is missing or invalid.
+//
+// Danger: the platform may write the file while a process starts, and half of a file is an invalid one.
+func awaitSettings(ctx context.Context, parsed arguments) (s settings.Settings, err error) {
+	logWait := func(err error) { fmt.Fprintln(os.Stderr, "the settings are read again:", err) }
+	err = retry.Do(ctx, transient.ReadSettings, logWait, func() (err error) {
+		s, err = settings.FromEnvironment(os.Getenv)
+		return err
+	})
+	if parsed.metrics != "" {
+		s.Metrics = parsed.metrics
 	}
-	return 0
+	return s, err
 }
 
 // signals are the channels on which the daemon receives signals.
--- a/transport/daemon/daemon_test.go
+++ b/transport/daemon/daemon_test.go
@@ -178,6 +178,34 @@
 	c.expectOrderlyEnd()
 }
 
+// TestSettingsBeingWritten (FAULT): a daemon that starts while the platform writes its settings file reads it again until it is
+// whole.
+func TestSettingsBeingWritten(t *testing.T) {
+	for name, text := range map[string]string{"missing": "", "empty": " ", "half": validSettings[:len(validSettings)-5]} {
+		t.Run(name, func(t *testing.T) {
+			file := filepath.Join(t.TempDir(), "local.toml")
+			if text != "" {
+				must.NoError(t, os.WriteFile(file, []byte(text), 0o600))
+			}
+			c := startChild(t, file)
+			c.expectLog("the settings are read again")
+			must.NoError(t, os.WriteFile(file, []byte(validSettings), 0o600))
+			c.expect("ready")
+			c.signal(syscall.SIGTERM)
+			c.expect("leaving")
+			c.expectOrderlyEnd()
+		})
+	}
+}
+
+// TestStopWhileSettingsAreAwaited: a daemon that is stopped while it waits for its settings ends in order.
+func TestStopWhileSettingsAreAwaited(t *testing.T) {
+	c := startChild(t, filepath.Join(t.TempDir(), "local.toml"))
+	c.expectLog("the settings are read again")
+	c.signal(syscall.SIGTERM)
+	must.NoError(t, c.process.Wait())
+}
+
 // TestMetricsEndpoint: the endpoint for metrics comes from the arguments, or else from the settings. Anything
 // but PORT/PATH ends the start with exit code 2.
 func TestMetricsEndpoint(t *testing.T) {
