--- a/cmd/willowsill/signals_test.go
+++ b/cmd/willowsill/signals_test.go
@@ -1,11 +1,13 @@
 package main
 
 import (
+	"bufio"
 	"io"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -30,23 +32,55 @@
 	must.NoError(t, err)
 	address := l.Addr().String()
 	must.NoError(t, l.Close())
+	process, stderr = launchChild(t, address)
+	waitServing(t, address)
+	return process, stderr
+}
+
+// launchChild starts the program with an address for its clients and a discovery address that does not answer.
+func launchChild(t *testing.T, address string) (process *exec.Cmd, stderr io.ReadCloser) {
 	process = exec.Command(os.Args[0])
 	process.Env = append(os.Environ(), childVariable+"=1", "NODE_NAME=n0", "NODE_LISTEN="+address, "NODE_DISCOVERY=127.0.0.1:1",
 		"NODE_CONFIG=../../examples/config.json", "GORACE=atexit_sleep_ms=0")
-	stderr, err = process.StderrPipe()
+	stderr, err := process.StderrPipe()
 	must.NoError(t, err)
 	must.NoError(t, process.Start())
 	t.Cleanup(func() { _ = process.Process.Kill() })
+	return process, stderr
+}
+
+// waitServing waits until a program serves at an address.
+func waitServing(t *testing.T, address string) {
 	for range 1000 {
 		response, err := http.Get("http://" + address + "/healthz")
 		if err == nil {
 			response.Body.Close()
-			return process, stderr
+			return
 		}
 		time.Sleep(10 * time.Millisecond)
 	}
 	t.Fatal("the program does not serve")
-	return nil, nil
+}
+
+// TestListenAddressStillHeld (FAULT): a program whose address for clients is still held when it starts waits for it, and serves.
+func TestListenAddressStillHeld(t *testing.T) {
+	held, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	address := held.Addr().String()
+	process, stderr := launchChild(t, address)
+	for lines := bufio.NewScanner(stderr); ; {
+		if !lines.Scan() {
+			t.Fatalf("the program ended: %v", process.Wait())
+		}
+		if strings.Contains(lines.Text(), "waiting for an address to listen on") {
+			break
+		}
+	}
+	go io.Copy(io.Discard, stderr)
+	must.NoError(t, held.Close())
+	waitServing(t, address)
+	must.NoError(t, process.Process.Signal(syscall.SIGTERM))
+	must.NoError(t, process.Wait())
 }
 
 // After SIGTERM the program must drain and exit with code 0, whatever other signals arrive meanwhile.
