--- a/lab/rules/all.go
+++ b/lab/rules/all.go
@@ -40,6 +40,11 @@
 	readinessFile          = "decide/follower/readiness.go"
 	statestoreFile         = "transport/statestore/statestore.go"
 	daemonFile             = "transport/daemon/daemon.go"
+	transientFile          = "decide/transient/transient.go"
+	transientPackage       = "decide/transient"
+	listenFile             = "transport/listen/listen.go"
+	figureFile             = "deployment/settings/figure.go"
+	statefileFile          = "transport/controlserver/statefile.go"
 	resourcesFile          = "transport/controlserver/resources.go"
 	rolloutFile            = "decide/rollout/rollout.go"
 	rolloutSetFile         = "decide/rollout/set.go"
@@ -258,4 +263,16 @@
 		mutation(clienthttpPackage, "TestLimitsThatChange", edit(serverFile, "	if !d.retired || d.open > 0 {\n", "	if d.retired || d.open > 0 {\n"))},
 	{"Fault: disk", "the disk fills up, or a full one ends the process", "the file is rewritten when it has grown; if that fails, it only keeps its size", files(statestoreFile), scenarios("disk_full", "config_storm"),
 		mutation("transport/statestore", "TestDiskThatRefuses", edit(statestoreFile, "	if err := s.writeCopy(copyPath); err != nil {\n		os.Remove(copyPath)\n		return nil\n	}\n", "	if err := s.writeCopy(copyPath); err != nil {\n		return err\n	}\n"))},
+	{"Fault: held ports", "a program ends, at each of its starts, because one of its ports is still held", "what can pass is waited for, in one place for all listeners", files(transientFile, listenFile), scenarios("any"),
+		mutation(transientPackage, "TestWhatIsWaitedFor", edit(transientFile, "passing(AddressTaken, AddressAbsent, Exhausted)", "passing(AddressAbsent, Exhausted)"))},
+	{"Fault: accepting", "a process that is short of descriptors for a moment accepts no connections ever after", "accept fails only once the listener is closed", files(transientFile, listenFile), scenarios("any"),
+		mutation("transport/listen", "TestAcceptOutlastsAShortageOfDescriptors", edit(transientFile, "passes: func(f Failure) bool { return f != Closed }", "passes: passing(AddressTaken)"))},
+	{"Fault: figures", "a figure of the settings that is written in another form ends a program", "a figure is read from a whole number, a fraction, true or false; keys that are not used are not held", files(figureFile), scenarios("any"),
+		mutation("deployment/settings", "TestFiguresInAnyForm", edit(figureFile, "if word == \"true\" || word == \"false\" {", "if false {"))},
+	{"Fault: settings being written", "a program that starts while its settings file is written ends", "it reads the file again for a while", files(daemonFile, transientFile), scenarios("hup"),
+		mutation("transport/daemon", "TestSettingsBeingWritten", edit(transientFile, "passes: func(Failure) bool { return true }", "passes: passing()"))},
+	{"LOST: disks that refuse", "a controller takes a disk that refuses for a moment for an empty one, and removes what was acknowledged", "only content that cannot be read is removed; errors of the system are waited for", files(statefileFile, transientFile), scenarios("disk_full", "disk_stall"),
+		mutation("transport/controlserver", "TestPassingDiskErrorKeepsTheState", edit(statefileFile, "if !errors.Is(err, statestore.ErrDamaged) {", "if err == nil || errors.Is(err, statestore.ErrNewerFormat) {"))},
+	{"LOST: compaction", "saves go to a file that the compacted one has replaced", "a store whose new file cannot be opened is given up and opened again", files(statestoreFile), scenarios("disk_full", "config_storm"),
+		mutation("transport/statestore", "TestFileThatIsGoneAfterACompaction", edit(statestoreFile, "	s.Close()\n	if err := s.openFile(); err != nil {\n", "	previous := *s\n	defer previous.Close()\n	if err := s.openFile(); err != nil {\n		return nil\n"))},
 }
