daemon: settings that lack what a program cannot run without are read again as well

TestSettingsBeingWritten has the row. A cut behind all required keys, within [bounds] say, is still taken for a whole file: open.

--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -8,5 +8,5 @@
 )
 
 func main() {
-	daemon.Main("agent", "keeps the link to the controllers for the proxy beside it", agentserver.Run)
+	daemon.Main(agentserver.Program)
 }
--- a/cmd/controller/main.go
+++ b/cmd/controller/main.go
@@ -7,4 +7,4 @@
 	"willowsill/transport/daemon"
 )
 
-func main() { daemon.Main("controller", "serves replicas and operators", controlserver.Run) }
+func main() { daemon.Main(controlserver.Program) }
--- a/cmd/proxy/main.go
+++ b/cmd/proxy/main.go
@@ -6,4 +6,4 @@
 	"willowsill/transport/daemon"
 )
 
-func main() { daemon.Main("proxy", "serves clients", proxyserver.Run) }
+func main() { daemon.Main(proxyserver.Program) }
--- a/deployment/settings/settings.go
+++ b/deployment/settings/settings.go
@@ -6,6 +6,7 @@
 	"net"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -82,13 +83,35 @@
 	minPorts                   = 4
 )
 
-// FromEnvironment reads the file that the environment names, or the default one.
-func FromEnvironment(get func(string) string) (Settings, error) {
-	file := get(FileVariable)
-	if file == "" {
-		file = defaultFile
+// Key is the name of a setting that a program may require. Keys within a table have the table's name before them.
+type Key string
+
+// The settings without which some programs cannot run.
+const (
+	KeyDataDir   Key = "data-dir"
+	KeySeedNodes Key = "seed-nodes"
+	KeyControl   Key = "bind-addrs.control"
+	KeyFront     Key = "bind-addrs.front"
+	KeyReadiness Key = "bind-addrs.readiness"
+)
+
+// Require returns an error that names the first of the keys that is missing.
+func (s *Settings) Require(keys []Key) error {
+	values := map[Key]string{KeyDataDir: s.DataDir, KeySeedNodes: strings.Join(s.SeedNodes, " "), KeyControl: s.Bind.Control, KeyFront: s.Bind.Front, KeyReadiness: s.Bind.Readiness}
+	for _, key := range keys {
+		if values[key] == "" {
+			return ErrSettings.With("key", key).Errorf("%s: %s is missing", s.File, key)
+		}
+	}
+	return nil
+}
+
+// FileName returns the path of the settings file: the one that the environment names, or the default one.
+func FileName(get func(string) string) string {
+	if file := get(FileVariable); file != "" {
+		return file
 	}
-	return Read(file)
+	return defaultFile
 }
 
 // Read reads and checks a settings file. Unknown keys are ignored, as the platform may add keys.
--- a/front/proxyserver/proxyserver.go
+++ b/front/proxyserver/proxyserver.go
@@ -31,6 +31,7 @@
 	"willowsill/front/clienthttp"
 	"willowsill/internal/counters"
 	"willowsill/node"
+	"willowsill/transport/daemon"
 	"willowsill/transport/discovery"
 	"willowsill/transport/listen"
 	"willowsill/transport/metrics"
@@ -41,6 +42,9 @@
 // ErrProxy builds this package's errors, which carry the code "proxy".
 var ErrProxy = oops.Code("proxy")
 
+// Program is the daemon that runs a proxy.
+var Program = daemon.Program{Name: "proxy", Purpose: "serves clients", Required: []settings.Key{settings.KeyFront, settings.KeyReadiness}, Run: Run}
+
 const (
 	maxHeld = 20000 // limit of queries and parts that the node holds
 	// New connections are accepted for this long after SIGTERM, as the platform still sends some.
--- a/lab/rehearsal/rehearsal.go
+++ b/lab/rehearsal/rehearsal.go
@@ -57,13 +57,10 @@
 
 // RunChild runs the daemon that the environment asks for and exits, if this process is a child of a rehearsal. Otherwise it returns false.
 func RunChild() bool {
-	switch os.Getenv(RoleVariable) {
-	case "controller":
-		os.Exit(daemon.Run("controller", "runs in a rehearsal", nil, controlserver.Run))
-	case "agent":
-		os.Exit(daemon.Run("agent", "runs in a rehearsal", nil, agentserver.Run))
-	case "proxy":
-		os.Exit(daemon.Run("proxy", "runs in a rehearsal", nil, proxyserver.Run))
+	for _, program := range []daemon.Program{controlserver.Program, agentserver.Program, proxyserver.Program} {
+		if program.Name == os.Getenv(RoleVariable) {
+			os.Exit(daemon.Run(program, nil))
+		}
 	}
 	return false
 }
--- a/transport/agentserver/agentserver.go
+++ b/transport/agentserver/agentserver.go
@@ -21,6 +21,7 @@
 	"willowsill/decide/relaytree"
 	"willowsill/decide/rollout"
 	"willowsill/deployment/settings"
+	"willowsill/transport/daemon"
 	"willowsill/transport/listen"
 	"willowsill/transport/metrics"
 	"willowsill/transport/peer"
@@ -30,6 +31,9 @@
 // ErrAgent builds this package's errors, which have the code agent.
 var ErrAgent = oops.Code("agent")
 
+// Program is the daemon that runs an agent.
+var Program = daemon.Program{Name: "agent", Purpose: "keeps the link to the controllers for the proxy beside it", Required: []settings.Key{settings.KeySeedNodes}, Run: Run}
+
 const (
 	graceMargin = 300 * time.Millisecond // at shutdown, time left between the agent's end and the end of the grace period
 	leavePoll   = 100 * time.Millisecond // time between two checks whether the local proxy has disconnected
--- a/transport/controlserver/controlserver.go
+++ b/transport/controlserver/controlserver.go
@@ -22,6 +22,7 @@
 	"willowsill/decide/registry"
 	"willowsill/decide/rollout"
 	"willowsill/deployment/settings"
+	"willowsill/transport/daemon"
 	"willowsill/transport/listen"
 	"willowsill/transport/metrics"
 	"willowsill/transport/peer"
@@ -32,6 +33,9 @@
 // ErrControlServer builds this package's errors, which have the code control_server.
 var ErrControlServer = oops.Code("control_server")
 
+// Program is the daemon that runs a controller.
+var Program = daemon.Program{Name: "controller", Purpose: "serves replicas and operators", Required: []settings.Key{settings.KeyControl, settings.KeyDataDir, settings.KeySeedNodes}, Run: Run}
+
 const (
 	inputQueue        = 1024                   // inputs that may wait for the loop
 	inputBatch        = 64                     // inputs handled before the next check of the timer
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -33,31 +33,37 @@
 	metrics string // goes before the setting of the same name
 }
 
-// Main runs a daemon and exits. run must return once ctx ends, which SIGTERM brings about. The exit code is 2
-// if the settings are invalid.
-func Main(program, purpose string, run func(ctx context.Context, s settings.Settings) error) {
-	os.Exit(Run(program, purpose, os.Args[1:], run))
+// Program is a daemon.
+type Program struct {
+	Name     string
+	Purpose  string         // what it does, for the usage text
+	Required []settings.Key // settings without which it cannot run
+	// Run must return once ctx ends, which SIGTERM brings about.
+	Run func(ctx context.Context, s settings.Settings) error
 }
 
+// Main runs a daemon and exits. The exit code is 2 if the settings are invalid.
+func Main(p Program) { os.Exit(Run(p, os.Args[1:])) }
+
 // Run does the same as Main with the given arguments, and returns the exit code. The signal handlers stay
 // installed, so the process should exit afterwards.
-func Run(program, purpose string, args []string, run func(ctx context.Context, s settings.Settings) error) int {
+func Run(p Program, args []string) int {
 	received := catchSignals()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go cancelOnStop(received.stop, cancel)
-	parsed, err := parse(program, purpose, args)
+	parsed, err := p.parse(args)
 	if err != nil {
 		return exitSettings
 	}
 	if parsed.check != "" {
-		if _, err := settings.Read(parsed.check); err != nil {
+		if _, err := p.read(parsed.check); err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return exitSettings
 		}
 		return exitStopped
 	}
-	s, err := awaitSettings(ctx, parsed)
+	s, err := p.awaitSettings(ctx, settings.FileName(os.Getenv))
 	if errors.Is(err, context.Canceled) {
 		return exitStopped
 	}
@@ -65,10 +71,13 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
-	logs.Setup(program, s)
+	if parsed.metrics != "" {
+		s.Metrics = parsed.metrics
+	}
+	logs.Setup(p.Name, s)
 	defer logs.Flush()
 	go rereadSettings(received.reload, s.File)
-	return exitCode(run(ctx, s))
+	return exitCode(p.Run(ctx, s))
 }
 
 // exitCode logs why the daemon ends and returns its exit code.
@@ -86,13 +95,13 @@
 }
 
 // parse parses the arguments. It has printed the error that it returns.
-func parse(program, purpose string, args []string) (parsed arguments, err error) {
-	flags := flag.NewFlagSet(program, flag.ContinueOnError)
+func (p Program) parse(args []string) (parsed arguments, err error) {
+	flags := flag.NewFlagSet(p.Name, flag.ContinueOnError)
 	flags.StringVar(&parsed.check, "check", "", "read this settings `file`, say what is wrong with it and end")
 	flags.StringVar(&parsed.metrics, "metrics", "", "tell the process's own figures at `PORT/PATH`, as in 9464/metrics")
 	flags.Usage = func() {
 		fmt.Fprintf(flags.Output(), "%s %s, as the settings file named by %s says.\n\n  %s\n  %s --check /etc/willowsill/local.toml\n  %s --metrics 9464/metrics\n\n",
-			program, purpose, settings.FileVariable, program, program, program)
+			p.Name, p.Purpose, settings.FileVariable, p.Name, p.Name, p.Name)
 		flags.PrintDefaults()
 	}
 	if err := flags.Parse(args); err != nil {
@@ -106,18 +115,25 @@
 	return parsed, err
 }
 
+// read reads a settings file and checks that it has what the program requires.
+func (p Program) read(file string) (settings.Settings, error) {
+	s, err := settings.Read(file)
+	if err == nil {
+		err = s.Require(p.Required)
+	}
+	return s, err
+}
+
 // awaitSettings reads the settings. It waits for a while for a file that is missing or invalid.
 //
-// Danger: the platform may write the file while a process starts, and half of a file is an invalid one.
-func awaitSettings(ctx context.Context, parsed arguments) (s settings.Settings, err error) {
+// Danger: the platform may write the file while a process starts. Half of a file is invalid, or valid without what the program
+// requires.
+func (p Program) awaitSettings(ctx context.Context, file string) (s settings.Settings, err error) {
 	logWait := func(err error) { fmt.Fprintln(os.Stderr, "the settings are read again:", err) }
 	err = retry.Do(ctx, transient.ReadSettings, logWait, func() (err error) {
-		s, err = settings.FromEnvironment(os.Getenv)
+		s, err = p.read(file)
 		return err
 	})
-	if parsed.metrics != "" {
-		s.Metrics = parsed.metrics
-	}
 	return s, err
 }
 
--- a/transport/daemon/daemon_test.go
+++ b/transport/daemon/daemon_test.go
@@ -28,11 +28,12 @@
 ip = "127.0.0.1"
 zone = "z"
 internal-ports = [9100, 9110]
+data-dir = "/data"
 `
 
 func TestMain(m *testing.M) {
 	if os.Getenv(childVariable) != "" {
-		os.Exit(Run("test", "leaves slowly", nil, drainSlowly))
+		os.Exit(Run(Program{Name: "test", Purpose: "leaves slowly", Required: []settings.Key{settings.KeyDataDir}, Run: drainSlowly}, nil))
 	}
 	os.Exit(m.Run())
 }
@@ -181,7 +182,8 @@
 // TestSettingsBeingWritten (FAULT): a daemon that starts while the platform writes its settings file reads it again until it is
 // whole.
 func TestSettingsBeingWritten(t *testing.T) {
-	for name, text := range map[string]string{"missing": "", "empty": " ", "half": validSettings[:len(validSettings)-5]} {
+	for name, text := range map[string]string{"missing": "", "empty": " ", "half": validSettings[:len(validSettings)/2],
+		"without a line": strings.Replace(validSettings, "data-dir = \"/data\"\n", "", 1)} {
 		t.Run(name, func(t *testing.T) {
 			file := filepath.Join(t.TempDir(), "local.toml")
 			if text != "" {
@@ -215,9 +217,10 @@
 		return nil
 	}
 	t.Setenv(settings.FileVariable, settingsFile(t))
-	must.Zero(t, Run("test", "notes", []string{"--metrics", "9464/metrics"}, record))
+	program := Program{Name: "test", Purpose: "notes", Run: record}
+	must.Zero(t, Run(program, []string{"--metrics", "9464/metrics"}))
 	must.Eq(t, "9464/metrics", endpoint)
-	must.Zero(t, Run("test", "notes", nil, record))
+	must.Zero(t, Run(program, nil))
 	must.Eq(t, "", endpoint)
-	must.Eq(t, 2, Run("test", "notes", []string{"--metrics", "metrics"}, record))
+	must.Eq(t, 2, Run(program, []string{"--metrics", "metrics"}))
 }
