--- a/transport/controlserver/statefile_test.go
+++ b/transport/controlserver/statefile_test.go
@@ -66,3 +66,14 @@
 	_, err := openState(t.Context(), "", func(error) { t.Error("it waits") })
 	must.ErrorContains(t, err, "data-dir")
 }
+
+// TestMissingFolder (FAULT): a data folder that is missing is made, and counts as the empty disk of a first start.
+func TestMissingFolder(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "disk", "data")
+	opened, err := openState(t.Context(), dir, func(error) { t.Error("it waits") })
+	must.NoError(t, err)
+	must.False(t, opened.damaged)
+	must.Nil(t, opened.found.State)
+	must.NoError(t, opened.store.Save(controller.Save{}))
+	must.NoError(t, opened.store.Close())
+}
