register: a joining disk takes no answer that was meant for the proposer

Answers omit the body where the proposer holds it. The joiner of the same process made its ballots of the same name and number, took such an answer for its own, and the disk counted without the configuration. The controllers give both the same name and hand each answer to both, so the programs can come there after a disk is emptied: LOST, CONFIG.

The joiner's ballots have a name of their own. highestAccepted takes names in order, so a play of a seed is the same each time.

--- a/decide/register/proposer.go
+++ b/decide/register/proposer.go
@@ -249,7 +249,8 @@
 // highestAccepted returns the state accepted under the highest ballot. A state without members, as a new machine has, gives
 // way to any other.
 func highestAccepted(states map[string]State) (best State) {
-	for _, s := range states {
+	for _, name := range slices.Sorted(maps.Keys(states)) {
+		s := states[name]
 		if s.Accepted.Compare(best.Accepted) > 0 || len(best.Value.Members) == 0 {
 			best = s
 		}
@@ -435,9 +436,16 @@
 	answers map[string]State
 }
 
-// NewJoiner returns a joiner for the member self. name must be new in each incarnation of the process, as for a proposer.
+// joinerSuffix tells the ballots of a process's joiner from those of its proposer.
+const joinerSuffix = "/joiner"
+
+// NewJoiner returns a joiner for the member self. name must be new in each incarnation of the process, as for a proposer; the two may
+// have the same name.
+//
+// Danger: if a joiner and a proposer had the same ballots, the joiner would take answers to the proposer for its own. These may omit the
+// body that the proposer holds, and the disk would count without it. Another round would then commit the value without its body.
 func NewJoiner(self, name string) *Joiner {
-	return &Joiner{self, Ballot{1, name}, map[string]State{}}
+	return &Joiner{self, Ballot{1, name + joinerSuffix}, map[string]State{}}
 }
 
 // Request returns the Prepare that goes to the other members.
--- a/lab/rules/all.go
+++ b/lab/rules/all.go
@@ -273,6 +273,8 @@
 		mutation("transport/daemon", "TestSettingsBeingWritten", edit(transientFile, "passes: func(Failure) bool { return true }", "passes: passing()"))},
 	{"Fault: rounds", "a controller's rounds follow one another without end, and none of its edits is ever reported", "an edit whose change is committed is not applied again", files(proposerFile), scenarios("replace_core", "roll_term"),
 		mutation("decide/register", "TestOppositeChangesOfMembersEnd", edit(proposerFile, "		p.markCommitted()\n", ""))},
+	{"LOST: joining disks", "a disk that comes back empty takes an answer that omits the body, and counts without the configuration", "the ballots of a process's joiner differ from those of its proposer", files(proposerFile), scenarios("wipe_after_ack", "after_ack_wipe", "replace_core"),
+		mutation("decide/register", "TestJoinerTakesNoAnswerToTheProposer", edit(proposerFile, "name + joinerSuffix", "name"))},
 	{"LOST: disks that refuse", "a controller takes a disk that refuses for a moment for an empty one, and removes what was acknowledged", "only content that cannot be read is removed; errors of the system are waited for", files(statefileFile, transientFile), scenarios("disk_full", "disk_stall"),
 		mutation("transport/controlserver", "TestPassingDiskErrorKeepsTheState", edit(statefileFile, "if !errors.Is(err, statestore.ErrDamaged) {", "if err == nil || errors.Is(err, statestore.ErrNewerFormat) {"))},
 	{"LOST: compaction", "saves go to a file that the compacted one has replaced", "a store whose new file cannot be opened is given up and opened again", files(statestoreFile), scenarios("disk_full", "config_storm"),
