Known red: programs stand still where nobody reads their log

A fourth hypothesis of the incident FAULT: logs go to standard error as they come, and a pipe takes 64 KB while nobody reads it. That a reader goes away had been tried; that it stays and does not read had not.

Which addresses a role listens on, how one is held and how a daemon is started stood twice, in lab/rehearsal and lab/startsoak; they stand once now (localsettings.Listeners, rehearsal.DaemonCommand). The rows of TestPortsStillHeldAtStart are the same eleven.

--- a/cmd/willowsill/signals_test.go
+++ b/cmd/willowsill/signals_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"willowsill/internal/fullpipe"
 )
 
 // childVariable is an environment variable that makes the test binary run the program as the platform starts it.
@@ -26,22 +28,33 @@
 	os.Exit(m.Run())
 }
 
-// startChild starts the program with a discovery address that does not answer, and waits until it serves.
-func startChild(t *testing.T) (process *exec.Cmd, stderr io.ReadCloser) {
+// freeAddress returns an address that nobody listens on.
+func freeAddress(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	must.NoError(t, err)
-	address := l.Addr().String()
-	must.NoError(t, l.Close())
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// startChild starts the program with a discovery address that does not answer, and waits until it serves.
+func startChild(t *testing.T) (process *exec.Cmd, stderr io.ReadCloser) {
+	address := freeAddress(t)
 	process, stderr = launchChild(t, address)
 	waitServing(t, address)
 	return process, stderr
 }
 
-// launchChild starts the program with an address for its clients and a discovery address that does not answer.
-func launchChild(t *testing.T, address string) (process *exec.Cmd, stderr io.ReadCloser) {
-	process = exec.Command(os.Args[0])
+// newChild returns the program, to be started, with an address for its clients and a discovery address that does not answer.
+func newChild(address string) *exec.Cmd {
+	process := exec.Command(os.Args[0])
 	process.Env = append(os.Environ(), childVariable+"=1", "NODE_NAME=n0", "NODE_LISTEN="+address, "NODE_DISCOVERY=127.0.0.1:1",
 		"NODE_CONFIG=../../examples/config.json", "GORACE=atexit_sleep_ms=0")
+	return process
+}
+
+// launchChild starts the program with an address for its clients and a discovery address that does not answer.
+func launchChild(t *testing.T, address string) (process *exec.Cmd, stderr io.ReadCloser) {
+	process = newChild(address)
 	stderr, err := process.StderrPipe()
 	must.NoError(t, err)
 	must.NoError(t, process.Start())
@@ -110,3 +123,16 @@
 	must.NoError(t, process.Process.Signal(syscall.SIGTERM))
 	must.NoError(t, process.Wait())
 }
+
+// TestServesThoughNobodyReadsItsLog (FAULT): a program whose log nobody reads serves and ends in order. It stood still.
+func TestServesThoughNobodyReadsItsLog(t *testing.T) {
+	address := freeAddress(t)
+	process := newChild(address)
+	process.Stderr = fullpipe.New(t)
+	must.NoError(t, process.Start())
+	timeout := time.AfterFunc(20*time.Second, func() { process.Process.Kill() })
+	defer timeout.Stop()
+	waitServing(t, address)
+	must.NoError(t, process.Process.Signal(syscall.SIGTERM))
+	must.NoError(t, process.Wait())
+}
--- a/lab/localsettings/localsettings.go
+++ b/lab/localsettings/localsettings.go
@@ -11,9 +11,10 @@
 	"time"
 )
 
-// Roles that have settings of their own.
+// The roles of daemons.
 const (
 	roleController = "controller"
+	roleAgent      = "agent"
 	roleProxy      = "proxy"
 )
 
--- a/lab/rehearsal/rehearsal.go
+++ b/lab/rehearsal/rehearsal.go
@@ -19,7 +19,6 @@
 	"text/tabwriter"
 	"time"
 
-	"willowsill/deployment/settings"
 	"willowsill/front/proxyserver"
 	"willowsill/lab/localsettings"
 	"willowsill/standin/systemreplica"
@@ -162,8 +161,7 @@
 		return err
 	}
 	defer log.Close()
-	c := exec.Command(d.exe)
-	c.Env = append(os.Environ(), RoleVariable+"="+role, settings.FileVariable+"="+file)
+	c := DaemonCommand(d.exe, role, file, 0)
 	c.Stdout, c.Stderr = log, log
 	if err := c.Start(); err != nil {
 		return err
--- a/lab/rehearsal/startup_test.go
+++ b/lab/rehearsal/startup_test.go
@@ -4,8 +4,8 @@
 	"bufio"
 	"context"
 	"fmt"
-	"io"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -15,9 +15,12 @@
 
 	"github.com/shoenig/test/must"
 
-	"willowsill/deployment/settings"
+	"willowsill/front/proxyserver"
+	"willowsill/internal/fullpipe"
 	"willowsill/lab/localsettings"
+	"willowsill/transport/agentserver"
 	"willowsill/transport/controlclient"
+	"willowsill/transport/controlserver"
 )
 
 // startupPorts are the ports of the daemons of these tests. Their metrics have the port after the last one of them.
@@ -35,8 +38,9 @@
 	logs    *bufio.Scanner
 }
 
-// startDaemon starts the daemon of a role with its settings in a folder. A limit on its descriptors above 0 applies from its start.
-func startDaemon(t *testing.T, role, ip, dir string, descriptors int) *daemonProcess {
+// newDaemon returns the daemon of a role with its settings in a folder, to be started. A limit on its descriptors above 0 applies from
+// its start.
+func newDaemon(t *testing.T, role, ip, dir string, descriptors int) *daemonProcess {
 	file := filepath.Join(dir, "local.toml")
 	must.NoError(t, startupPorts.Write(file, localsettings.Daemon{Role: role, IP: ip, Zone: "hall", SeedNodes: []string{startupPorts.Control(ip)},
 		Heartbeat: heartbeat, DataDir: dir, GraceS: 2}))
@@ -44,21 +48,27 @@
 	must.NoError(t, err)
 	metrics := fmt.Sprintf("metrics = \"%d/metrics\"\n", startupMetrics)
 	must.NoError(t, os.WriteFile(file, append([]byte(metrics), text...), 0o600))
-	d := &daemonProcess{t: t, process: exec.Command(os.Args[0])}
-	if descriptors > 0 {
-		d.process = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec %q", descriptors, os.Args[0]))
-	}
-	d.process.Env = append(os.Environ(), RoleVariable+"="+role, settings.FileVariable+"="+file)
-	logs, err := d.process.StderrPipe()
-	must.NoError(t, err)
-	d.logs = bufio.NewScanner(logs)
-	must.NoError(t, d.process.Start())
+	return &daemonProcess{t: t, process: DaemonCommand(os.Args[0], role, file, descriptors)}
+}
+
+// start starts the daemon and kills it at the end of the test, or after startupTimeout.
+func (d *daemonProcess) start() {
+	must.NoError(d.t, d.process.Start())
 	timeout := time.AfterFunc(startupTimeout, func() { d.process.Process.Kill() })
-	t.Cleanup(func() {
+	d.t.Cleanup(func() {
 		timeout.Stop()
 		d.process.Process.Kill()
 		d.process.Wait()
 	})
+}
+
+// startDaemon starts the daemon of a role, whose log the test reads.
+func startDaemon(t *testing.T, role, ip, dir string, descriptors int) *daemonProcess {
+	d := newDaemon(t, role, ip, dir, descriptors)
+	logs, err := d.process.StderrPipe()
+	must.NoError(t, err)
+	d.logs = bufio.NewScanner(logs)
+	d.start()
 	return d
 }
 
@@ -76,50 +86,40 @@
 	return false
 }
 
-// hold listens at an address.
-func hold(network, address string) (io.Closer, error) {
-	if network == "udp" {
-		return net.ListenPacket(network, address)
-	}
-	return net.Listen(network, address)
-}
+// metricsAddress returns the address of a daemon's metrics.
+func metricsAddress(ip string) string { return net.JoinHostPort(ip, fmt.Sprint(int(startupMetrics))) }
+
+// daemonRoles are the roles of daemons.
+var daemonRoles = []string{controlserver.Program.Name, agentserver.Program.Name, proxyserver.Program.Name}
 
 // TestPortsStillHeldAtStart (FAULT): whichever of its ports is still held when a program starts, it waits for the port and then
 // listens on it. No program ends.
 func TestPortsStillHeldAtStart(t *testing.T) {
-	internal := func(port int) func(string) string {
-		return func(ip string) string {
-			return net.JoinHostPort(ip, fmt.Sprint(startupPorts.Internal()[0]+port))
+	type row struct {
+		role     string
+		listener localsettings.Listener
+	}
+	var rows []row
+	nextIP := func() string { return fmt.Sprintf("127.0.7.%d", len(rows)+1) }
+	for _, role := range daemonRoles {
+		for i := range startupPorts.Listeners(role, "") {
+			rows = append(rows, row{role, startupPorts.Listeners(role, nextIP())[i]})
 		}
+		rows = append(rows, row{role, localsettings.Listener{Name: "metrics", Network: "tcp", Address: metricsAddress(nextIP())}})
 	}
-	metrics := func(ip string) string { return net.JoinHostPort(ip, fmt.Sprint(int(startupMetrics))) }
-	for i, c := range []struct {
-		role, name, network string
-		address             func(ip string) string
-	}{
-		{"controller", "controllers", "tcp", internal(settings.PortControllers)},
-		{"controller", "watches", "tcp", internal(settings.PortWatch)},
-		{"controller", "calls", "tcp", startupPorts.Control},
-		{"controller", "metrics", "tcp", metrics},
-		{"agent", "its proxy", "tcp", internal(settings.PortAgent)},
-		{"agent", "watches", "tcp", internal(settings.PortWatch)},
-		{"agent", "heartbeats", "udp", internal(settings.PortHeartbeats)},
-		{"agent", "metrics", "tcp", metrics},
-		{"proxy", "clients", "tcp", startupPorts.Front},
-		{"proxy", "readiness", "tcp", startupPorts.Readiness},
-		{"proxy", "metrics", "tcp", metrics},
-	} {
-		t.Run(c.role+" "+c.name, func(t *testing.T) {
-			ip := fmt.Sprintf("127.0.7.%d", i+1)
-			held, err := hold(c.network, c.address(ip))
+	must.SliceLen(t, 11, rows)
+	for _, c := range rows {
+		t.Run(c.role+" "+c.listener.Name, func(t *testing.T) {
+			ip, _, _ := net.SplitHostPort(c.listener.Address)
+			held, err := c.listener.Hold()
 			must.NoError(t, err)
 			d := startDaemon(t, c.role, ip, t.TempDir(), 0)
-			if !d.readLogUntil("waiting for an address to listen on", c.address(ip)) {
+			if !d.readLogUntil("waiting for an address to listen on", c.listener.Address) {
 				t.Fatalf("the program ended: %v", d.process.Wait())
 			}
 			must.NoError(t, held.Close())
 			for {
-				held, err := hold(c.network, c.address(ip))
+				held, err := c.listener.Hold()
 				if err != nil {
 					break // the program has it
 				}
@@ -132,6 +132,37 @@
 	}
 }
 
+// configuration returns a configuration without routes that has this revision.
+func configuration(revision int) []byte {
+	return fmt.Appendf(nil, `{"revision":%d,"routes":[],"services":[],"limits":{}}`, revision)
+}
+
+// TestTwoProcessesOfOneStateFolder (FAULT, LOST): a controller that starts while an earlier process of its machine still runs leaves
+// the state file alone until that one has ended, and then serves what the earlier one acknowledged last.
+func TestTwoProcessesOfOneStateFolder(t *testing.T) {
+	const ip = "127.0.7.101"
+	dir := t.TempDir()
+	ctx, cancel := context.WithTimeout(t.Context(), startupTimeout)
+	defer cancel()
+	client := &controlclient.Client{Addresses: []string{startupPorts.Control(ip)}}
+	first := startDaemon(t, "controller", ip, dir, 0)
+	go first.readLogUntil("a line that never comes")
+	must.NoError(t, client.SendConfiguration(ctx, configuration(1)))
+	second := startDaemon(t, "controller", ip, dir, 0)
+	must.True(t, second.readLogUntil("waiting for an address to listen on", "internal-ports"))
+	go second.readLogUntil("a line that never comes")
+	must.NoError(t, client.SendConfiguration(ctx, configuration(2)))
+	must.NoError(t, first.process.Process.Kill())
+	first.process.Wait()
+	var read []byte
+	for read == nil {
+		must.NoError(t, ctx.Err())
+		read, _ = client.ReadConfiguration(ctx)
+		time.Sleep(startupPollTime)
+	}
+	must.Eq(t, string(configuration(2)), string(read))
+}
+
 // TestStateOutlastsAShortageOfDescriptors (FAULT, LOST): a controller that cannot open its state file for want of descriptors
 // waits, and leaves the file as it is.
 func TestStateOutlastsAShortageOfDescriptors(t *testing.T) {
@@ -142,7 +173,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), startupTimeout)
 	defer cancel()
 	client := &controlclient.Client{Addresses: []string{startupPorts.Control(ip)}}
-	must.NoError(t, client.SendConfiguration(ctx, []byte(`{"revision":1,"routes":[],"services":[],"limits":{}}`)))
+	must.NoError(t, client.SendConfiguration(ctx, configuration(1)))
 	must.NoError(t, first.process.Process.Kill())
 	first.process.Wait()
 	file := filepath.Join(dir, "register.db")
@@ -158,3 +189,43 @@
 		must.True(t, strings.HasPrefix(string(after), string(before)))
 	}
 }
+
+// TestServesThoughNobodyReadsItsLog (FAULT): a program whose log nobody reads starts, serves and ends in order. It stood still at its
+// first line.
+func TestServesThoughNobodyReadsItsLog(t *testing.T) {
+	for i, role := range daemonRoles {
+		t.Run(role, func(t *testing.T) {
+			ip := fmt.Sprintf("127.0.7.%d", 110+i)
+			d := newDaemon(t, role, ip, t.TempDir(), 0)
+			d.process.Stderr = fullpipe.New(t)
+			d.start()
+			ctx, cancel := context.WithTimeout(t.Context(), startupTimeout/2)
+			defer cancel()
+			must.NoError(t, awaitMetrics(ctx, ip))
+			if role == controlserver.Program.Name {
+				client := &controlclient.Client{Addresses: []string{startupPorts.Control(ip)}}
+				must.NoError(t, client.SendConfiguration(ctx, configuration(1)))
+			}
+			must.NoError(t, d.process.Process.Signal(os.Interrupt))
+			must.NoError(t, d.process.Wait())
+		})
+	}
+}
+
+// awaitMetrics waits until a daemon serves its metrics.
+func awaitMetrics(ctx context.Context, ip string) error {
+	for {
+		request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+metricsAddress(ip)+"/metrics", nil)
+		if err != nil {
+			return err
+		}
+		response, err := http.DefaultClient.Do(request)
+		if err == nil {
+			return response.Body.Close()
+		}
+		if ctx.Err() != nil {
+			return err
+		}
+		time.Sleep(startupPollTime)
+	}
+}
--- a/lab/startsoak/daemon.go
+++ b/lab/startsoak/daemon.go
@@ -10,7 +10,6 @@
 	"syscall"
 	"time"
 
-	"willowsill/deployment/settings"
 	"willowsill/lab/localsettings"
 	"willowsill/lab/rehearsal"
 )
@@ -69,11 +68,7 @@
 	}
 	defer log.Close()
 	d.descriptors = descriptors
-	d.process = exec.Command(program)
-	if descriptors > 0 {
-		d.process = exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d; exec %q", descriptors, program))
-	}
-	d.process.Env = append(os.Environ(), rehearsal.RoleVariable+"="+d.role, settings.FileVariable+"="+d.settingsFile())
+	d.process = rehearsal.DaemonCommand(program, d.role, d.settingsFile(), descriptors)
 	d.process.Stdout, d.process.Stderr = log, log
 	if err := d.process.Start(); err != nil {
 		return err
--- a/lab/startsoak/trouble.go
+++ b/lab/startsoak/trouble.go
@@ -3,12 +3,9 @@
 import (
 	"bytes"
 	"fmt"
-	"io"
 	"math/rand/v2"
-	"net"
 	"os"
 
-	"willowsill/deployment/settings"
 	"willowsill/lab/localsettings"
 )
 
@@ -35,35 +32,10 @@
 
 func calm(*daemon, *rand.Rand) (trouble, error) { return trouble{end: func() {}}, nil }
 
-// listenAddress is an address on which a role listens.
-type listenAddress struct{ network, address string }
-
-// addressesOf returns the addresses on which a daemon listens.
-func addressesOf(d *daemon) []listenAddress {
-	internal := func(port int) string {
-		return net.JoinHostPort(d.ip, fmt.Sprint(d.ports.Internal()[0]+port))
-	}
-	switch d.role {
-	case controllerRole:
-		return []listenAddress{{"tcp", internal(settings.PortControllers)}, {"tcp", internal(settings.PortWatch)}, {"tcp", d.ports.Control(d.ip)}}
-	case agentRole:
-		return []listenAddress{{"tcp", internal(settings.PortAgent)}, {"tcp", internal(settings.PortWatch)}, {"udp", internal(settings.PortHeartbeats)}}
-	default:
-		return []listenAddress{{"tcp", d.ports.Front(d.ip)}, {"tcp", d.ports.Readiness(d.ip)}}
-	}
-}
-
 // holdPort listens on one of the daemon's addresses, as a process that is slow to end.
 func holdPort(d *daemon, random *rand.Rand) (trouble, error) {
-	addresses := addressesOf(d)
-	chosen := addresses[random.IntN(len(addresses))]
-	var held io.Closer
-	var err error
-	if chosen.network == "udp" {
-		held, err = net.ListenPacket(chosen.network, chosen.address)
-	} else {
-		held, err = net.Listen(chosen.network, chosen.address)
-	}
+	listeners := d.ports.Listeners(d.role, d.ip)
+	held, err := listeners[random.IntN(len(listeners))].Hold()
 	if err != nil {
 		return trouble{}, err
 	}
