A program whose log nobody reads goes on

What callers saw: once a pipe with 64 KB of unread lines was full, the next line stood until the reader went on, and with it whoever logged: a controller that started never served, agents, proxies and willowsill served until they logged the next line, and did not end at SIGTERM. Logs were written to standard error by the caller (klog), or under a lock that all callers take (zap's buffered writer).

transport/logwriter queues up to 256 KB of lines and writes them in a goroutine that exists while there are any; further lines are dropped and counted in a line of their own; the end of a program waits half a second for the rest. Both kinds of program use it, from before they read their settings. A library was looked at (rs/zerolog/diode): it bounds lines and not bytes, and its Close waits for the file without a limit.

--- a/cmd/willowsill/main.go
+++ b/cmd/willowsill/main.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"net"
 	"net/http"
@@ -27,6 +28,7 @@
 	"willowsill/node"
 	"willowsill/transport/discovery"
 	"willowsill/transport/listen"
+	"willowsill/transport/logwriter"
 	"willowsill/transport/replica"
 	"willowsill/transport/retry"
 	"willowsill/transport/sockets"
@@ -59,21 +61,19 @@
 	stop, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	cancelOnSignal(cancel)
-	start, settings, err := awaitConfiguration(stop, script)
+	out := logwriter.New(os.Stderr, missingLines)
+	defer out.Sync()
+	start, settings, err := awaitConfiguration(stop, script, out)
 	if errors.Is(err, context.Canceled) {
 		return 0
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, "willowsill:", err)
+		fmt.Fprintln(out, "willowsill:", err)
 		return 2
 	}
 	runtime.GOMAXPROCS(max(int(math.Ceil(start.Cores)), 1))
 	debug.SetMemoryLimit(int64(heapShare * float64(start.MemoryBytes)))
-	out := &zapcore.BufferedWriteSyncer{WS: zapcore.Lock(os.Stderr), FlushInterval: time.Second}
-	log := zap.New(zapcore.NewSamplerWithOptions(
-		zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), out, zap.InfoLevel),
-		logSampleInterval, logSampleFirst, logSampleThereafter)).With(zap.String("aggregator", start.Name))
-	defer out.Stop()
+	log := newLog(out).With(zap.String("aggregator", start.Name))
 	listener, err := listen.TCP(stop, listenLog(log), listen.Endpoint{Setting: "variable NODE_LISTEN", Address: start.Listen})
 	if err == nil {
 		// TCP keep-alive is off: it would not notice a machine that vanished, and every part has its own timeout.
@@ -90,10 +90,27 @@
 	return 0
 }
 
+// newLog returns a log of JSON lines, of which the frequent ones are sampled.
+func newLog(out zapcore.WriteSyncer) *zap.Logger {
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()), out, zap.InfoLevel)
+	return zap.New(zapcore.NewSamplerWithOptions(core, logSampleInterval, logSampleFirst, logSampleThereafter))
+}
+
+// missingLines returns the line that stands in the log for lines that nobody has read in time.
+func missingLines(dropped int) []byte {
+	line, err := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig()).EncodeEntry(
+		zapcore.Entry{Level: zap.WarnLevel, Time: time.Now(), Message: "lines of the log are missing, since nobody has read it"},
+		[]zapcore.Field{zap.Int("dropped", dropped)})
+	if err != nil {
+		return nil
+	}
+	return line.Bytes()
+}
+
 // awaitConfiguration reads the configuration from the environment and, unless empty, the operator's script. It waits for a while
-// for a file that is missing or invalid, as somebody may be writing it.
-func awaitConfiguration(stop context.Context, script string) (start deployment.Config, settings *operator.Settings, err error) {
-	logWait := func(err error) { fmt.Fprintln(os.Stderr, "willowsill: the configuration is read again:", err) }
+// for a file that is missing or invalid, as somebody may be writing it, and says so in the log.
+func awaitConfiguration(stop context.Context, script string, log io.Writer) (start deployment.Config, settings *operator.Settings, err error) {
+	logWait := func(err error) { fmt.Fprintln(log, "willowsill: the configuration is read again:", err) }
 	err = retry.Do(stop, transient.ReadSettings, logWait, func() (err error) {
 		settings = &operator.Settings{}
 		if start, err = deployment.FromEnvironment(os.Getenv); err == nil && script != "" {
--- a/lab/rules/all.go
+++ b/lab/rules/all.go
@@ -273,6 +273,8 @@
 		mutation("transport/daemon", "TestSettingsBeingWritten", edit(transientFile, "passes: func(Failure) bool { return true }", "passes: passing()"))},
 	{"Fault: rounds", "a controller's rounds follow one another without end, and none of its edits is ever reported", "an edit whose change is committed is not applied again", files(proposerFile), scenarios("replace_core", "roll_term"),
 		mutation("decide/register", "TestOppositeChangesOfMembersEnd", edit(proposerFile, "		p.markCommitted()\n", ""))},
+	{"Fault: unread logs", "a program stands still because nobody reads its log", "lines are queued up to a bound and written by a goroutine of their own; further ones are dropped and counted", files("transport/logwriter/logwriter.go"), scenarios("any"),
+		mutation("transport/logwriter", "TestFullFileHoldsNobodyUp", edit("transport/logwriter/logwriter.go", "	if len(w.queued)+len(line) > maxQueuedBytes {\n", "	if len(line) > maxQueuedBytes {\n"))},
 	{"LOST: joining disks", "a disk that comes back empty takes an answer that omits the body, and counts without the configuration", "the ballots of a process's joiner differ from those of its proposer", files(proposerFile), scenarios("wipe_after_ack", "after_ack_wipe", "replace_core"),
 		mutation("decide/register", "TestJoinerTakesNoAnswerToTheProposer", edit(proposerFile, "name + joinerSuffix", "name"))},
 	{"LOST: disks that refuse", "a controller takes a disk that refuses for a moment for an empty one, and removes what was acknowledged", "only content that cannot be read is removed; errors of the system are waited for", files(statefileFile, transientFile), scenarios("disk_full", "disk_stall"),
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -7,6 +7,7 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
@@ -63,19 +64,20 @@
 		}
 		return exitStopped
 	}
-	s, err := p.awaitSettings(ctx, settings.FileName(os.Getenv))
+	log := logs.Open()
+	defer log.Sync()
+	s, err := p.awaitSettings(ctx, settings.FileName(os.Getenv), log)
 	if errors.Is(err, context.Canceled) {
 		return exitStopped
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		fmt.Fprintln(log, err)
 		return exitSettings
 	}
 	if parsed.metrics != "" {
 		s.Metrics = parsed.metrics
 	}
-	logs.Setup(p.Name, s)
-	defer logs.Flush()
+	logs.Setup(log, p.Name, s)
 	go rereadSettings(received.reload, s.File)
 	return exitCode(p.Run(ctx, s))
 }
@@ -124,12 +126,12 @@
 	return s, err
 }
 
-// awaitSettings reads the settings. It waits for a while for a file that is missing or invalid.
+// awaitSettings reads the settings. It waits for a while for a file that is missing or invalid, and says so in the log.
 //
 // Danger: the platform may write the file while a process starts. Half of a file is invalid, or valid without what the program
 // requires.
-func (p Program) awaitSettings(ctx context.Context, file string) (s settings.Settings, err error) {
-	logWait := func(err error) { fmt.Fprintln(os.Stderr, "the settings are read again:", err) }
+func (p Program) awaitSettings(ctx context.Context, file string, log io.Writer) (s settings.Settings, err error) {
+	logWait := func(err error) { fmt.Fprintln(log, "the settings are read again:", err) }
 	err = retry.Do(ctx, transient.ReadSettings, logWait, func() (err error) {
 		s, err = p.read(file)
 		return err
--- a/transport/logs/logs.go
+++ b/transport/logs/logs.go
@@ -3,6 +3,8 @@
 package logs
 
 import (
+	"bytes"
+	"io"
 	"log/slog"
 	"os"
 	"runtime/debug"
@@ -10,6 +12,7 @@
 	"k8s.io/klog/v2"
 
 	"willowsill/deployment/settings"
+	"willowsill/transport/logwriter"
 )
 
 const (
@@ -17,19 +20,29 @@
 	bytesPerMB           = 1 << 20
 )
 
-// Setup configures the logs of a program, and the garbage collector's soft memory limit.
-func Setup(program string, s settings.Settings) {
-	h := slog.NewJSONHandler(os.Stderr, &slog.HandlerOptions{ReplaceAttr: func(groups []string, a slog.Attr) slog.Attr {
+// Open returns a writer to standard error for a program's log.
+func Open() *logwriter.Writer {
+	return logwriter.New(os.Stderr, func(dropped int) []byte {
+		var line bytes.Buffer
+		slog.New(handler(&line)).Warn("lines of the log are missing, since nobody has read it", "dropped", dropped)
+		return line.Bytes()
+	})
+}
+
+// handler returns the handler that formats lines.
+func handler(to io.Writer) slog.Handler {
+	return slog.NewJSONHandler(to, &slog.HandlerOptions{ReplaceAttr: func(groups []string, a slog.Attr) slog.Attr {
 		if len(groups) == 0 && a.Key == slog.SourceKey {
 			return slog.Attr{}
 		}
 		return a
 	}})
-	klog.SetSlogLogger(slog.New(h).With("program", program, "node", s.Name))
+}
+
+// Setup configures the logs of a program, and the garbage collector's soft memory limit.
+func Setup(to io.Writer, program string, s settings.Settings) {
+	klog.SetSlogLogger(slog.New(handler(to)).With("program", program, "node", s.Name))
 	if s.Limits.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(softMemoryLimitShare * bytesPerMB * s.Limits.MemoryMB))
 	}
 }
-
-// Flush writes buffered log lines; a program calls it before it exits.
-func Flush() { klog.Flush() }
