--- a/lab/localsettings/localsettings.go
+++ b/lab/localsettings/localsettings.go
@@ -52,6 +52,8 @@
 	DataDir        string // folder for saved state; only for controllers
 	MemoryMB       int    // memory limit in MB; 0 for none
 	GraceS         int    // seconds between SIGTERM and the end of the process
+	Restarted      bool   // the file is written after the first start of the whole system
+	MachineLosses  int    // controllers that may be lost at once; 0 to leave the fault budget out
 }
 
 // Write writes the settings file of a daemon.
@@ -61,7 +63,7 @@
 	internal := p.Internal()
 	fmt.Fprintf(&b, "internal-ports = [%d, %d]\n", internal[0], internal[1])
 	fmt.Fprintf(&b, "seed-nodes = [%s]\n", quotedList(d.SeedNodes))
-	fmt.Fprintf(&b, "bootstrap = true\nbeat-interval-ms = %d\n", d.Heartbeat.Milliseconds())
+	fmt.Fprintf(&b, "bootstrap = %v\nbeat-interval-ms = %d\n", !d.Restarted, d.Heartbeat.Milliseconds())
 	if d.Role == roleController {
 		fmt.Fprintf(&b, "data-dir = %q\n", d.DataDir)
 	}
@@ -75,6 +77,9 @@
 	if d.MemoryMB > 0 {
 		fmt.Fprintf(&b, "[limits]\nmemory-mb = %d\n", d.MemoryMB)
 	}
+	if d.MachineLosses > 0 {
+		fmt.Fprintf(&b, "[fault-budget]\nmachines = %d\nzones = 0\nregions = 0\n", d.MachineLosses)
+	}
 	fmt.Fprintf(&b, "[bounds]\ngrace-s = %d\nretry-ratio = 0.2\nretry-window-s = 10\nretry-slack = 40\n", d.GraceS)
 	return os.WriteFile(file, []byte(b.String()), 0o600)
 }
--- a/transport/daemon/daemon_test.go
+++ b/transport/daemon/daemon_test.go
@@ -31,6 +31,20 @@
 data-dir = "/data"
 `
 
+// slowStartVariable in the environment makes a child print a line before its main function runs, and wait for a byte of its input.
+const slowStartVariable = "WILLOWSILL_TEST_SLOW_START"
+
+// initialized is set before main runs, like the variables of the packages that a daemon imports.
+var initialized = waitForInput()
+
+func waitForInput() bool {
+	if os.Getenv(slowStartVariable) != "" {
+		fmt.Println("initializing")
+		os.Stdin.Read(make([]byte, 1))
+	}
+	return true
+}
+
 func TestMain(m *testing.M) {
 	if os.Getenv(childVariable) != "" {
 		os.Exit(Run(Program{Name: "test", Purpose: "leaves slowly", Required: []settings.Key{settings.KeyDataDir}, Run: drainSlowly}, nil))
@@ -66,10 +80,11 @@
 	logs    *bufio.Scanner
 }
 
-func startChild(t *testing.T, settingsFile string) *child {
+func startChild(t *testing.T, settingsFile string, environment ...string) *child {
 	c := &child{t: t, process: exec.Command(os.Args[0])}
 	c.process.Env = append(os.Environ(), childVariable+"=1", settings.FileVariable+"="+settingsFile,
 		"GORACE=atexit_sleep_ms=0") // otherwise the race detector waits a second at each exit
+	c.process.Env = append(c.process.Env, environment...)
 	var err error
 	c.input, err = c.process.StdinPipe()
 	must.NoError(t, err)
@@ -159,6 +174,28 @@
 	}
 }
 
+// TestSignalsBeforeMain (FAULT): a signal that comes while the packages of a daemon are initialized does not end it. SIGHUP has it read its
+// settings again, the others stop it in order.
+func TestSignalsBeforeMain(t *testing.T) {
+	must.True(t, initialized)
+	for _, early := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGINT} {
+		t.Run(early.String(), func(t *testing.T) {
+			c := startChild(t, settingsFile(t), slowStartVariable+"=1")
+			c.expect("initializing")
+			c.signal(early)
+			_, err := c.input.Write([]byte("\n"))
+			must.NoError(t, err)
+			c.expect("ready")
+			if early == syscall.SIGHUP {
+				c.expectLog(reloaded)
+				c.signal(syscall.SIGTERM)
+			}
+			c.expect("leaving")
+			c.expectOrderlyEnd()
+		})
+	}
+}
+
 // TestReloadDuringStart: SIGHUP during the first read of the settings does not end the daemon.
 func TestReloadDuringStart(t *testing.T) {
 	fifo := filepath.Join(t.TempDir(), "local.toml")
