--- a/deployment/settings/settings.go
+++ b/deployment/settings/settings.go
@@ -50,7 +50,8 @@
 
 // Limits describe the resources of the process.
 type Limits struct {
-	MemoryMB Figure `toml:"memory-mb"`
+	MemoryMB  Figure `toml:"memory-mb"`
+	CoreCount Figure `toml:"core-count"`
 }
 
 // Bounds are the limits that the platform's rules set.
--- a/transport/daemon/daemon_test.go
+++ b/transport/daemon/daemon_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"syscall"
 	"testing"
@@ -17,8 +18,8 @@
 	"github.com/shoenig/test/must"
 
 	"willowsill/deployment/settings"
-)
 	_ "willowsill/transport/signals/early"
+)
 
 // childVariable in the environment makes the test binary run as a daemon that drains slowly.
 const childVariable = "WILLOWSILL_TEST_DAEMON"
@@ -257,6 +258,19 @@
 	must.NoError(t, c.process.Wait())
 }
 
+// TestCoresOfTheSettings (FAULT): no more threads run Go code at the same time than the settings give cores, however many the host has.
+func TestCoresOfTheSettings(t *testing.T) {
+	before := runtime.GOMAXPROCS(4)
+	defer runtime.GOMAXPROCS(before)
+	for _, row := range []struct {
+		cores settings.Figure
+		want  int
+	}{{0, 4}, {8, 4}, {2.5, 3}, {1, 1}} {
+		applyLimits(settings.Limits{CoreCount: row.cores})
+		must.Eq(t, row.want, runtime.GOMAXPROCS(0))
+	}
+}
+
 // TestMetricsEndpoint: the endpoint for metrics comes from the arguments, or else from the settings. Anything
 // but PORT/PATH ends the start with exit code 2.
 func TestMetricsEndpoint(t *testing.T) {
--- a/transport/logs/logs.go
+++ b/transport/logs/logs.go
@@ -7,7 +7,6 @@
 	"io"
 	"log/slog"
 	"os"
-	"runtime/debug"
 
 	"k8s.io/klog/v2"
 
@@ -15,11 +14,6 @@
 	"willowsill/transport/logwriter"
 )
 
-const (
-	softMemoryLimitShare = 0.6 // share of the memory limit beyond which the garbage collector runs more often
-	bytesPerMB           = 1 << 20
-)
-
 // Open returns a writer to standard error for a program's log.
 func Open() *logwriter.Writer {
 	return logwriter.New(os.Stderr, func(dropped int) []byte {
@@ -39,10 +33,7 @@
 	}})
 }
 
-// Setup configures the logs of a program, and the garbage collector's soft memory limit.
+// Setup configures the logs of a program.
 func Setup(to io.Writer, program string, s settings.Settings) {
 	klog.SetSlogLogger(slog.New(handler(to)).With("program", program, "node", s.Name))
-	if s.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(softMemoryLimitShare * bytesPerMB * s.Limits.MemoryMB))
-	}
 }
