--- a/deployment/settings/settings.go
+++ b/deployment/settings/settings.go
@@ -6,7 +6,6 @@
 	"net"
 	"os"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -98,9 +97,11 @@
 
 // Require returns an error that names the first of the keys that is missing.
 func (s *Settings) Require(keys []Key) error {
-	values := map[Key]string{KeyDataDir: s.DataDir, KeySeedNodes: strings.Join(s.SeedNodes, " "), KeyControl: s.Bind.Control, KeyFront: s.Bind.Front, KeyReadiness: s.Bind.Readiness}
+	// An empty list of seeds is one that the platform had nobody to put into; a controller may still know others from its disk.
+	has := map[Key]bool{KeyDataDir: s.DataDir != "", KeySeedNodes: s.SeedNodes != nil, KeyControl: s.Bind.Control != "", KeyFront: s.Bind.Front != "",
+		KeyReadiness: s.Bind.Readiness != ""}
 	for _, key := range keys {
-		if values[key] == "" {
+		if !has[key] {
 			return ErrSettings.With("key", key).Errorf("%s: %s is missing", s.File, key)
 		}
 	}
--- a/deployment/settings/settings_test.go
+++ b/deployment/settings/settings_test.go
@@ -50,6 +50,28 @@
 	}
 }
 
+// TestNoSeeds (FAULT): a list of seeds may be empty. Without the list the file is not whole.
+func TestNoSeeds(t *testing.T) {
+	const ports = "internal-ports = [7000, 7009]\n"
+	s, err := readText(t, ports+"seed-nodes = []\n")
+	must.NoError(t, err)
+	must.NoError(t, s.Require([]Key{KeySeedNodes}))
+	s, err = readText(t, ports)
+	must.NoError(t, err)
+	must.ErrorContains(t, s.Require([]Key{KeySeedNodes}), "seed-nodes")
+}
+
+// TestFaultBudget: a file without the budget is told from one with a budget of 0.
+func TestFaultBudget(t *testing.T) {
+	const ports = "internal-ports = [7000, 7009]\n"
+	s, err := readText(t, ports)
+	must.NoError(t, err)
+	must.Nil(t, s.FaultBudget)
+	s, err = readText(t, ports+"[fault-budget]\nmachines = 0\nzones = 1.0\n")
+	must.NoError(t, err)
+	must.Eq(t, &FaultBudget{Zones: 1}, s.FaultBudget)
+}
+
 // TestExposureShare: the share that limits rollouts is read, and a value outside 0 to 1 is refused with an error
 // that names the key.
 func TestExposureShare(t *testing.T) {
--- a/transport/agentserver/agentserver.go
+++ b/transport/agentserver/agentserver.go
@@ -110,12 +110,23 @@
 	s.mu.Lock()
 	fleet := s.state.Fleet
 	s.mu.Unlock()
+	if len(fleet.ControlServers()) == 0 {
+		s.readSeeds()
+	}
 	for _, upstream := range relaytree.Feeders(s.settings.IP, s.settings.Zone, fleet, s.settings.SeedIPs(), s.settings.Zones) {
 		addresses = append(addresses, s.settings.InternalAddress(upstream.IP, settings.PortWatch))
 	}
 	return addresses
 }
 
+// readSeeds reads the seeds again: an agent that has reached no controller yet knows no others, and the platform may have written
+// newer ones. A file that cannot be read changes nothing.
+func (s *Server) readSeeds() {
+	if written, err := settings.Read(s.settings.File); err == nil && written.SeedNodes != nil {
+		s.settings.SeedNodes = written.SeedNodes
+	}
+}
+
 // report returns the report to the upstream: this agent, its downstream edges, and the edges that it suspects
 // to have failed.
 func (s *Server) report() watch.Report {
