--- a/decide/controller/callers.go
+++ b/decide/controller/callers.go
@@ -19,7 +19,7 @@
 func (c *Controller) HandleReplicaCall(now int64, id uint64, r registry.Record) Effects {
 	c.now = now
 	if !c.InContact() || c.shuttingDown {
-		c.effects.Answers = append(c.effects.Answers, Answer{Call: id, Status: statusUnavailable, Reason: "not in touch with most controllers"})
+		c.effects.Answers = append(c.effects.Answers, Answer{Call: id, Status: statusUnavailable, Reason: c.unavailableReason("not in touch with most controllers")})
 		return c.takeEffects()
 	}
 	c.applyRecord(r, true)
--- a/decide/controller/controller.go
+++ b/decide/controller/controller.go
@@ -134,7 +134,9 @@
 	fleetUpdateAt     int64 // earliest next list of edges and controllers
 	fleetUpdateDue    bool  // the list may have changed since the last one
 	membershipCheckAt int64
-	registerRead      bool // a read of the register has been started since this process began
+	knownUnsaved      bool  // the joiner knows controllers that were in no save handed out
+	waitLogAt         int64 // earliest next line about what this controller waits for
+	registerRead      bool  // a read of the register has been started since this process began
 	shuttingDown      bool
 	inContact         bool // InContact as of the last Tick
 	effects           Effects
@@ -158,7 +160,8 @@
 		c.disk = register.Acceptor{State: register.State{Value: register.Value{Members: seeds}}, CaughtUp: true}
 		c.dirty = true
 	default:
-		c.joiner = register.NewJoiner(options.IP, options.IP+"/"+options.Incarnation)
+		c.joiner = register.NewJoiner(options.IP, options.IP+"/"+options.Incarnation, slices.Concat(seeds, options.KnownControllers))
+		c.knownUnsaved = len(c.joiner.Known()) > len(options.KnownControllers)
 	}
 	known := c.disk.Value
 	if len(known.Members) == 0 {
@@ -227,18 +230,8 @@
 
 // takeEffects ends each exported call: it adds a save if one is due and returns the collected effects.
 func (c *Controller) takeEffects() Effects {
-	listDue := c.replicasSaveDue()
-	if (c.dirty || listDue || c.committedSaveDue()) && c.saving == 0 && c.now >= c.saveRetryAt && c.disk.CaughtUp {
-		c.lastSave++
-		c.saving, c.dirty = c.lastSave, false
-		c.committedUnsaved, c.committedSaveAt = false, c.now+committedSaveInterval
-		c.effects.Save = &Save{Number: c.lastSave, RegisterState: c.disk.State, CommittedConfiguration: c.committedConfiguration,
-			Rollouts: c.rollouts.set}
-		if listDue {
-			c.replicasDirty, c.replicasSaveAt, c.savingReplicas = false, c.now+replicasSaveInterval, true
-			c.departures.saveStarted(c.now)
-			c.effects.Save.Replicas = c.replicas.All()
-		}
+	if c.saving == 0 && c.now >= c.saveRetryAt {
+		c.startSave()
 	}
 	effects := c.effects
 	c.effects = Effects{}
@@ -247,6 +240,28 @@
 	return effects
 }
 
+// startSave adds a save to the effects if one is due. Of a controller whose disk is empty only the known controllers are saved.
+func (c *Controller) startSave() {
+	listDue := c.joiner == nil && c.replicasSaveDue()
+	if !c.dirty && !listDue && (c.joiner != nil || !c.committedSaveDue()) {
+		return
+	}
+	c.lastSave++
+	c.saving, c.dirty = c.lastSave, false
+	if c.joiner != nil {
+		c.effects.Save = &Save{Number: c.lastSave, KnownControllers: c.joiner.Known()}
+		return
+	}
+	c.committedUnsaved, c.committedSaveAt = false, c.now+committedSaveInterval
+	c.effects.Save = &Save{Number: c.lastSave, RegisterState: c.disk.State, CommittedConfiguration: c.committedConfiguration,
+		Rollouts: c.rollouts.set}
+	if listDue {
+		c.replicasDirty, c.replicasSaveAt, c.savingReplicas = false, c.now+replicasSaveInterval, true
+		c.departures.saveStarted(c.now)
+		c.effects.Save.Replicas = c.replicas.All()
+	}
+}
+
 // Tick does all work that is due. The caller calls it at NextTick at the latest.
 func (c *Controller) Tick(now int64) Effects {
 	c.now = now
@@ -255,7 +270,7 @@
 	for _, call := range slices.Clone(c.calls) {
 		if now >= call.deadline {
 			c.proposer.Cancel(call.editID)
-			c.answer(call, statusUnavailable, nil, "no majority answered in time")
+			c.answer(call, statusUnavailable, nil, c.unavailableReason("no majority answered in time"))
 		}
 	}
 	if c.fleetUpdateDue {
@@ -279,10 +294,9 @@
 		}
 	}
 	if c.joiner != nil && now >= c.joinAt {
-		c.joinAt = now + joinInterval
-		m := c.joiner.Request()
-		c.send(Message{Register: &m}, c.joiner.Targets(slices.Concat(c.peerIPs(), c.members()))...)
+		c.askToJoin()
 	}
+	c.logWait()
 	if !c.registerRead && c.disk.CaughtUp && c.inContact {
 		c.registerRead = true
 		_, out := c.proposer.Edit(now, readOnlyEdit)
@@ -318,13 +332,13 @@
 	if c.dirty && c.saving == 0 {
 		next = min(next, max(c.saveRetryAt, c.now))
 	}
-	if c.replicasDirty && c.saving == 0 {
+	if c.replicasDirty && c.saving == 0 && c.joiner == nil {
 		next = min(next, max(c.saveRetryAt, c.replicasSaveAt, c.now))
 	}
-	if c.committedUnsaved && c.saving == 0 {
+	if c.committedUnsaved && c.saving == 0 && c.joiner == nil {
 		next = min(next, max(c.saveRetryAt, c.committedSaveAt, c.now))
 	}
-	if c.saving == 0 && c.departureSaveWanted() {
+	if c.saving == 0 && c.joiner == nil && c.departureSaveWanted() {
 		next = min(next, max(c.saveRetryAt, c.departures.nextSaveAt, c.now))
 	}
 	return next
--- a/decide/controller/controller_test.go
+++ b/decide/controller/controller_test.go
@@ -28,9 +28,10 @@
 	incarnation     int
 	saved           *Save // the newest state on its disk, nil for an empty disk
 	savedReplicas   []registry.Record
-	replicasSaves   int   // saves that included the list of replicas
-	stuck           bool  // its disk finishes no save
-	diskTime        int64 // duration of a save, 0 for diskSyncTime
+	savedKnown      []string // controllers known when the disk held no state
+	replicasSaves   int      // saves that included the list of replicas
+	stuck           bool     // its disk finishes no save
+	diskTime        int64    // duration of a save, 0 for diskSyncTime
 	nextTickAt      int64
 	edgeState       *clusterstate.State // the state of an edge connected to it
 	maxRevisionSent uint64              // the highest revision that its edges were sent
@@ -85,6 +86,7 @@
 		state := x.saved.RegisterState
 		options.RegisterState, options.CommittedConfiguration, options.Rollouts, options.Replicas = &state, x.saved.CommittedConfiguration, x.saved.Rollouts, x.savedReplicas
 	}
+	options.FaultBudget, options.KnownControllers = &FaultBudget{Machines: (len(b.names) - 1) / 4}, x.savedKnown
 	x.Controller = New(b.now, options)
 	x.edgeState = clusterstate.NewState()
 	x.edgeState.Apply(x.Snapshot())
@@ -110,7 +112,9 @@
 	}
 	if s := o.Save; s != nil && !x.stuck {
 		b.after(cmp.Or(x.diskTime, diskSyncTime), ifRunning(func() {
-			if x.saved = s; s.Replicas != nil {
+			if s.KnownControllers != nil {
+				x.savedKnown = s.KnownControllers
+			} else if x.saved = s; s.Replicas != nil {
 				x.savedReplicas, x.replicasSaves = s.Replicas, x.replicasSaves+1
 			}
 			b.carry(name, x.SaveFinished(b.now, s.Number, nil))
--- a/decide/controller/disk.go
+++ b/decide/controller/disk.go
@@ -17,6 +17,9 @@
 	if m.Kind != register.Query {
 		c.proposer.ObserveBallot(m.Ballot)
 	}
+	if c.joiner != nil && c.answerJoiner(from, m) {
+		return
+	}
 	answer, save, ok := c.disk.Step(m)
 	if !ok {
 		return
@@ -24,6 +27,11 @@
 	c.dirty = c.dirty || save
 	c.lease.RecordAccepted(c.now, c.disk.Accepted)
 	c.proposer.CacheState(c.disk.State)
+	c.answerWhenSaved(from, answer)
+}
+
+// answerWhenSaved sends an answer once what is on disk covers it.
+func (c *Controller) answerWhenSaved(from string, answer register.Message) {
 	// Danger: a promise or an acceptance that is sent before it is on disk is forgotten in a loss of power, though the
 	// proposer has counted it.
 	after := uint64(0)
@@ -134,31 +142,6 @@
 	c.updateFleet()
 }
 
-// handleJoinAnswer handles another controller's answer to the request of this one, whose disk is empty, to catch up.
-// Once a majority has answered, the disk holds the newest value and counts in majorities.
-func (c *Controller) handleJoinAnswer(from string, m register.Message) {
-	asked := c.joiner.Request().Ballot
-	state, ok := c.joiner.HandleAnswer(from, m)
-	if !ok {
-		if c.joiner.Request().Ballot != asked {
-			c.joinAt = c.now // the request was refused; send it again at once under a higher ballot
-		}
-		return
-	}
-	c.disk = register.Acceptor{State: state, CaughtUp: true}
-	c.dirty, c.joiner = true, nil
-	c.lease.RecordAccepted(c.now, state.Accepted)
-	c.proposer.Learn(state.Value)
-	c.proposer.ObserveBallot(state.Promised)
-	// All members get a heartbeat at once. So far this controller may know only the seeds; without the heartbeat the
-	// member that changes the membership would learn seconds later that this one can be added.
-	for _, m := range state.Value.AllMembers() {
-		c.addPeer(m)
-	}
-	c.heartbeatAt = c.now
-	c.log("the disk has caught up with a majority", "epoch", state.Value.Epoch, "revision", state.Value.Revision)
-}
-
 // addUpdate merges an update into the one that goes to the edges at the end of this call.
 func (c *Controller) addUpdate(update clusterstate.Update) {
 	if update.Revision > 0 {
--- a/decide/controller/members_test.go
+++ b/decide/controller/members_test.go
@@ -54,7 +54,7 @@
 	x := b.servers[name]
 	x.up = false
 	if wipe {
-		x.saved, x.savedReplicas = nil, nil
+		x.saved, x.savedReplicas, x.savedKnown = nil, nil, nil
 	}
 }
 
--- a/decide/controller/messages.go
+++ b/decide/controller/messages.go
@@ -95,6 +95,9 @@
 	CommittedConfiguration register.Order    // the newest committed one; RegisterState may hold another configuration
 	Rollouts               rollout.Set       // rollouts known to be committed
 	Replicas               []registry.Record // nil if the saved list is to stay as it is
+
+	// KnownControllers are the controllers known to one whose disk is empty. If there are any, nothing else is saved.
+	KnownControllers []string
 }
 
 // Answer is the answer to a call of a replica or an operator.
@@ -131,6 +134,8 @@
 	Regions                  locality.Regions
 	Seeds                    []string          // IPs of controllers to contact first; at the first start, the members
 	Bootstrap                bool              // this is the first start of the whole system
+	FaultBudget              *FaultBudget      // nil if it is not known; then the register is formed by Bootstrap alone
+	KnownControllers         []string          // the saved ones; nil unless the disk is empty otherwise
 	RegisterState            *register.State   // the saved state of the register; nil for an empty disk
 	CommittedConfiguration   register.Order    // the saved revision and sum of the newest committed configuration
 	Rollouts                 rollout.Set       // the saved rollouts, known to be committed
--- a/decide/register/copy.go
+++ b/decide/register/copy.go
@@ -93,19 +93,34 @@
 // Awaits reports whether handling the answer would change the joiner.
 func (j *Joiner) Awaits(from string, m Message) bool {
 	_, answered := j.answers[from]
-	return m.Kind == Promised && m.Ballot == j.ballot && !answered || m.Kind == Refused && m.State.Promised.Number >= j.ballot.Number
+	switch m.Kind {
+	case Promised:
+		return m.Ballot == j.ballot && !answered
+	case Vacant:
+		vacancy, answered := j.vacant[from]
+		return m.Ballot == j.ballot && !(answered && vacancy.Life == m.State.Promised.Proposer && slices.Equal(vacancy.Known, m.State.Value.Members))
+	}
+	return m.Kind == Refused && m.State.Promised.Number >= j.ballot.Number
 }
 
 // Copy returns an independent copy of the joiner.
 func (j *Joiner) Copy() *Joiner {
 	c := *j
-	c.answers = maps.Clone(j.answers)
+	c.answers, c.vacant = maps.Clone(j.answers), maps.Clone(j.vacant)
 	return &c
 }
 
 // Key appends to b an encoding of the joiner's state.
 func (j *Joiner) Key(b []byte) []byte {
-	return appendStates(j.ballot.Key(appendString(b, j.self)), j.answers)
+	b = appendStates(j.ballot.Key(appendString(b, j.self)), j.answers)
+	b = appendStrings(b, j.known)
+	for _, name := range j.Vacant() {
+		b = appendStrings(appendString(appendString(b, name), j.vacant[name].Life), j.vacant[name].Known)
+	}
+	for _, name := range slices.Sorted(maps.Keys(j.lives)) {
+		b = appendString(appendString(b, name), j.lives[name])
+	}
+	return append(b, byte(len(j.vacant)), byte(len(j.lives)))
 }
 
 // Key appends to b an encoding of every field of the message.
@@ -128,13 +143,8 @@
 // Key appends to b an encoding of the value.
 func (v Value) Key(b []byte) []byte {
 	b = binary.AppendUvarint(binary.AppendUvarint(b, v.Epoch), v.Revision)
-	b = append(b, byte(len(v.Members)), byte(len(v.Prior)), byte(v.Size))
-	for _, m := range v.Members {
-		b = appendString(b, m)
-	}
-	for _, m := range v.Prior {
-		b = appendString(b, m)
-	}
+	b = append(b, byte(v.Size))
+	b = appendStrings(appendStrings(b, v.Members), v.Prior)
 	return v.Rollouts.Key(appendString(appendString(b, string(v.Body)), string(v.Orders)))
 }
 
@@ -146,6 +156,14 @@
 	return b
 }
 
+func appendStrings(b []byte, all []string) []byte {
+	b = append(b, byte(len(all)))
+	for _, s := range all {
+		b = appendString(b, s)
+	}
+	return b
+}
+
 func appendString(b []byte, s string) []byte {
 	return append(binary.AppendUvarint(b, uint64(len(s))), s...)
 }
--- a/decide/register/register.go
+++ b/decide/register/register.go
@@ -59,6 +59,7 @@
 	Accepted                 // answers Accept
 	Refused                  // answers Prepare or Accept: State.Promised is higher
 	Reported                 // answers Query with the state
+	Vacant                   // answers the Prepare of a Joiner: the disk of the answering machine is empty as well
 )
 
 // Message goes from a proposer to an acceptor or back.
--- a/decide/register/register_test.go
+++ b/decide/register/register_test.go
@@ -49,7 +49,7 @@
 	x.up, x.starts = true, x.starts+1
 	incarnation := fmt.Sprint(name, "/", x.starts)
 	if !x.disk.CaughtUp {
-		x.joiner = NewJoiner(name, incarnation)
+		x.joiner = NewJoiner(name, incarnation, nil)
 	}
 	if len(x.disk.Value.Members) > 0 {
 		known = x.disk.Value
@@ -272,7 +272,7 @@
 // TestJoinerBinds: no round with an older ballot can complete at a member that has promised the joiner.
 func TestJoinerBinds(t *testing.T) {
 	members := []string{"a", "b", "c"}
-	j := NewJoiner("c", "c/2")
+	j := NewJoiner("c", "c/2", nil)
 	other := Acceptor{State{Promised: Ballot{7, "p"}, Value: Value{Members: members}}, true}
 	a, _, _ := other.Step(j.Request())
 	must.Eq(t, Refused, a.Kind)
@@ -298,7 +298,7 @@
 	for _, name := range []string{"a", "b"} {
 		disks[name].Promised, disks[name].Accepted = Ballot{7, "p"}, Ballot{7, "p"}
 	}
-	proposer, joiner := NewProposer("c/2", members, func() float64 { return 0.5 }), NewJoiner("c", "c/2")
+	proposer, joiner := NewProposer("c/2", members, func() float64 { return 0.5 }), NewJoiner("c", "c/2", nil)
 	_, out := proposer.Edit(0, put(5, "")) // changes nothing; the proposer holds the body afterwards
 	must.SliceLen(t, 1, drive(t, 0, proposer, out, disks, everyone))
 	refusal, _, _ := disks["a"].Step(joiner.Request())
--- a/deployment/settings/settings.go
+++ b/deployment/settings/settings.go
@@ -38,6 +38,15 @@
 	Bind    Bind              `toml:"bind-addrs"`
 	Limits  Limits            `toml:"limits"`
 	Bounds  Bounds            `toml:"bounds"`
+
+	FaultBudget *FaultBudget `toml:"fault-budget"` // nil if the file does not have it
+}
+
+// FaultBudget is what may be lost at the same time while the system keeps all its promises.
+type FaultBudget struct {
+	Machines Figure `toml:"machines"`
+	Zones    Figure `toml:"zones"`
+	Regions  Figure `toml:"regions"`
 }
 
 // Bind holds the addresses to listen on, empty for those that the role does not serve.
--- a/lab/controllercheck/world.go
+++ b/lab/controllercheck/world.go
@@ -52,6 +52,7 @@
 	incarnation    int
 	disk           *controller.Save // last save; nil for an empty disk
 	replicas       []registry.Record
+	known          []string            // controllers known when the disk held no state
 	edgeState      *clusterstate.State // state of an edge that gets the updates of this process
 	highestSent    uint64              // highest revision that this process has sent to edges
 	epoch          uint64              // highest epoch of a value that this process considered committed
@@ -118,10 +119,12 @@
 	m.up, m.highestSent, m.epoch = true, 0, 0
 	start := controller.Options{IP: m.name, Incarnation: fmt.Sprint(m.incarnation), Seeds: w.scope.Members[:3], ReplicaHeartbeatInterval: second,
 		Random: func() float64 { return float64(m.name[0]%8) / 8 }}
+	start.KnownControllers = m.known
 	if m.disk != nil {
 		state := m.disk.RegisterState
 		start.RegisterState, start.CommittedConfiguration, start.Replicas = &state, m.disk.CommittedConfiguration, m.replicas
 	}
+	start.FaultBudget = &controller.FaultBudget{Machines: (len(w.scope.Members) - 1) / 2}
 	m.controller = controller.New(w.now, start)
 	m.edgeState = clusterstate.NewState()
 	m.edgeState.Apply(m.controller.Snapshot())
@@ -201,7 +204,7 @@
 	}
 	m.up = false
 	if emptied {
-		m.disk, m.replicas = nil, nil
+		m.disk, m.replicas, m.known = nil, nil, nil
 	}
 	w.scheduleAt(w.now+restartDelay, &event{deliver: func() {
 		if !m.removed && !m.up {
@@ -217,7 +220,9 @@
 			w.apply(m, m.controller.SaveFinished(w.now, s.Number, err))
 		}
 		w.scheduleAt(w.now+syncTime, &event{to: m.name, incarnation: m.incarnation, mayDeviate: true, deliver: func() {
-			if m.disk = s; s.Replicas != nil {
+			if s.KnownControllers != nil {
+				m.known = s.KnownControllers
+			} else if m.disk = s; s.Replicas != nil {
 				m.replicas = s.Replicas
 			}
 			saved(nil)
--- a/lab/controlsim/disk.go
+++ b/lab/controlsim/disk.go
@@ -27,6 +27,7 @@
 	committed register.Order
 	rollouts  rollout.Set // committed rollouts
 	replicas  []registry.Record
+	known     []string // controllers known to one that has no state; then the rest is empty
 }
 
 // disk simulates the disk below transport/statestore. A save is written to the operating system's cache and then synced. After a kill
@@ -50,7 +51,7 @@
 		d.world.scheduleAfter(writeErrorDelay, func() { m.dispatch(incarnation, func() { done(errDiskFull) }) })
 		return
 	}
-	next := &diskImage{state: s.RegisterState, committed: s.CommittedConfiguration, rollouts: s.Rollouts, replicas: s.Replicas}
+	next := &diskImage{state: s.RegisterState, committed: s.CommittedConfiguration, rollouts: s.Rollouts, replicas: s.Replicas, known: s.KnownControllers}
 	if s.Replicas == nil && d.written != nil {
 		next.replicas = d.written.replicas
 	}
--- a/lab/controlsim/overbudget.go
+++ b/lab/controlsim/overbudget.go
@@ -136,3 +136,18 @@
 		d.addFault(Fault{Kind: EdgeStartsAlongside, At: at + cutFor + d.duration(0, 1500*time.Millisecond), For: 300 * time.Millisecond, Machine: edgeName(n + 1), Others: []string{cut}})
 	}
 }
+
+// interruptedFirstStart ends controllers within the first moments of the system, before or after they have saved anything. They come
+// back with other seeds. Later one loses its disk while the controllers are cut in two, and another one is replaced.
+func (d *scenarioBuilder) interruptedFirstStart() {
+	const savedBy = 60 * time.Millisecond // a controller has saved its first state by then
+	p := d.plan
+	ended := 2 + d.IntN(p.Controllers-1)
+	for n := range ended {
+		d.addFault(Fault{Kind: Kill, At: d.duration(0, maxStartSpread+savedBy), For: d.duration(50*time.Millisecond, 2*time.Second), Machine: d.controller(n)})
+	}
+	later := d.duration(14*time.Second, 18*time.Second)
+	d.addFault(Fault{Kind: Wipe, At: later, For: d.duration(100*time.Millisecond, 2*time.Second), Machine: d.controller(0)})
+	d.addFault(Fault{Kind: Cut, At: later, For: 5 * time.Second, Machine: d.controller(1), Others: []string{d.controller(2), d.controller(3)}})
+	d.addFault(Fault{Kind: ReplaceUnplanned, At: later + 20*time.Second, For: 2 * time.Second, Machine: d.controller(4), Successor: controllerName(p.Controllers + 1)})
+}
--- a/lab/controlsim/overbudget_test.go
+++ b/lab/controlsim/overbudget_test.go
@@ -26,7 +26,7 @@
 
 // TestWorse checks that the scenarios that lose more than the fault budget break no check.
 func TestWorse(t *testing.T) {
-	for _, point := range []Scenario{SplitInHalves, TotalPowerLoss, OverlappingLosses, DepartureWithoutDrain, MissedDeparture} {
+	for _, point := range []Scenario{SplitInHalves, TotalPowerLoss, OverlappingLosses, DepartureWithoutDrain, MissedDeparture, InterruptedFirstStart} {
 		for seed := range *scenarioSeedCount {
 			t.Run(fmt.Sprintf("%s/seed%d", point, seed+1), func(t *testing.T) {
 				t.Parallel()
--- a/lab/controlsim/planted/planted.go
+++ b/lab/controlsim/planted/planted.go
@@ -17,7 +17,7 @@
 }
 
 const (
-	proposerFile   = "decide/register/proposer.go"
+	joinerFile     = "decide/register/joiner.go"
 	controllerFile = "decide/controller/controller.go"
 	contactFile    = "decide/controller/contact.go"
 	leavingFile    = "decide/controller/leaving.go"
@@ -74,7 +74,7 @@
 	mutant(controlsim.ThreeControllers, 20, "an empty disk counts as at the first start", lostChecks,
 		edit(controllerFile, "case options.Bootstrap && slices.Contains(seeds, options.IP):", "case true:")),
 	mutant(controlsim.ThreeControllers, 40, "an empty disk counts once one other has answered", lostChecks,
-		edit(proposerFile, "return best, best.Value.Quorum(answered)", "return best, answered != nil")),
+		edit(joinerFile, "return best, best.Value.Quorum(answered)", "return best, answered != nil")),
 	mutant(controlsim.ConsecutiveLosses, 20, "answers leave before the sync", lostChecks,
 		edit(diskFile, "	if after == 0 {\n", "	if after >= 0 {\n")),
 	mutant(controlsim.MissedChanges, 5, "a controller starts again with its first state", lostChecks,
@@ -87,7 +87,7 @@
 	mutant(controlsim.TotalPowerLoss, 5, "answers leave before the sync, and everything goes dark", lostChecks,
 		edit(diskFile, "	if after == 0 {\n", "	if after >= 0 {\n")),
 	mutant(controlsim.OverlappingLosses, 5, "an emptied disk counts at once, while others are away", lostChecks,
-		edit(proposerFile, "return best, best.Value.Quorum(answered)", "return best, answered != nil")),
+		edit(joinerFile, "return best, best.Value.Quorum(answered)", "return best, answered != nil")),
 	mutant(controlsim.DepartureWithoutDrain, 5, "a late beat brings a replica back", []string{checker.DepartedUsed, checker.DrainIgnored},
 		edit(registryFile, "if o.Phase == Gone || o.Phase == Draining && r.Phase == Ready {", "if o.Phase == Draining && r.Phase == Ready {")),
 	mutant(controlsim.DepartureWithoutDrain, 5, "a departure is acknowledged before anybody else has it", []string{checker.DepartedUsed, checker.DrainIgnored, checker.IsolatedAnswer},
--- a/lab/controlsim/scenarios.go
+++ b/lab/controlsim/scenarios.go
@@ -27,6 +27,8 @@
 	OverlappingLosses     Scenario = "overlap"    // most controllers are lost at the same time, one with its disk
 	DepartureWithoutDrain Scenario = "departures" // replicas depart without a drain, and their heartbeats arrive late
 
+	InterruptedFirstStart Scenario = "first-start" // controllers end within the first moments, and one loses its disk soon after
+
 	MissedDeparture Scenario = "missed" // replicas depart while a controller is isolated, and edges connect to it afterwards
 )
 
@@ -35,7 +37,7 @@
 
 // Scenarios lists the random and all scripted scenarios.
 var Scenarios = []Scenario{RandomFaults, IsolatedController, ConflictingOrders, ConsecutiveLosses, ThreeControllers, MissedChanges,
-	SplitInHalves, TotalPowerLoss, OverlappingLosses, DepartureWithoutDrain, MissedDeparture}
+	SplitInHalves, TotalPowerLoss, OverlappingLosses, DepartureWithoutDrain, MissedDeparture, InterruptedFirstStart}
 
 // PlanFor returns the plan of a seed. If RandomFaults is among the scenarios, odd seeds get random plans; the other seeds go through
 // the scripted scenarios in turn.
@@ -86,6 +88,8 @@
 		d.departuresWithoutDrain()
 	case MissedDeparture:
 		d.missedDepartures()
+	case InterruptedFirstStart:
+		d.interruptedFirstStart()
 	default:
 		return RandomPlan(seed)
 	}
--- a/lab/controlsim/server.go
+++ b/lab/controlsim/server.go
@@ -109,7 +109,10 @@
 	rng := rand.New(rand.NewPCG(w.plan.Seed, 1000+uint64(w.processes)))
 	start := controller.Options{IP: m.name, Incarnation: fmt.Sprint("life", w.processes), Zone: s.zone, Regions: w.regions, Seeds: initialSeeds(),
 		Bootstrap: s.bootstrap, ReplicaHeartbeatInterval: heartbeatInterval, Random: rng.Float64}
-	if found := s.disk.load(); found != nil {
+	start.FaultBudget = &controller.FaultBudget{Machines: (w.plan.Controllers - 1) / 4}
+	if found := s.disk.load(); found != nil && found.known != nil {
+		start.KnownControllers = found.known
+	} else if found != nil {
 		state := found.state
 		start.RegisterState, start.CommittedConfiguration, start.Rollouts, start.Replicas = &state, found.committed, found.rollouts, found.replicas
 	}
--- a/lab/modelcheck/planted/planted.go
+++ b/lab/modelcheck/planted/planted.go
@@ -43,11 +43,15 @@
 		New: "return cmp.Compare(b.Number, o.Number)"}}},
 	{Name: "questions of two lives look alike", Scope: "late answers", Edits: []Edit{{File: "decide/register/proposer.go",
 		Old: "p.queryBallot = Ballot{p.queryBallot.Number + 1, p.name}", New: `p.queryBallot = Ballot{p.queryBallot.Number + 1, ""}`}}},
-	{Name: "a joiner believes the first answer", Scope: "disk lost", Edits: []Edit{{File: "decide/register/proposer.go",
+	{Name: "a joiner believes the first answer", Scope: "disk lost", Edits: []Edit{{File: "decide/register/joiner.go",
 		Old: "return best, best.Value.Quorum(answered)", New: "return best, answered != nil"}}},
 	{Name: "the value under the highest ballot is passed over", Scope: "two contents", Edits: []Edit{{File: "decide/register/proposer.go",
 		Old: "if s.Accepted.Compare(best.Accepted) > 0 || len(best.Value.Members) == 0 {",
 		New: "if len(best.Value.Members) == 0 {"}}},
+	{Name: "a register is formed though a member has not answered", Scope: "disk lost", Edits: []Edit{{File: "decide/register/formation.go",
+		Old: "		default:\n			return false\n", New: "		default:\n"}}},
+	{Name: "a second register is formed by few new machines", Scope: "machines added later", Edits: []Edit{{File: "decide/register/formation.go",
+		Old: "moreThan: 2 * budget(machines)}", New: "moreThan: budget(machines)}"}}},
 }
 
 // Overlay writes to a folder an overlay with which the Go tool builds the module at root with the mutant in it, and returns the
--- a/lab/modelcheck/scopes.go
+++ b/lab/modelcheck/scopes.go
@@ -18,6 +18,22 @@
 		{At: "a", Kind: ReplaceMember, Out: "c", In: "d"}, {At: "b", Revision: 5, Body: "x"}}},
 	{Name: "late answers", Members: three, Rounds: 2, Crashes: 1, LateAnswers: true, Ops: []Op{
 		{At: "a", Kind: Read}, {At: "b", Revision: 5, Body: "x"}, {At: "a", Kind: Read}}},
+	{Name: "first start, two ended early", Members: three, Unformed: []string{"b", "c"}, Rounds: 2, Crashes: 1, Ops: []Op{
+		{At: "a", Revision: 5, Body: "x"}, {At: "b", Revision: 5, Body: "y"}}},
+	{Name: "first start, all ended early", Members: three, Unformed: three, Rounds: 2, Ops: []Op{
+		{At: "a", Revision: 5, Body: "x"}, {At: "b", Revision: 5, Body: "y"}}},
+	{Name: "first start, ends at any moment", Members: three, Unsaved: true, SlowDisks: true, Rounds: 2, Crashes: 2, Ops: []Op{
+		{At: "a", Revision: 5, Body: "x"}, {At: "b", Kind: Read}}},
+	{Name: "first start and a disk lost", Members: three, Unformed: []string{"c"}, Rounds: 2, Wipes: 1, Ops: []Op{
+		{At: "a", Revision: 5, Body: "x"}, {At: "b", Kind: Read}}},
+	{Name: "first start, other lists", Members: three, Unformed: three, Rounds: 2, Crashes: 1,
+		Lists: map[string][]string{"a": {"a", "b"}, "b": {"b", "c"}, "c": {"a", "c"}}, Ops: []Op{
+			{At: "a", Revision: 5, Body: "x"}, {At: "c", Revision: 5, Body: "y"}}},
+	{Name: "two disks lost at once", Members: three, Rounds: 2, Budget: 2, Wipes: 2, Ops: []Op{
+		{At: "b", Revision: 5, Body: "x"}}},
+	{Name: "machines added later", Members: three, Spare: []string{"d", "e"}, Rounds: 2,
+		Lists: map[string][]string{"a": three, "b": three, "c": three, "d": {"d", "e"}, "e": {"d", "e"}}, Ops: []Op{
+			{At: "a", Revision: 5, Body: "x"}, {At: "d", Revision: 5, Body: "y"}}},
 	{Name: "two contents, five disks", Members: five, Rounds: 2, Ops: []Op{
 		{At: "a", Revision: 5, Body: "x"}, {At: "b", Revision: 5, Body: "y"}}},
 }
--- a/lab/modelcheck/step.go
+++ b/lab/modelcheck/step.go
@@ -25,6 +25,9 @@
 // the register's own messages.
 const committedNotice register.Kind = 99
 
+// maxJoinerBallot is the highest number of a ballot under which a joiner asks. Joiners that refuse each other could go on without end.
+const maxJoinerBallot = 6
+
 // event is a transition from one state to the next.
 type event struct {
 	kind    uint8
@@ -75,24 +78,30 @@
 		if m.proposer.Busy() && m.rounds < s.Rounds && !s.do(w, event{eventTick, uint32(i)}, visit) {
 			return
 		}
-		if m.joiner != nil && !s.do(w, event{eventJoin, uint32(i)}, visit) {
+		if m.joiner != nil && m.joiner.Request().Ballot.Number <= maxJoinerBallot && !s.do(w, event{eventJoin, uint32(i)}, visit) {
 			return
 		}
-		if len(m.pendingAnswers) > 0 && !s.do(w, event{eventSync, uint32(i)}, visit) {
+		if (len(m.pendingAnswers) > 0 || m.disk.CaughtUp && !m.savedCaughtUp) && !s.do(w, event{eventSync, uint32(i)}, visit) {
 			return
 		}
 		if w.crashes < s.Crashes && !s.do(w, event{eventCrash, uint32(i)}, visit) {
 			return
 		}
-		if w.wipes < s.Wipes && s.membersCaughtUp(w) && i < len(s.Members) && !s.do(w, event{eventWipe, uint32(i)}, visit) {
+		if w.wipes < s.Wipes && s.mayLoseDisk(w) && i < len(s.Members) && !s.do(w, event{eventWipe, uint32(i)}, visit) {
 			return
 		}
 	}
 }
 
-// membersCaughtUp reports whether every member's disk counts for a majority. Only then another disk may be lost.
-func (s *worker) membersCaughtUp(w *world) bool {
-	return !slices.ContainsFunc(w.machines[:len(s.Members)], func(m *machine) bool { return !m.savedCaughtUp })
+// mayLoseDisk reports whether another disk may be lost: those of the members that do not count for a majority are lost as well.
+func (s *worker) mayLoseDisk(w *world) bool {
+	lost := 0
+	for _, m := range w.machines[:len(s.Members)] {
+		if !m.savedCaughtUp {
+			lost++
+		}
+	}
+	return lost < s.budget(s.Members)
 }
 
 // transition builds the state after an event. Machines are copied when they change.
@@ -120,7 +129,11 @@
 	case eventJoin:
 		i := int(e.subject)
 		m := t.w.machines[i]
-		for _, to := range m.joiner.Targets(s.names) {
+		others := s.names
+		if s.Lists != nil {
+			others = nil
+		}
+		for _, to := range m.joiner.Targets(others) {
 			t.send(i, s.number[to], m.joiner.Request())
 		}
 	case eventSync:
@@ -133,7 +146,7 @@
 		w.wipes++
 		i := int(e.subject)
 		m := t.machine(i)
-		m.saved, m.savedCaughtUp = register.State{}, false
+		m.saved, m.savedCaughtUp, m.savedKnown = register.State{}, false, nil
 		t.restart(m, s.names[i])
 	}
 	t.dropIrrelevant()
@@ -276,7 +289,11 @@
 	}
 	m := t.machine(p.to)
 	if m.joiner != nil {
-		if state, done := m.joiner.HandleAnswer(t.names[p.from], p.m); done {
+		state, done := m.joiner.HandleAnswer(t.names[p.from], p.m)
+		if !done {
+			state, done = m.joiner.Form(t.budget, true)
+		}
+		if done {
 			m.disk, m.joiner = register.Acceptor{State: state, CaughtUp: true}, nil
 			m.proposer.Learn(state.Value)
 			m.proposer.ObserveBallot(state.Promised)
@@ -294,12 +311,23 @@
 	if q.Kind != register.Query {
 		m.proposer.ObserveBallot(q.Ballot)
 	}
+	if m.joiner != nil {
+		if answer, ok := m.joiner.HandleRequest(t.names[from], q); ok {
+			t.answerWhenSaved(from, to, answer, slices.Equal(m.savedKnown, m.joiner.Known()))
+			return
+		}
+	}
 	answer, _, ok := m.disk.Step(q)
 	if !ok {
 		return
 	}
 	m.proposer.CacheState(m.disk.State)
-	clean := m.savedCaughtUp && sameBallots(m.saved, m.disk.State)
+	t.answerWhenSaved(from, to, answer, m.savedCaughtUp && sameBallots(m.saved, m.disk.State))
+}
+
+// answerWhenSaved sends an answer of a disk. It waits for the sync that covers it, unless clean says that everything is synced.
+func (t *transition) answerWhenSaved(from, to int, answer register.Message, clean bool) {
+	m := t.machine(to)
 	if t.SlowDisks && !clean && !t.AnswerBeforeSync {
 		incarnation := 0
 		if !t.LateAnswers {
@@ -313,7 +341,7 @@
 		return
 	}
 	if !t.SlowDisks {
-		m.saved, m.savedCaughtUp = m.disk.State, true
+		m.save()
 	}
 	t.send(to, from, answer)
 	if t.AnswerBeforeSync && !clean { // the sync is still to come
@@ -321,6 +349,14 @@
 	}
 }
 
+// save syncs what the process has written.
+func (m *machine) save() {
+	m.saved, m.savedCaughtUp = m.disk.State, m.disk.CaughtUp
+	if m.joiner != nil {
+		m.savedKnown = m.joiner.Known()
+	}
+}
+
 func sameBallots(a, b register.State) bool {
 	return a.Promised == b.Promised && a.Accepted == b.Accepted
 }
@@ -328,7 +364,7 @@
 // sync ends a save: the state is durable, and the answers that waited for it are sent.
 func (t *transition) sync(i int) {
 	m := t.machine(i)
-	m.saved, m.savedCaughtUp = m.disk.State, m.disk.CaughtUp
+	m.save()
 	answers := m.pendingAnswers
 	m.pendingAnswers = nil
 	for _, id := range answers {
@@ -418,7 +454,7 @@
 }
 
 var kinds = map[register.Kind]string{register.Prepare: "prepare", register.Accept: "accept", register.Query: "query",
-	register.Promised: "promised", register.Accepted: "accepted", register.Refused: "refused", register.Reported: "holds", committedNotice: "committed value"}
+	register.Promised: "promised", register.Accepted: "accepted", register.Refused: "refused", register.Reported: "holds", register.Vacant: "empty too", committedNotice: "committed value"}
 
 // Describe returns a message in a few words, for a trace.
 func Describe(m register.Message) string {
--- a/lab/modelcheck/world.go
+++ b/lab/modelcheck/world.go
@@ -43,12 +43,16 @@
 	Members          []string // members at the first start, whose disks hold this list
 	Spare            []string // machines that start with empty disks and join
 	Ops              []Op
-	Crashes          int  // maximum number of power losses; machines restart at once, since late messages have the effect of a longer downtime
-	Wipes            int  // maximum number of losses of power and disk; never a second one before the first machine has caught up
-	Rounds           int  // maximum number of queries and ballots of one incarnation of a proposer
-	SlowDisks        bool // a disk's sync is an event of its own; otherwise each write is synced at once
-	LateAnswers      bool // answers to a former incarnation of a machine reach its next one
-	AnswerBeforeSync bool // a deliberate fault for lab/modelcheck/planted: answers are sent before the sync that covers them
+	Crashes          int                 // maximum number of power losses; machines restart at once, since late messages have the effect of a longer downtime
+	Wipes            int                 // maximum number of losses of power and disk; never more machines at a time than Budget that have not caught up
+	Rounds           int                 // maximum number of queries and ballots of one incarnation of a proposer
+	SlowDisks        bool                // a disk's sync is an event of its own; otherwise each write is synced at once
+	LateAnswers      bool                // answers to a former incarnation of a machine reach its next one
+	Unformed         []string            // members whose first process ended before it had saved anything; they start with empty disks
+	Unsaved          bool                // no member has saved the first list of members yet
+	Lists            map[string][]string // machines that each machine is told of; nil for Members
+	Budget           int                 // machines that may be lost at once; 0 stands for 1
+	AnswerBeforeSync bool                // a deliberate fault for lab/modelcheck/planted: answers are sent before the sync that covers them
 }
 
 // messageTable gives every message a number, so that a set of messages is a short list. It is safe for concurrent use;
@@ -93,6 +97,7 @@
 	disk           register.Acceptor // the disk as the process has written it
 	saved          register.State    // the synced state
 	savedCaughtUp  bool              // the synced state counts for a majority
+	savedKnown     []string          // the synced list of machines known to one with an empty disk
 	pendingAnswers []uint32          // answers that wait for the next sync
 	proposer       *register.Proposer
 	joiner         *register.Joiner
@@ -148,11 +153,14 @@
 func (x *exploration) first() *world {
 	w := &world{committed: map[uint64]int{}}
 	for i, n := range x.names {
-		m := &machine{savedCaughtUp: i < len(x.Members)}
+		m := &machine{savedCaughtUp: i < len(x.Members) && !slices.Contains(x.Unformed, n)}
 		if m.savedCaughtUp {
 			m.saved = register.State{Value: register.Value{Members: x.Members}}
 		}
 		x.restart(m, n)
+		if x.Unsaved {
+			m.saved, m.savedCaughtUp = register.State{}, false
+		}
 		w.machines = append(w.machines, m)
 	}
 	return w
@@ -167,13 +175,24 @@
 	if m.savedCaughtUp {
 		known = m.saved.Value
 	} else {
-		m.joiner = register.NewJoiner(name, own)
+		m.joiner = register.NewJoiner(name, own, slices.Concat(x.told(name), m.savedKnown))
 	}
 	m.proposer = register.NewProposer(own, known, fixedRandom)
 	m.proposer.ObserveBallot(m.saved.Promised)
 	m.proposer.CacheState(m.saved)
 }
 
+// told returns the machines that a machine's settings name.
+func (x *exploration) told(name string) []string {
+	if x.Lists != nil {
+		return x.Lists[name]
+	}
+	return x.Members
+}
+
+// budget returns how many machines may be lost at once.
+func (x *exploration) budget([]string) int { return max(x.Budget, 1) }
+
 // rehash recomputes the machine's hash; key is a buffer for reuse.
 func (m *machine) rehash(key []byte) []byte {
 	key = m.saved.Key(m.disk.State.Key(key[:0]))
@@ -189,6 +208,9 @@
 		key = append(key, byte(worker), byte(worker>>8), byte(worker>>16))
 	}
 	key = m.proposer.Key(key)
+	for _, known := range m.savedKnown {
+		key = append(append(key, known...), 0)
+	}
 	if m.joiner != nil {
 		key = m.joiner.Key(key)
 	}
--- a/transport/controlserver/controlserver.go
+++ b/transport/controlserver/controlserver.go
@@ -135,11 +135,21 @@
 	s.controller = controller.New(s.now(), controller.Options{IP: local.IP, Incarnation: incarnation, Zone: local.Zone, Regions: local.Zones, Seeds: local.SeedIPs(),
 		// A damaged disk is not the empty disk of a first start.
 		Bootstrap:                local.Bootstrap && !opened.damaged,
+		FaultBudget:              faultBudget(local.FaultBudget),
+		KnownControllers:         found.KnownControllers,
 		ReplicaHeartbeatInterval: local.HeartbeatInterval(), RolloutTerms: rollout.Bounds{ExposureShare: float64(local.Bounds.ExposureShare)}, Random: rand.Float64,
 		RegisterState: found.State, CommittedConfiguration: found.Committed, Rollouts: found.Rollouts, Replicas: found.Replicas})
 	return opened.store, nil
 }
 
+// faultBudget returns what may be lost at once, nil if the settings do not say.
+func faultBudget(budget *settings.FaultBudget) *controller.FaultBudget {
+	if budget == nil {
+		return nil
+	}
+	return &controller.FaultBudget{Machines: int(budget.Machines), Zones: int(budget.Zones), Regions: int(budget.Regions)}
+}
+
 func (s *Server) now() int64 { return int64(time.Since(s.base)) }
 
 // currentInfo states how current the controller's state was when the loop last recorded it.
--- a/transport/statestore/statestore.go
+++ b/transport/statestore/statestore.go
@@ -34,6 +34,7 @@
 	fileName      = "register.db"
 	compactedName = fileName + ".new" // the copy that replaces the file at a compaction
 	listKey       = "list"            // key of the list of replicas
+	knownKey      = "known"           // key of the controllers known to one whose disk is empty
 	versionKey    = "version"         // key of the format version
 
 	// formatVersion is the version of the file's format. A file without a version has the first format, which is
@@ -77,6 +78,8 @@
 	Committed register.Order    // the last configuration known to be committed
 	Rollouts  rollout.Set       // the last rollouts known to be committed
 	Replicas  []registry.Record // the list of replicas that was saved last
+
+	KnownControllers []string // the controllers known when no state of the register had been saved yet
 }
 
 // errNoFolder is returned if the settings name no folder.
@@ -170,6 +173,9 @@
 		if text, err := tx.Get(listKey); err == nil {
 			unseal([]byte(text), &found.Replicas)
 		}
+		if text, err := tx.Get(knownKey); err == nil && found.State == nil {
+			unseal([]byte(text), &found.KnownControllers)
+		}
 		if text, err := tx.Get(versionKey); err == nil {
 			s.versionWritten = parseVersion([]byte(text)) == formatVersion
 		}
@@ -188,12 +194,45 @@
 			err = ErrStore.Wrapf(ErrUnusable, "saving: %v", reason)
 		}
 	}()
+	if save.KnownControllers != nil {
+		return s.writeKnown(save.KnownControllers)
+	}
 	return s.write(save)
 }
 
-// write writes a save and syncs it.
+// writeKnown writes the controllers known to one whose disk is empty, and syncs them.
+func (s *Store) writeKnown(known []string) error {
+	text, err := seal(0, known)
+	if err != nil {
+		return ErrStore.Wrapf(err, "encoding")
+	}
+	err = s.db.Update(func(tx *buntdb.Tx) error {
+		_, _, err := tx.Set(knownKey, string(text), nil)
+		return err
+	})
+	if err != nil {
+		return ErrStore.Wrapf(err, "saving")
+	}
+	return s.syncAll()
+}
+
+// syncAll syncs the file and, until it holds a state of the register, its folder.
 //
 // Danger: a new file is only durable once its folder is synced as well.
+func (s *Store) syncAll() error {
+	if err := s.sync(s.file); err != nil {
+		return ErrStore.Wrapf(err, "syncing")
+	}
+	if s.lastSave > 0 {
+		return nil
+	}
+	if err := s.syncDir(); err != nil {
+		return ErrStore.Wrapf(err, "syncing the folder")
+	}
+	return nil
+}
+
+// write writes a save and syncs it.
 func (s *Store) write(save controller.Save) error {
 	n := s.lastSave + 1
 	text, err := seal(n, savedState{save.RegisterState, save.CommittedConfiguration.Revision, save.CommittedConfiguration.Sum, save.Rollouts})
@@ -227,13 +266,8 @@
 	if err != nil {
 		return ErrStore.Wrapf(err, "saving")
 	}
-	if err := s.sync(s.file); err != nil {
-		return ErrStore.Wrapf(err, "syncing")
-	}
-	if s.lastSave == 0 {
-		if err := s.syncDir(); err != nil {
-			return ErrStore.Wrapf(err, "syncing the folder")
-		}
+	if err := s.syncAll(); err != nil {
+		return err
 	}
 	s.lastSave, s.versionWritten = n, true
 	return s.compactIfLarge()
