--- a/lab/rehearsal/firststart_test.go
+++ b/lab/rehearsal/firststart_test.go
@@ -4,8 +4,8 @@
 	"context"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
+	"slices"
 	"testing"
 	"time"
 
@@ -20,6 +20,7 @@
 	firstStartPorts       = localsettings.Ports(17260)
 	firstStartControllers = 5
 	firstStartSeeds       = 3
+	firstStartLate        = 2 * time.Second
 	firstStartWait        = 15 * time.Second // for the first acknowledgement, a step of the platform's tests before traffic
 )
 
@@ -38,21 +39,13 @@
 	} {
 		t.Run(row.name, func(t *testing.T) {
 			s := newFirstStart(t, i+1)
-			contains := func(list []int, n int) bool {
-				for _, o := range list {
-					if o == n {
-						return true
-					}
-				}
-				return false
-			}
 			for n := range firstStartControllers {
-				if !contains(row.late, n) {
-					s.start(n, contains(row.endedEarly, n))
+				if !slices.Contains(row.late, n) {
+					s.start(n, slices.Contains(row.endedEarly, n))
 				}
 			}
 			if len(row.late) > 0 {
-				time.Sleep(2 * time.Second)
+				time.Sleep(firstStartLate)
 			}
 			for _, n := range row.late {
 				s.start(n, true)
@@ -81,7 +74,7 @@
 func (s *firstStart) ip(n int) string { return fmt.Sprintf("127.0.%d.%d", 20+s.network, n+1) }
 
 // start starts a controller with an empty disk, as the platform does at the first start or after a process has ended.
-func (s *firstStart) start(n int, restarted bool) *exec.Cmd {
+func (s *firstStart) start(n int, restarted bool) {
 	folder := filepath.Join(s.dir, fmt.Sprint(n))
 	must.NoError(s.t, os.MkdirAll(folder, 0o700))
 	file := filepath.Join(folder, "local.toml")
@@ -93,7 +86,6 @@
 		process.Process.Kill()
 		process.Wait()
 	})
-	return process
 }
 
 // mustAcknowledge sends a configuration until it is acknowledged.
--- a/lab/rules/all.go
+++ b/lab/rules/all.go
@@ -32,6 +32,12 @@
 	groupsFile             = "decide/controller/groups.go"
 	groupFile              = "decide/registry/group.go"
 	selectionFile          = "decide/clusterstate/selection.go"
+	formationFile          = "decide/register/formation.go"
+	joinerFile             = "decide/register/joiner.go"
+	joiningFile            = "decide/controller/joining.go"
+	earlySignalsFile       = "transport/signals/early/ignore.c"
+	limitsFile             = "transport/daemon/limits.go"
+	registerPackage        = "decide/register"
 	proposerFile           = "decide/register/proposer.go"
 	registerFile           = "decide/register/register.go"
 	registryFile           = "decide/registry/registry.go"
@@ -40,6 +46,7 @@
 	readinessFile          = "decide/follower/readiness.go"
 	statestoreFile         = "transport/statestore/statestore.go"
 	daemonFile             = "transport/daemon/daemon.go"
+	signalsFile            = "transport/signals/signals.go"
 	transientFile          = "decide/transient/transient.go"
 	transientPackage       = "decide/transient"
 	listenFile             = "transport/listen/listen.go"
@@ -145,8 +152,8 @@
 		mutation(proxyserverPackage, "TestLeavingInOrder", edit(proxyserverFile, "server.Shutdown(wait)", "server.Close()"))},
 	{"LOST: sent after SIGTERM", "requests that the platform still sends for a while after SIGTERM get no answer", "the listener stays open for a while, and each answer closes its connection", files(proxyserverFile), scenarios("roll_term", "scale_in"),
 		mutation(proxyserverPackage, "TestLeavingInOrder", edit(proxyserverFile, "	time.Sleep(min(stayOpen, time.Until(deadline)/2))\n	front.Close()\n", "	front.Close()\n"))},
-	{"LOST: signals", "SIGHUP or a second SIGTERM ends a process that is starting or shutting down", "the signal handlers are never removed", files(daemonFile), scenarios("hup", "roll_term"),
-		mutation("transport/daemon", "TestSignalsWhileLeaving", edit(daemonFile, "	signal.Notify(reload, syscall.SIGHUP)\n", ""))},
+	{"LOST: signals", "SIGHUP or a second SIGTERM ends a process that is starting or shutting down", "the signal handlers are never removed", files(signalsFile), scenarios("hup", "roll_term"),
+		mutation("transport/daemon", "TestSignalsWhileLeaving", edit(signalsFile, "	signal.Notify(reload, syscall.SIGHUP)\n", ""))},
 	{"LOST: limits that change", "a new configuration closes connections with requests in flight", "an open connection keeps the server and the limits with which it was accepted", files(serverFile), scenarios("config_change idle", "config_storm"),
 		mutation(proxyserverPackage, "TestKeptConnectionsOverAChange", edit(serverFile, "	s.limits = l\n", "	s.limits = l\n	for _, former := range s.all {\n		former.server.Close()\n	}\n"))},
 	{"LOST: rested connections", "an idle connection is closed although a request arrives within four fifths of idle-timeout-ms", "idle connections are kept for the whole of idle-timeout-ms", files(serverFile), scenarios("config_change idle", "any"),
@@ -205,8 +212,8 @@
 	// Losses of machines and disks.
 	{"LOST: acknowledged", "an acknowledged change no longer exists after the last fault", "answers are sent only after the sync", files(diskFile), scenarios("power_off_all", "wipe_after_ack", "after_ack_kill timed", "herd_kill taken all"),
 		mutation(controlsimPackage, "TestWorse/dark", edit(diskFile, "	if after == 0 {\n", "	if after >= 0 {\n"))},
-	{"LOST: empty disks", "a machine with an empty disk completes a majority that does not hold the acknowledged change", "it counts for a majority only after a majority of the others has answered it", files(proposerFile), scenarios("wipe_after_ack", "after_ack_wipe", "replace_core", "core_cut behind"),
-		mutation(controlsimPackage, "TestWorse/overlap", edit(proposerFile, "return best, best.Value.Quorum(answered)", "return best, answered != nil"))},
+	{"LOST: empty disks", "a machine with an empty disk completes a majority that does not hold the acknowledged change", "it counts for a majority only after a majority of the others has answered it", files(joinerFile), scenarios("wipe_after_ack", "after_ack_wipe", "replace_core", "core_cut behind"),
+		mutation(controlsimPackage, "TestWorse/overlap", edit(joinerFile, "return best, best.Value.Quorum(answered)", "return best, answered != nil"))},
 	{"LOST: torn writes", "a loss of power tears the file, and the save before is not found", "the file has two slots with checksums, and a torn end is cut off", files(statestoreFile), scenarios("herd_kill off", "node_kill power", "disk_full"),
 		mutation("transport/statestore", "TestTornAnywhere", edit(statestoreFile, "	if complete == len(text) {\n", "	if complete <= len(text) {\n"))},
 	{"RECOVER", "after a loss of all machines, without any state at the edges, less than a quarter of the requests are served once recovery-s has passed", "controllers read the committed configuration from disk, and edges become ready with it", files(controllerFile, readinessFile), scenarios("power_off_all", "kill_all", "wipe_after_ack"),
@@ -271,12 +278,28 @@
 		mutation("deployment/settings", "TestFiguresInAnyForm", edit(figureFile, "if word == \"true\" || word == \"false\" {", "if false {"))},
 	{"Fault: settings being written", "a program that starts while its settings file is written ends", "it reads the file again for a while", files(daemonFile, transientFile), scenarios("hup"),
 		mutation("transport/daemon", "TestSettingsBeingWritten", edit(transientFile, "passes: func(Failure) bool { return true }", "passes: passing()"))},
+	{"Fault: interrupted first start", "the system never starts, since most seeds ended before anything was on their disks", "machines that all say that their disks are empty form the register", files(formationFile, joiningFile), scenarios("any"),
+		mutation(registerPackage, "TestInterruptedFirstStartIsFormed", edit(formationFile, "	return empty > r.moreThan\n", "	return false\n"))},
+	{"Fault: waits", "a system that cannot start does not say why", "each controller without a majority names whom it waits for, in its log and its answers", files(joiningFile), scenarios("any"),
+		mutation(controllerPackage, "TestWaitIsSaid", edit(joiningFile, "	if wait := c.waitsFor(); wait != \"\" {\n		return reason", "	if wait := c.waitsFor(); wait == \"-\" {\n		return reason"))},
+	{"Fault: early signals", "SIGHUP in the first milliseconds of a process ends it", "SIGHUP is ignored from before the Go runtime starts until it is handled", files(earlySignalsFile, signalsFile), scenarios("hup", "roll_term"),
+		mutation("transport/daemon", "TestSignalsBeforeMain", edit(earlySignalsFile, "	signal(SIGHUP, SIG_IGN);\n", ""))},
+	{"Fault: threads", "a process starts threads by the cores of its host, beyond a limit of its own", "Go code runs on as many threads as the settings give cores", files(limitsFile), scenarios("any"),
+		mutation("transport/daemon", "TestCoresOfTheSettings", edit(limitsFile, "		runtime.GOMAXPROCS(cores)\n", ""))},
+	{"Fault: no seeds", "a program ends, at each of its starts, because the platform's list of seeds is empty", "an empty list is valid; an agent reads it again until it has reached a controller", files("deployment/settings/settings.go", "transport/agentserver/agentserver.go"), scenarios("any"),
+		mutation("deployment/settings", "TestNoSeeds", edit("deployment/settings/settings.go", "KeySeedNodes: s.SeedNodes != nil", "KeySeedNodes: len(s.SeedNodes) > 0"))},
+	{"LOST: a register beside another", "machines with empty disks form a register though another machine may hold what was acknowledged", "each of the members must say that it holds nothing", files(formationFile), scenarios("wipe_after_ack", "replace_core", "core_cut"),
+		mutation(registerPackage, "TestNoRegisterBesideOrInPlaceOfAnother", edit(formationFile, "		default:\n			return false\n", "		default:\n"))},
+	{"LOST: disks lost at once", "machines that have lost their disks at once take a first start for one that nothing was written after", "the register is formed only if more disks are empty than may be lost at once", files(formationFile), scenarios("wipe_after_ack", "power_off_all"),
+		mutation(registerPackage, "TestNoRegisterBesideOrInPlaceOfAnother", edit(formationFile, "if found && len(first.Members)/2+1 > budget(first.Members) {", "if found {"))},
+	{"LOST: disks lost one by one", "machines that were empty one after the other are taken for machines that are empty at the same time", "they must be the same processes in two rounds", files(formationFile), scenarios("wipe_after_ack", "node_kill"),
+		mutation(registerPackage, "TestFormedOnlyByProcessesThatStayed", edit(formationFile, "vacant && j.lives[machine] != vacancy.Life", "vacant && vacancy.Life == \"\""))},
 	{"Fault: rounds", "a controller's rounds follow one another without end, and none of its edits is ever reported", "an edit whose change is committed is not applied again", files(proposerFile), scenarios("replace_core", "roll_term"),
 		mutation("decide/register", "TestOppositeChangesOfMembersEnd", edit(proposerFile, "		p.markCommitted()\n", ""))},
 	{"Fault: unread logs", "a program stands still because nobody reads its log", "lines are queued up to a bound and written by a goroutine of their own; further ones are dropped and counted", files("transport/logwriter/logwriter.go"), scenarios("any"),
 		mutation("transport/logwriter", "TestFullFileHoldsNobodyUp", edit("transport/logwriter/logwriter.go", "	if len(w.queued)+len(line) > maxQueuedBytes {\n", "	if len(line) > maxQueuedBytes {\n"))},
-	{"LOST: joining disks", "a disk that comes back empty takes an answer that omits the body, and counts without the configuration", "the ballots of a process's joiner differ from those of its proposer", files(proposerFile), scenarios("wipe_after_ack", "after_ack_wipe", "replace_core"),
-		mutation("decide/register", "TestJoinerTakesNoAnswerToTheProposer", edit(proposerFile, "name + joinerSuffix", "name"))},
+	{"LOST: joining disks", "a disk that comes back empty takes an answer that omits the body, and counts without the configuration", "the ballots of a process's joiner differ from those of its proposer", files(joinerFile), scenarios("wipe_after_ack", "after_ack_wipe", "replace_core"),
+		mutation("decide/register", "TestJoinerTakesNoAnswerToTheProposer", edit(joinerFile, "name + joinerSuffix", "name"))},
 	{"LOST: disks that refuse", "a controller takes a disk that refuses for a moment for an empty one, and removes what was acknowledged", "only content that cannot be read is removed; errors of the system are waited for", files(statefileFile, transientFile), scenarios("disk_full", "disk_stall"),
 		mutation("transport/controlserver", "TestPassingDiskErrorKeepsTheState", edit(statefileFile, "if !errors.Is(err, statestore.ErrDamaged) {", "if err == nil || errors.Is(err, statestore.ErrNewerFormat) {"))},
 	{"LOST: compaction", "saves go to a file that the compacted one has replaced", "a store whose new file cannot be opened is given up and opened again", files(statestoreFile), scenarios("disk_full", "config_storm"),
