--- a/deployment/settings/settings.go
+++ b/deployment/settings/settings.go
@@ -6,7 +6,6 @@
 	"net"
 	"os"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pelletier/go-toml/v2"
@@ -39,6 +38,15 @@
 	Bind    Bind              `toml:"bind-addrs"`
 	Limits  Limits            `toml:"limits"`
 	Bounds  Bounds            `toml:"bounds"`
+
+	FaultBudget *FaultBudget `toml:"fault-budget"` // nil if the file does not have it
+}
+
+// FaultBudget is what may be lost at the same time while the system keeps all its promises.
+type FaultBudget struct {
+	Machines Figure `toml:"machines"`
+	Zones    Figure `toml:"zones"`
+	Regions  Figure `toml:"regions"`
 }
 
 // Bind holds the addresses to listen on, empty for those that the role does not serve.
@@ -50,7 +58,8 @@
 
 // Limits describe the resources of the process.
 type Limits struct {
-	MemoryMB Figure `toml:"memory-mb"`
+	MemoryMB  Figure `toml:"memory-mb"`
+	CoreCount Figure `toml:"core-count"`
 }
 
 // Bounds are the limits that the platform's rules set.
@@ -97,9 +106,11 @@
 
 // Require returns an error that names the first of the keys that is missing.
 func (s *Settings) Require(keys []Key) error {
-	values := map[Key]string{KeyDataDir: s.DataDir, KeySeedNodes: strings.Join(s.SeedNodes, " "), KeyControl: s.Bind.Control, KeyFront: s.Bind.Front, KeyReadiness: s.Bind.Readiness}
+	// An empty list of seeds is one that the platform had nobody to put into; a controller may still know others from its disk.
+	has := map[Key]bool{KeyDataDir: s.DataDir != "", KeySeedNodes: s.SeedNodes != nil, KeyControl: s.Bind.Control != "", KeyFront: s.Bind.Front != "",
+		KeyReadiness: s.Bind.Readiness != ""}
 	for _, key := range keys {
-		if values[key] == "" {
+		if !has[key] {
 			return ErrSettings.With("key", key).Errorf("%s: %s is missing", s.File, key)
 		}
 	}
--- a/transport/daemon/daemon_test.go
+++ b/transport/daemon/daemon_test.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"syscall"
 	"testing"
@@ -17,6 +18,7 @@
 	"github.com/shoenig/test/must"
 
 	"willowsill/deployment/settings"
+	_ "willowsill/transport/signals/early"
 )
 
 // childVariable in the environment makes the test binary run as a daemon that drains slowly.
@@ -31,6 +33,20 @@
 data-dir = "/data"
 `
 
+// slowStartVariable in the environment makes a child print a line before its main function runs, and wait for a byte of its input.
+const slowStartVariable = "WILLOWSILL_TEST_SLOW_START"
+
+// initialized is set before main runs, like the variables of the packages that a daemon imports.
+var initialized = waitForInput()
+
+func waitForInput() bool {
+	if os.Getenv(slowStartVariable) != "" {
+		fmt.Println("initializing")
+		os.Stdin.Read(make([]byte, 1))
+	}
+	return true
+}
+
 func TestMain(m *testing.M) {
 	if os.Getenv(childVariable) != "" {
 		os.Exit(Run(Program{Name: "test", Purpose: "leaves slowly", Required: []settings.Key{settings.KeyDataDir}, Run: drainSlowly}, nil))
@@ -66,10 +82,11 @@
 	logs    *bufio.Scanner
 }
 
-func startChild(t *testing.T, settingsFile string) *child {
+func startChild(t *testing.T, settingsFile string, environment ...string) *child {
 	c := &child{t: t, process: exec.Command(os.Args[0])}
 	c.process.Env = append(os.Environ(), childVariable+"=1", settings.FileVariable+"="+settingsFile,
 		"GORACE=atexit_sleep_ms=0") // otherwise the race detector waits a second at each exit
+	c.process.Env = append(c.process.Env, environment...)
 	var err error
 	c.input, err = c.process.StdinPipe()
 	must.NoError(t, err)
@@ -159,6 +176,39 @@
 	}
 }
 
+// startInitializing starts a daemon, sends it a signal while its packages are initialized, and lets it go on.
+func startInitializing(t *testing.T, early syscall.Signal) *child {
+	c := startChild(t, settingsFile(t), slowStartVariable+"=1")
+	c.expect("initializing")
+	c.signal(early)
+	c.input.Write([]byte("\n")) // fails if the daemon has ended
+	return c
+}
+
+// TestSignalsBeforeMain (FAULT): SIGHUP while the packages of a daemon are initialized does not end it. It reads its settings afterwards,
+// and again at the next SIGHUP.
+func TestSignalsBeforeMain(t *testing.T) {
+	must.True(t, initialized)
+	c := startInitializing(t, syscall.SIGHUP)
+	c.expect("ready")
+	c.signal(syscall.SIGHUP)
+	c.expectLog(reloaded)
+	c.signal(syscall.SIGTERM)
+	c.expect("leaving")
+	c.expectOrderlyEnd()
+}
+
+// TestStopBeforeMain: a daemon that is stopped while its packages are initialized ends by the signal. It has not begun anything.
+func TestStopBeforeMain(t *testing.T) {
+	for _, early := range []syscall.Signal{syscall.SIGTERM, syscall.SIGINT} {
+		t.Run(early.String(), func(t *testing.T) {
+			c := startInitializing(t, early)
+			must.False(t, c.output.Scan())
+			must.ErrorContains(t, c.process.Wait(), "signal: "+early.String())
+		})
+	}
+}
+
 // TestReloadDuringStart: SIGHUP during the first read of the settings does not end the daemon.
 func TestReloadDuringStart(t *testing.T) {
 	fifo := filepath.Join(t.TempDir(), "local.toml")
@@ -208,6 +258,19 @@
 	must.NoError(t, c.process.Wait())
 }
 
+// TestCoresOfTheSettings (FAULT): no more threads run Go code at the same time than the settings give cores, however many the host has.
+func TestCoresOfTheSettings(t *testing.T) {
+	before := runtime.GOMAXPROCS(4)
+	defer runtime.GOMAXPROCS(before)
+	for _, row := range []struct {
+		cores settings.Figure
+		want  int
+	}{{0, 4}, {8, 4}, {2.5, 3}, {1, 1}} {
+		applyLimits(settings.Limits{CoreCount: row.cores})
+		must.Eq(t, row.want, runtime.GOMAXPROCS(0))
+	}
+}
+
 // TestMetricsEndpoint: the endpoint for metrics comes from the arguments, or else from the settings. Anything
 // but PORT/PATH ends the start with exit code 2.
 func TestMetricsEndpoint(t *testing.T) {
