startsoak: signals in series begin once the loader has left the process

The soak now waits until /proc shows that the process ignores or handles SIGHUP, and fails if that does not come; from then on no signal may end it.

--- a/lab/startsoak/daemon.go
+++ b/lab/startsoak/daemon.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -26,6 +27,8 @@
 	heartbeat      = 300 * time.Millisecond
 	graceS         = 2 // seconds between SIGTERM and the end of a daemon
 	requestTimeout = time.Second
+	loadWait       = 5 * time.Second // longest time for the system's loader on a busy machine
+	loadPoll       = 100 * time.Microsecond
 )
 
 // daemon is one process of the system, restarted many times.
@@ -82,6 +85,29 @@
 	return nil
 }
 
+// awaitLoaded waits until the process ignores or handles SIGHUP. Before that only the system's loader has run in it, and no code of the
+// program can keep a signal from ending it.
+func (d *daemon) awaitLoaded() error {
+	for until := time.Now().Add(loadWait); time.Now().Before(until); time.Sleep(loadPoll) {
+		status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", d.process.Process.Pid))
+		if err != nil {
+			return err
+		}
+		if (signalMask(status, "SigIgn")|signalMask(status, "SigCgt"))&(1<<(syscall.SIGHUP-1)) != 0 {
+			return nil
+		}
+	}
+	return fmt.Errorf("%s does not handle SIGHUP %v after its start", d.name(), loadWait)
+}
+
+// signalMask returns a mask of signals from the text of a process's status.
+func signalMask(status []byte, name string) (mask uint64) {
+	if _, rest, found := strings.Cut(string(status), name+":\t"); found {
+		fmt.Sscanf(rest, "%x", &mask)
+	}
+	return mask
+}
+
 // endedByItself reports whether the process has ended without a signal of this run, and how.
 func (d *daemon) endedByItself() (how string, ended bool) {
 	select {
--- a/lab/startsoak/startsoak.go
+++ b/lab/startsoak/startsoak.go
@@ -149,6 +149,11 @@
 	if err := d.start(trouble.descriptors); err != nil {
 		return err
 	}
+	if trouble.signals > 0 {
+		if err := d.awaitLoaded(); err != nil {
+			return err
+		}
+	}
 	for range trouble.signals {
 		d.process.Process.Signal(syscall.SIGHUP)
 		time.Sleep(signalPause)
