--- a/cmd/willowsill/signals_test.go
+++ b/cmd/willowsill/signals_test.go
@@ -17,12 +17,19 @@
 	"willowsill/internal/fullpipe"
 )
 
-// childVariable is an environment variable that makes the test binary run the program as the platform starts it.
-const childVariable = "WILLOWSILL_TEST_SERVE"
+const (
+	// childVariable is an environment variable that makes the test binary run the program as the platform starts it.
+	childVariable = "WILLOWSILL_TEST_SERVE"
+	// scriptVariable is an environment variable with the operator's script of such a program.
+	scriptVariable = "WILLOWSILL_TEST_SCRIPT"
+)
 
 func TestMain(m *testing.M) {
 	if os.Getenv(childVariable) != "" {
 		os.Args = os.Args[:1]
+		if script := os.Getenv(scriptVariable); script != "" {
+			os.Args = append(os.Args, "serve", "--operator", script)
+		}
 		main()
 	}
 	os.Exit(m.Run())
--- a/lab/rehearsal/firststart_test.go
+++ b/lab/rehearsal/firststart_test.go
@@ -61,6 +61,8 @@
 	network int
 	dir     string
 	control []string
+
+	environment []string // added to that of each process
 }
 
 func newFirstStart(t *testing.T, network int) *firstStart {
@@ -81,6 +83,7 @@
 	must.NoError(s.t, firstStartPorts.Write(file, localsettings.Daemon{Role: controlserver.Program.Name, IP: s.ip(n), Zone: "hall", SeedNodes: s.control[:firstStartSeeds],
 		Heartbeat: heartbeat, DataDir: folder, GraceS: 2, Restarted: restarted, MachineLosses: 1}))
 	process := DaemonCommand(os.Args[0], controlserver.Program.Name, file, 0)
+	process.Env = append(process.Env, s.environment...)
 	must.NoError(s.t, process.Start())
 	s.t.Cleanup(func() {
 		process.Process.Kill()
--- a/lab/rehearsal/rehearsal_test.go
+++ b/lab/rehearsal/rehearsal_test.go
@@ -6,9 +6,12 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"willowsill/internal/refusals"
 )
 
 func TestMain(m *testing.M) {
+	refusals.ApplyFromEnvironment()
 	RunChild()
 	os.Exit(m.Run())
 }
--- a/lab/rehearsal/startup_test.go
+++ b/lab/rehearsal/startup_test.go
@@ -65,13 +65,33 @@
 // startDaemon starts the daemon of a role, whose log the test reads.
 func startDaemon(t *testing.T, role, ip, dir string, descriptors int) *daemonProcess {
 	d := newDaemon(t, role, ip, dir, descriptors)
-	logs, err := d.process.StderrPipe()
-	must.NoError(t, err)
-	d.logs = bufio.NewScanner(logs)
+	d.readLog()
 	d.start()
 	return d
 }
 
+// readLog lets the test read the log of a daemon that is yet to be started.
+func (d *daemonProcess) readLog() {
+	logs, err := d.process.StderrPipe()
+	must.NoError(d.t, err)
+	d.logs = bufio.NewScanner(logs)
+}
+
+// mustServeMetrics waits until the daemon serves its metrics.
+func (d *daemonProcess) mustServeMetrics(ip string) {
+	d.t.Helper()
+	ctx, cancel := context.WithTimeout(d.t.Context(), startupTimeout/2)
+	defer cancel()
+	must.NoError(d.t, awaitMetrics(ctx, ip))
+}
+
+// mustStop stops the daemon and expects it to end in order.
+func (d *daemonProcess) mustStop() {
+	d.t.Helper()
+	must.NoError(d.t, d.process.Process.Signal(os.Interrupt))
+	must.NoError(d.t, d.process.Wait())
+}
+
 // readLogUntil reads the daemon's log up to a line that holds all texts, and returns whether there is one.
 func (d *daemonProcess) readLogUntil(texts ...string) bool {
 	for d.logs.Scan() {
@@ -126,8 +146,7 @@
 				held.Close()
 				time.Sleep(startupPollTime)
 			}
-			must.NoError(t, d.process.Process.Signal(os.Interrupt))
-			must.NoError(t, d.process.Wait())
+			d.mustStop()
 		})
 	}
 }
@@ -206,8 +225,7 @@
 				client := &controlclient.Client{Addresses: []string{startupPorts.Control(ip)}}
 				must.NoError(t, client.SendConfiguration(ctx, configuration(1)))
 			}
-			must.NoError(t, d.process.Process.Signal(os.Interrupt))
-			must.NoError(t, d.process.Wait())
+			d.mustStop()
 		})
 	}
 }
