--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -6,18 +6,13 @@
 	"bufio"
 	"context"
 	"encoding/binary"
-	"errors"
 	"io"
 	"net"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
-	"golang.org/x/sys/unix"
-
-	"willowsill/transport/listen"
 )
 
 // ErrLink builds this package's errors, which have the code link.
@@ -44,25 +39,6 @@
 	return append(binary.BigEndian.AppendUint32(make([]byte, 0, headerBytes+len(body)), uint32(len(body))), body...), nil
 }
 
-// SetUserTimeout sets a socket's TCP user timeout, so that a peer that no longer responds is detected.
-//
-// Danger: a machine that has lost power sends no reset, and without the timeout data written to it stays
-// pending for many minutes.
-func SetUserTimeout(_, _ string, raw syscall.RawConn) error {
-	var err error
-	if controlErr := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(userTimeout/time.Millisecond))
-	}); controlErr != nil {
-		return controlErr
-	}
-	return err
-}
-
-// PrepareOutgoing sets the options of the socket of an outgoing connection. A net.Dialer calls it as its Control.
-func PrepareOutgoing(network, address string, raw syscall.RawConn) error {
-	return errors.Join(SetUserTimeout(network, address, raw), listen.ShareLocalPort(network, address, raw))
-}
-
 // Link is a connection. Send may be called from any goroutine, Receive from only one.
 type Link struct {
 	conn        net.Conn
@@ -202,7 +178,7 @@
 		}
 		if tcp, ok := conn.(*net.TCPConn); ok {
 			if raw, err := tcp.SyscallConn(); err == nil {
-				SetUserTimeout("", "", raw)
+				userTimeoutOption.set(raw)
 			}
 		}
 		go func() {
