--- a/decide/routeconfig/read.go
+++ b/decide/routeconfig/read.go
@@ -77,6 +77,14 @@
 	return int64(f), nil
 }
 
+// readDuration reads a time in ms. A longer one than MaxDurationMs is read as that.
+//
+// Danger: in ns a longer one is beyond what an int64 holds, and would come out as a time in the past.
+func readDuration(d *jx.Decoder, key string) (int64, error) {
+	n, err := readInteger(d, key)
+	return min(n, MaxDurationMs), err
+}
+
 func readString(d *jx.Decoder, key string) (string, error) {
 	s, err := d.Str()
 	if err != nil {
@@ -100,9 +108,9 @@
 		case "route-kind":
 			kind, err = readString(d, key)
 		case "deadline-ms":
-			r.DeadlineMs, err = readInteger(d, key)
+			r.DeadlineMs, err = readDuration(d, key)
 		case "target-ms":
-			r.TargetMs, err = readInteger(d, key)
+			r.TargetMs, err = readDuration(d, key)
 		case "rank":
 			r.Rank, err = readInteger(d, key)
 		case "max-tries":
@@ -194,9 +202,9 @@
 			n, err = readInteger(d, key)
 			l.BodyBytes = int(n)
 		case "header-read-ms":
-			l.HeaderReadMs, err = readInteger(d, key)
+			l.HeaderReadMs, err = readDuration(d, key)
 		case "idle-timeout-ms":
-			l.IdleTimeoutMs, err = readInteger(d, key)
+			l.IdleTimeoutMs, err = readDuration(d, key)
 		default:
 			err = d.Skip()
 		}
--- a/decide/routeconfig/routeconfig.go
+++ b/decide/routeconfig/routeconfig.go
@@ -21,6 +21,9 @@
 	routesByHost map[string][]*Route // by host in lower case, the longest prefix first
 }
 
+// MaxDurationMs is the longest time that a configuration or a request can state, ms. It is a year.
+const MaxDurationMs = 366 * 24 * 60 * 60 * 1000
+
 // Route says which requests go to which services, and on which terms. Times are in ms.
 type Route struct {
 	Name, Host, Prefix string
--- a/decide/routeconfig/routeconfig_test.go
+++ b/decide/routeconfig/routeconfig_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -70,3 +71,14 @@
 		}
 	})
 }
+
+// TestLongestTimes: a time that no int64 holds in ns is the longest one, and not a time in the past.
+func TestLongestTimes(t *testing.T) {
+	c, err := Read([]byte(`{"revision":1,"routes":[{"name":"r","host":"h","path-prefix":"/","deadline-ms":9007199254740992,"target-ms":9007199254740992,"service":"s"}],
+"services":[{"name":"s"}],"limits":{"header-read-ms":9007199254740992,"idle-timeout-ms":9007199254740992}}`))
+	must.NoError(t, err)
+	for _, ms := range []int64{c.Routes[0].DeadlineMs, c.Routes[0].TargetMs, c.Limits.HeaderReadMs, c.Limits.IdleTimeoutMs} {
+		must.Eq(t, MaxDurationMs, ms)
+		must.Positive(t, ms*int64(time.Millisecond))
+	}
+}
--- a/front/clienthttp/clienthttp.go
+++ b/front/clienthttp/clienthttp.go
@@ -89,6 +89,7 @@
 			refuse(w, http.StatusBadRequest, 0)
 			return
 		}
+		n = min(max(n, 0), routeconfig.MaxDurationMs)
 		deadline = min(deadline, arrived+n*millisecond)
 	}
 	body, err := readBody(w, r, state.Config.Limits.BodyBytes)
