--- a/front/clienthttp/callers_test.go
+++ b/front/clienthttp/callers_test.go
@@ -159,6 +159,48 @@
 	}
 }
 
+// TestClientThatStopsInItsBody (FAULT, CONFIG): a client that stops in the middle of its body gets 408 once its time is over, and its
+// connection ends. It got no answer, and held memory for as long as it kept the connection.
+func TestClientThatStopsInItsBody(t *testing.T) {
+	const within = 150 * time.Millisecond
+	deadline := fmt.Sprintf("%s: %d\r\n", replicahttp.HeaderDeadline, within.Milliseconds())
+	for name, stopped := range map[string]string{"length": post("x1", deadline+"Content-Length: 4\r\n", "bo"), "chunks": post("x1", deadline+chunked, "4\r\nbo")} {
+		for _, reused := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reused %t", name, reused), func(t *testing.T) {
+				t.Parallel()
+				conn, err := net.Dial("tcp", serveClients(t, &echoCore{}))
+				must.NoError(t, err)
+				defer conn.Close()
+				sent, want := stopped, []string{"408"}
+				if reused {
+					sent, want = postSized("x0", "first")+sent, []string{"200 x0", "408"}
+				}
+				began := time.Now()
+				io.WriteString(conn, sent)
+				must.Eq(t, want, answers(t, conn))
+				must.GreaterEq(t, within, time.Since(began))
+			})
+		}
+	}
+}
+
+// TestConnectionOutlastsTheTimeForABody: the time for a body does not bound what follows it on the connection.
+func TestConnectionOutlastsTheTimeForABody(t *testing.T) {
+	const within = 50 * time.Millisecond
+	core := &echoCore{hold: make(chan struct{})}
+	conn, err := net.Dial("tcp", serveClients(t, core))
+	must.NoError(t, err)
+	defer conn.Close()
+	io.WriteString(conn, post("x1", fmt.Sprintf("%s: %d\r\nContent-Length: 4\r\n", replicahttp.HeaderDeadline, within.Milliseconds()), "body"))
+	<-core.reached
+	time.Sleep(3 * within)
+	close(core.hold)
+	must.Eq(t, []string{"200 x1"}, answersUntil(t, conn, 1))
+	must.Zero(t, core.left)
+	io.WriteString(conn, postSized("x2", "more"))
+	must.Eq(t, []string{"200 x2"}, answersUntil(t, conn, 1))
+}
+
 // answersUntil reads up to most answers, or all until the connection ends if most is 0.
 func answersUntil(t *testing.T, c net.Conn, most int) (all []string) {
 	if most == 0 {
--- a/front/clienthttp/clienthttp.go
+++ b/front/clienthttp/clienthttp.go
@@ -1,13 +1,12 @@
 // Package clienthttp serves clients of a proxy over HTTP: it decodes requests, passes them to the core and writes
 // the answers. It makes no policy decisions; by itself it refuses only requests that are malformed, that have no
-// route, whose route has no shard, or that arrive before a configuration has been applied.
+// route, whose route has no shard, whose body does not come in time or does not fit into memory, or that arrive before a configuration
+// has been applied.
 package clienthttp
 
 import (
 	"bytes"
 	"context"
-	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -21,6 +20,7 @@
 	"willowsill/decide/routeconfig"
 	"willowsill/decide/routingtable"
 	"willowsill/node"
+	"willowsill/transport/boundedread"
 	"willowsill/transport/replicahttp"
 )
 
@@ -41,7 +41,8 @@
 type Handler struct {
 	Core     Core
 	Now      func() int64
-	Draining atomic.Bool // each answer closes its connection
+	Bodies   *boundedread.Budget // memory for the bodies of requests in progress; nil for no limit
+	Draining atomic.Bool         // each answer closes its connection
 	state    atomic.Pointer[routingtable.State]
 }
 
@@ -92,16 +93,12 @@
 		n = min(max(n, 0), routeconfig.MaxDurationMs)
 		deadline = min(deadline, arrived+n*millisecond)
 	}
-	body, err := readBody(w, r, state.Config.Limits.BodyBytes)
+	body, err := h.readBody(w, r, state.Config.Limits.BodyBytes, time.Duration(deadline-arrived))
 	if err != nil {
-		var tooLarge *http.MaxBytesError
-		if errors.As(err, &tooLarge) {
-			refuse(w, http.StatusRequestEntityTooLarge, 0)
-		} else {
-			refuse(w, http.StatusBadRequest, 0)
-		}
+		refuseBody(w, err)
 		return
 	}
+	defer h.Bodies.Release(int64(len(body)))
 	req := &replicahttp.Request{Attempt: attempt, Method: r.Method, Body: body, Head: requestHead(r, target, len(body)),
 		Answers: map[int]*replicahttp.Answer{}}
 	row, known := state.Rows[route.ID()]
@@ -148,23 +145,6 @@
 	return parts, true
 }
 
-func readBody(w http.ResponseWriter, r *http.Request, limit int) ([]byte, error) {
-	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
-		return nil, nil
-	}
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if n := r.ContentLength; n > int64(limit) {
-		return nil, &http.MaxBytesError{Limit: int64(limit)}
-	} else if n > 0 {
-		body := make([]byte, n)
-		_, err := io.ReadFull(r.Body, body)
-		return body, err
-	}
-	return io.ReadAll(http.MaxBytesReader(w, r.Body, int64(limit)))
-}
-
 // requestHead returns the request line and the headers that go to the replicas, without those that differ from
 // part to part.
 func requestHead(r *http.Request, target string, length int) []byte {
--- a/front/clienthttp/clienthttp_test.go
+++ b/front/clienthttp/clienthttp_test.go
@@ -20,6 +20,7 @@
 	"willowsill/decide/routingtable"
 	"willowsill/internal/pipenet"
 	"willowsill/node"
+	"willowsill/transport/boundedread"
 	"willowsill/transport/replicahttp"
 )
 
@@ -109,6 +110,37 @@
 	}
 }
 
+// TestLengthThatIsNeverSent (FAULT): a client that states a long body and sends little of it takes no more memory than it has sent.
+func TestLengthThatIsNeverSent(t *testing.T) {
+	r := request("POST", "/b/x", "short")
+	r.ContentLength = 1 << 52
+	w := httptest.NewRecorder()
+	newHandlerOf(t, &recordingCore{}, strings.Replace(configuration, `"max-body-bytes":10`, `"max-body-bytes":9007199254740992`, 1)).ServeHTTP(w, r)
+	must.Eq(t, 400, w.Code)
+}
+
+// TestBodiesBeyondTheMemory (FAULT): a body that does not fit into the memory for bodies is declined, whether it states its length or
+// not. Each body gives its memory back. Clients could end an edge by what they sent at the same time.
+func TestBodiesBeyondTheMemory(t *testing.T) {
+	const room = 64 << 10
+	handler := newHandler(t, &recordingCore{answers: map[int]*replicahttp.Answer{0: part("x")}})
+	handler.Bodies = boundedread.NewBudget(room)
+	status := func(length int64) int {
+		r := request("POST", "/b/x", "body")
+		r.ContentLength = length
+		w := httptest.NewRecorder()
+		handler.ServeHTTP(w, r)
+		return w.Code
+	}
+	for range 2 * room {
+		must.Eq(t, 200, status(4))
+	}
+	must.Eq(t, 200, status(-1))
+	handler.Bodies = boundedread.NewBudget(3)
+	must.Eq(t, 503, status(4))
+	must.Eq(t, 503, status(-1))
+}
+
 // TestWhatReplicasGet: replicas get the request unchanged, except for headers that concern one connection or that
 // the proxy sets.
 func TestWhatReplicasGet(t *testing.T) {
--- a/front/proxyserver/proxyserver.go
+++ b/front/proxyserver/proxyserver.go
@@ -31,6 +31,7 @@
 	"willowsill/front/clienthttp"
 	"willowsill/internal/counters"
 	"willowsill/node"
+	"willowsill/transport/boundedread"
 	"willowsill/transport/daemon"
 	"willowsill/transport/discovery"
 	"willowsill/transport/listen"
@@ -51,6 +52,9 @@
 	stayOpen   = 2500 * time.Millisecond
 	stopMargin = 400 * time.Millisecond // time kept free at the end of the platform's grace period
 	startPoll  = 5 * time.Millisecond   // interval of checks whether the first configuration has been applied
+
+	bodyMemoryShare = 0.25 // share of the memory limit for the bodies of requests; what is freed is collected late, and answers need as much
+	bytesPerMB      = 1 << 20
 )
 
 // Server is a running proxy.
@@ -104,7 +108,7 @@
 	if err != nil {
 		return ErrProxy.Wrap(err)
 	}
-	s.handler = &clienthttp.Handler{Core: s.node, Now: clock.Now}
+	s.handler = &clienthttp.Handler{Core: s.node, Now: clock.Now, Bodies: bodyBudget(local.Limits)}
 	s.servers, s.address = &clienthttp.Servers{Handler: s.handler}, front.Addr()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -121,6 +125,14 @@
 	return nil
 }
 
+// bodyBudget returns the memory that the bodies of requests may take, nil if the settings do not limit memory.
+func bodyBudget(limits settings.Limits) *boundedread.Budget {
+	if limits.MemoryMB <= 0 {
+		return nil
+	}
+	return boundedread.NewBudget(int64(bodyMemoryShare * bytesPerMB * limits.MemoryMB))
+}
+
 // accept accepts clients once a configuration has been applied. Until then their connections wait in the kernel's
 // queue.
 func (s *Server) accept(front net.Listener) {
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -13,6 +13,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/samber/oops"
+
+	"willowsill/transport/boundedread"
 )
 
 // ErrLink builds this package's errors, which have the code link.
@@ -143,8 +145,8 @@
 	if n > maxFrameBytes {
 		return ErrLink.Errorf("a frame of %d bytes from %s", n, l.RemoteIP())
 	}
-	body := make([]byte, n)
-	if _, err := io.ReadFull(l.r, body); err != nil {
+	body, err := boundedread.Exactly(l.r, int64(n), nil)
+	if err != nil {
 		return ErrLink.Wrapf(err, "reading from %s", l.RemoteIP())
 	}
 	if err := cbor.Unmarshal(body, v); err != nil {
--- a/transport/replicahttp/connection.go
+++ b/transport/replicahttp/connection.go
@@ -17,6 +17,7 @@
 	"github.com/samber/oops"
 
 	"willowsill/balance"
+	"willowsill/transport/boundedread"
 )
 
 // ErrReplica builds this package's errors, which have the code replica.
@@ -322,9 +323,7 @@
 		return nil, ErrReplica.Errorf("an answer of %d bytes", res.ContentLength)
 	}
 	if n := res.ContentLength; n >= 0 {
-		body := make([]byte, n)
-		_, err := io.ReadFull(res.Body, body)
-		return body, err
+		return boundedread.Exactly(res.Body, n, nil)
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxBodyBytes+1))
 	if err == nil && len(body) > maxBodyBytes {
