--- a/cmd/willowsill/sitegateway.go
+++ b/cmd/willowsill/sitegateway.go
@@ -5,7 +5,9 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io/fs"
 	"net/http"
 	"reflect"
 	"slices"
@@ -80,10 +82,7 @@
 		options.Sites = append(options.Sites, gateway.Site{Gateways: l.Gateways,
 			Link: siterouting.Link{Site: l.To, QueryRate: l.QueryRate, ByteRate: float64(l.ByteRate), Cost: l.Cost}})
 	}
-	listener, err := listen.Later(stop, listenLog(log), listen.Endpoint{Setting: o.File + `: site: key "listen"`, Address: o.Site.Listen})
-	if err != nil {
-		return nil, nil, err
-	}
+	listener := listen.Later(stop, listenLog(log), listen.Endpoint{Setting: o.File + `: site: key "listen"`, Address: o.Site.Listen})
 	counts := &gateway.Counters{}
 	core, err := gateway.New(options, counts)
 	if err != nil {
@@ -95,10 +94,10 @@
 	g.peerServer = &gateway.PeerServer{Site: o.Site.Name, PeerSites: names, Deployment: start.Deployment, Clock: clock, Counters: counts, Log: log,
 		RequireCertificate: true, AdvertisedRate: core.AdvertisedRate, Window: deduplication.New(deduplication.Limits{MaxIDs: maxRememberedIDs, MaxAnswerBytes: maxRememberedBytes, Retention: int64(rememberedFor)}),
 		Front: &front.Front{Core: core, Clock: clock, WorkloadRow: start.WorkloadRow, Shards: start.Shards, Counters: count, Guard: guard, Log: log}}
-	if o.Site.IDFile != "" {
-		if err := g.peerServer.Load(o.Site.IDFile); err != nil {
-			log.Error("cannot load the query IDs of the previous run", zap.Error(err))
-		}
+	if err := g.loadIDs(); err != nil {
+		listener.Close()
+		core.Close()
+		return nil, nil, err
 	}
 	g.server = g.peerServer.HTTPServer(nil)
 	go func() {
@@ -112,6 +111,26 @@
 	return core, g, nil
 }
 
+// loadIDs loads the query IDs of the previous run. A file that the system refuses to read is an error.
+//
+// Danger: without these IDs a repeat of a query that another site sends once more is taken for a new one. A refusal says nothing about
+// the content, so it is no reason to go on without them.
+func (g *siteGateway) loadIDs() error {
+	file := g.settings.Site.IDFile
+	if file == "" {
+		return nil
+	}
+	err := g.peerServer.Load(file)
+	var refused *fs.PathError
+	if errors.As(err, &refused) {
+		return fmt.Errorf("%s: site: %w", g.settings.File, err)
+	}
+	if err != nil {
+		g.log.Error("cannot load the query IDs of the previous run", zap.Error(err))
+	}
+	return nil
+}
+
 // apply evacuates the own site or ends the evacuation as the settings say. Every other change of site and links takes effect
 // at the next start.
 func (g *siteGateway) apply(o *operator.Settings) {
--- a/decide/transient/transient.go
+++ b/decide/transient/transient.go
@@ -1,13 +1,11 @@
-// Package transient holds the one rule for the failures that a program meets when it starts and where it listens: which of them
-// can pass and are waited for, and which end the operation at once.
+// Package transient holds the one rule for the failures that a program meets when it starts and where it listens: no failure ends
+// a program. Whatever stands in the way is waited for and logged, until it has passed or the program is stopped. Only what the
+// program itself has closed is given up.
 //
 // Decides: whether a failed operation is tried again, after how long, and which of its failures are logged.
 package transient
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Operation is what a program was doing when it failed.
 type Operation int
@@ -16,7 +14,7 @@
 const (
 	Listen       Operation = iota // opening a listener
 	Accept                        // accepting a connection
-	ReadSettings                  // reading the settings file at the start
+	ReadSettings                  // reading the settings at the start, and opening what they name
 	OpenState                     // opening the file with a controller's state
 )
 
@@ -25,35 +23,23 @@
 
 // The kinds of failures.
 const (
-	Other         Failure = iota
-	AddressTaken          // another process or a connection holds the address
-	AddressAbsent         // the machine does not have the address, or its network is down
-	Exhausted             // there are too few descriptors or too little memory
-	FileRefused           // the system refuses to open, read or write a file; that says nothing about its content
-	Closed                // the listener was closed
+	Obstacle Failure = iota // the system refuses, or the content of a file is not what it should be
+	Closed                  // the program has closed what the operation needs
 )
 
-// rule is how the failures of an operation are handled. Times are in ns.
-type rule struct {
-	passes     func(Failure) bool
-	firstDelay int64 // delay after the first failure; it doubles with each further one
-	maxDelay   int64
-	limit      int64 // time from the first failure after which the operation is given up; 0 for never
-}
-
-func passing(kinds ...Failure) func(Failure) bool {
-	return func(f Failure) bool { return slices.Contains(kinds, f) }
+// delays are the times between the attempts of an operation, ns.
+type delays struct {
+	first int64 // after the first failure; it doubles with each further one
+	max   int64
 }
 
 const ms = int64(time.Millisecond)
 
-var rules = map[Operation]rule{
-	// Without a limit: a process that ended would be started again into the same wait.
-	Listen: {passes: passing(AddressTaken, AddressAbsent, Exhausted), firstDelay: 50 * ms, maxDelay: 250 * ms},
-	Accept: {passes: func(f Failure) bool { return f != Closed }, firstDelay: 10 * ms, maxDelay: 100 * ms},
-	// The platform may be writing the file, which takes it less than the limit.
-	ReadSettings: {passes: func(Failure) bool { return true }, firstDelay: 50 * ms, maxDelay: 200 * ms, limit: 2000 * ms},
-	OpenState:    {passes: passing(FileRefused, Exhausted), firstDelay: 100 * ms, maxDelay: 500 * ms},
+var delaysOf = map[Operation]delays{
+	Listen:       {first: 50 * ms, max: 250 * ms},
+	Accept:       {first: 10 * ms, max: 100 * ms},
+	ReadSettings: {first: 50 * ms, max: 200 * ms},
+	OpenState:    {first: 100 * ms, max: 500 * ms},
 }
 
 const logInterval = 10_000 * ms // time between two failures of one operation that are logged
@@ -67,29 +53,27 @@
 
 // Attempts records the failures of one operation since it was begun. It is not safe for concurrent use.
 type Attempts struct {
-	rule      rule
+	delays    delays
 	failed    bool
-	since     int64 // time of the first failure
 	loggedAt  int64 // time of the last failure that was logged
 	lastDelay int64
 }
 
 // NewAttempts returns the record of an operation that has not failed yet.
-func NewAttempts(operation Operation) *Attempts { return &Attempts{rule: rules[operation]} }
+func NewAttempts(operation Operation) *Attempts { return &Attempts{delays: delaysOf[operation]} }
 
 // Failed records a failure at a time, in ns, and returns what to do.
+//
+// Danger: a program that ended would be started again into the same obstacle, and end again, until it has passed.
 func (a *Attempts) Failed(now int64, failure Failure) Decision {
-	if !a.rule.passes(failure) {
+	if failure == Closed {
 		return Decision{GiveUp: true}
 	}
 	if !a.failed {
-		a.failed, a.since, a.loggedAt, a.lastDelay = true, now, now, a.rule.firstDelay
+		a.failed, a.loggedAt, a.lastDelay = true, now, a.delays.first
 		return Decision{Delay: a.lastDelay, Log: true}
 	}
-	if a.rule.limit > 0 && now-a.since >= a.rule.limit {
-		return Decision{GiveUp: true}
-	}
-	a.lastDelay = min(2*a.lastDelay, a.rule.maxDelay)
+	a.lastDelay = min(2*a.lastDelay, a.delays.max)
 	due := now-a.loggedAt >= logInterval
 	if due {
 		a.loggedAt = now
--- a/deployment/start.go
+++ b/deployment/start.go
@@ -56,8 +56,22 @@
 	megabyte           = 1 << 20
 )
 
+// CheckEnvironment returns an error that names the first variable of the environment that is missing or invalid; get is os.Getenv.
+// It reads no file.
+func CheckEnvironment(get func(string) string) error {
+	_, err := readEnvironment(get)
+	return err
+}
+
 // FromEnvironment reads the environment and the configuration file that it names; get is os.Getenv.
 func FromEnvironment(get func(string) string) (s Config, err error) {
+	if s, err = readEnvironment(get); err != nil {
+		return s, err
+	}
+	return s, s.readFile()
+}
+
+func readEnvironment(get func(string) string) (s Config, err error) {
 	values := map[string]*string{envName: &s.Name, envListen: &s.Listen,
 		envDiscovery: &s.Discovery}
 	for _, name := range []string{envConfig, envName, envListen, envDiscovery} {
@@ -74,7 +88,7 @@
 		}
 	}
 	s.file = get(envConfig)
-	return s, s.readFile()
+	return s, nil
 }
 
 // Check reads a configuration file without an environment. The error names the key at fault.
--- a/front/proxyserver/proxyserver.go
+++ b/front/proxyserver/proxyserver.go
@@ -44,7 +44,7 @@
 var ErrProxy = oops.Code("proxy")
 
 // Program is the daemon that runs a proxy.
-var Program = daemon.Program{Name: "proxy", Purpose: "serves clients", Required: []settings.Key{settings.KeyFront, settings.KeyReadiness}, Run: Run}
+var Program = daemon.Program{Name: "proxy", Purpose: "serves clients", Required: []settings.Key{settings.KeyFront, settings.KeyReadiness}, Start: Start}
 
 const (
 	maxHeld = 20000 // limit of queries and parts that the node holds
@@ -85,9 +85,18 @@
 	leaving    atomic.Bool
 }
 
-// Run runs a proxy until ctx ends, and then until the requests in progress have been answered or the platform's
-// grace period is nearly over.
-func Run(ctx context.Context, local settings.Settings) error {
+// Start opens the listener for clients and returns what runs a proxy. It waits until the listener can be opened or ctx ends.
+func Start(ctx context.Context, local settings.Settings) (daemon.Serve, error) {
+	front, err := listen.TCP(ctx, klog.ErrorS, listen.Endpoint{Setting: "bind-addrs.front", Address: local.Bind.Front})
+	if err != nil {
+		return nil, ErrProxy.Wrap(err)
+	}
+	s := newServer(local)
+	return func(ctx context.Context) { s.serve(ctx, front) }, nil
+}
+
+// newServer returns a proxy that serves nobody yet.
+func newServer(local settings.Settings) *Server {
 	seed := rand.Uint64()
 	s := &Server{settings: local, counters: counters.New(nil), state: clusterstate.NewState()}
 	clock := node.NewClock()
@@ -100,18 +109,27 @@
 			s.pool = replicahttp.NewPool(notify, now)
 			return s.pool
 		}})
-	front, err := listen.TCP(ctx, klog.ErrorS, listen.Endpoint{Setting: "bind-addrs.front", Address: local.Bind.Front})
-	if err != nil {
-		return ErrProxy.Wrap(err)
-	}
-	ready, err := listen.Later(ctx, klog.ErrorS, listen.Endpoint{Setting: "bind-addrs.readiness", Address: local.Bind.Readiness})
-	if err != nil {
-		return ErrProxy.Wrap(err)
-	}
 	s.handler = &clienthttp.Handler{Core: s.node, Now: clock.Now, Bodies: bodyBudget(local.Limits)}
-	s.servers, s.address = &clienthttp.Servers{Handler: s.handler}, front.Addr()
+	s.servers = &clienthttp.Servers{Handler: s.handler}
+	return s
+}
+
+// bodyBudget returns the memory that the bodies of requests may take, nil if the settings do not limit memory.
+func bodyBudget(limits settings.Limits) *boundedread.Budget {
+	if limits.MemoryMB <= 0 {
+		return nil
+	}
+	return boundedread.NewBudget(int64(bodyMemoryShare * bytesPerMB * limits.MemoryMB))
+}
+
+// serve runs the proxy until ctx ends, and then until the requests in progress have been answered or the platform's grace period is
+// nearly over.
+func (s *Server) serve(ctx context.Context, front net.Listener) {
+	local := s.settings
+	s.address = front.Addr()
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
+	ready := listen.Later(background, klog.ErrorS, listen.Endpoint{Setting: "bind-addrs.readiness", Address: local.Bind.Readiness})
 	upstream := watch.Upstream{Report: s.buildReport, Apply: s.applyUpdate, OnFreshness: s.handleFreshness, OnLending: s.handleLendingMessage,
 		Addresses: func() []string { return []string{local.InternalAddress(local.Loopback(), settings.PortAgent)} }}
 	go upstream.Run(background)
@@ -122,15 +140,6 @@
 	go s.accept(front)
 	<-ctx.Done()
 	s.drain(front)
-	return nil
-}
-
-// bodyBudget returns the memory that the bodies of requests may take, nil if the settings do not limit memory.
-func bodyBudget(limits settings.Limits) *boundedread.Budget {
-	if limits.MemoryMB <= 0 {
-		return nil
-	}
-	return boundedread.NewBudget(int64(bodyMemoryShare * bytesPerMB * limits.MemoryMB))
 }
 
 // accept accepts clients once a configuration has been applied. Until then their connections wait in the kernel's
--- a/lab/startsoak/trouble.go
+++ b/lab/startsoak/trouble.go
@@ -24,7 +24,7 @@
 
 // troublesOf returns the kinds of trouble that a role can meet.
 func troublesOf(role string) []troubleKind {
-	kinds := []troubleKind{{"none", calm}, {"port held", holdPort}, {"settings being written", writeSettings}, {"settings in other forms", varyFigures},
+	kinds := []troubleKind{{"none", calm}, {"port held", holdPort}, {"settings being written", writeSettings}, {"settings away", hideSettings}, {"settings in other forms", varyFigures},
 		{"signals from the start on", hangUpEarly}}
 	if role == controllerRole {
 		kinds = append(kinds, troubleKind{"disk away", hideDisk}, troubleKind{"few descriptors", limitDescriptors})
@@ -59,6 +59,12 @@
 	return trouble{end: func() { os.WriteFile(d.settingsFile(), whole, 0o600) }}, os.WriteFile(d.settingsFile(), part, 0o600)
 }
 
+// hideSettings takes the settings file away, as where the platform writes it long after the start.
+func hideSettings(d *daemon, _ *rand.Rand) (trouble, error) {
+	away := d.settingsFile() + ".away"
+	return trouble{end: func() { os.Rename(away, d.settingsFile()) }}, os.Rename(d.settingsFile(), away)
+}
+
 // varyFigures writes the settings with figures in other forms, and with keys that no daemon reads.
 func varyFigures(d *daemon, random *rand.Rand) (trouble, error) {
 	if err := d.prepare(); err != nil {
--- a/transport/agentserver/agentserver.go
+++ b/transport/agentserver/agentserver.go
@@ -32,7 +32,7 @@
 var ErrAgent = oops.Code("agent")
 
 // Program is the daemon that runs an agent.
-var Program = daemon.Program{Name: "agent", Purpose: "keeps the link to the controllers for the proxy beside it", Required: []settings.Key{settings.KeySeedNodes}, Run: Run}
+var Program = daemon.Program{Name: "agent", Purpose: "keeps the link to the controllers for the proxy beside it", Required: []settings.Key{settings.KeySeedNodes}, Start: Start}
 
 const (
 	graceMargin = 300 * time.Millisecond // at shutdown, time left between the agent's end and the end of the grace period
@@ -66,25 +66,25 @@
 	receivedAt time.Time
 }
 
-// Run runs an agent until ctx ends and the local proxy has disconnected, or the grace period is almost over.
-func Run(ctx context.Context, local settings.Settings) error {
+// Start returns what runs an agent.
+func Start(_ context.Context, local settings.Settings) (daemon.Serve, error) {
 	s := &Server{settings: local, base: time.Now().Add(-time.Hour), state: clusterstate.NewState(), detector: failuredetector.New(local.IP),
 		downstream: map[string]downstreamReport{}, loans: watch.NewLoans(local.Bounds.RetryWindow())}
+	return s.serve, nil
+}
+
+// serve runs the agent until ctx ends and the local proxy has disconnected, or the grace period is almost over.
+func (s *Server) serve(ctx context.Context) {
+	local := s.settings
 	internal := func(ip string, port int) listen.Endpoint {
 		return listen.Endpoint{Setting: "internal-ports", Address: local.InternalAddress(ip, port)}
 	}
-	proxy, err := listen.Later(ctx, klog.ErrorS, internal(local.Loopback(), settings.PortAgent))
-	if err != nil {
-		return ErrAgent.Wrap(err)
-	}
-	defer proxy.Close()
-	relay, err := listen.Later(ctx, klog.ErrorS, internal(local.IP, settings.PortWatch))
-	if err != nil {
-		return ErrAgent.Wrap(err)
-	}
-	defer relay.Close()
 	running, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	proxy := listen.Later(running, klog.ErrorS, internal(local.Loopback(), settings.PortAgent))
+	defer proxy.Close()
+	relay := listen.Later(running, klog.ErrorS, internal(local.IP, settings.PortWatch))
+	defer relay.Close()
 	s.upstream = watch.Upstream{Report: s.report, Addresses: s.upstreamAddresses, Apply: s.applyUpdate,
 		OnFreshness: func(fresh clusterstate.Freshness) { s.relayFeed.Publish(nil, fresh) },
 		OnLending:   s.loans.HandleUpstream}
@@ -100,7 +100,6 @@
 	for time.Now().Before(deadline) && s.proxyFeed.Count() > 0 {
 		time.Sleep(leavePoll)
 	}
-	return nil
 }
 
 func (s *Server) now() int64 { return int64(time.Since(s.base)) }
@@ -193,10 +192,7 @@
 // exchangeHeartbeats opens the socket for heartbeats once its address is free, and sends and receives heartbeats until ctx ends.
 func (s *Server) exchangeHeartbeats(ctx context.Context, endpoint listen.Endpoint) {
 	socket, err := listen.UDP(ctx, klog.ErrorS, endpoint)
-	if err != nil {
-		if ctx.Err() == nil {
-			klog.ErrorS(err, "no heartbeats are exchanged with other edges")
-		}
+	if err != nil { // the agent ends
 		return
 	}
 	s.heartbeats = socket
--- a/transport/controlserver/controlserver.go
+++ b/transport/controlserver/controlserver.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"strconv"
 	"sync"
@@ -34,7 +35,7 @@
 var ErrControlServer = oops.Code("control_server")
 
 // Program is the daemon that runs a controller.
-var Program = daemon.Program{Name: "controller", Purpose: "serves replicas and operators", Required: []settings.Key{settings.KeyControl, settings.KeyDataDir, settings.KeySeedNodes}, Run: Run}
+var Program = daemon.Program{Name: "controller", Purpose: "serves replicas and operators", Required: []settings.Key{settings.KeyControl, settings.KeyDataDir, settings.KeySeedNodes}, Start: Start}
 
 const (
 	inputQueue        = 1024                   // inputs that may wait for the loop
@@ -66,47 +67,50 @@
 	lastCall uint64                            // the highest number used
 }
 
-// Run opens a controller's disk and sockets, and runs it until ctx ends. Then the controller announces its
-// shutdown, and calls in progress may finish within drainTimeout.
-func Run(ctx context.Context, local settings.Settings) error {
+// Start opens what a controller cannot do without, the port between controllers and the state file, and returns what runs it. It
+// waits until both can be had or ctx ends.
+func Start(ctx context.Context, local settings.Settings) (daemon.Serve, error) {
 	s := &Server{settings: local, base: time.Now().Add(-time.Hour), loans: watch.NewLoans(local.Bounds.RetryWindow()),
 		inputs: make(chan func(int64) controller.Effects, inputQueue),
 		saves:  make(chan controller.Save, 1), calls: map[uint64]chan controller.Answer{}}
-	internal := func(port int) listen.Endpoint {
-		return listen.Endpoint{Setting: "internal-ports", Address: local.InternalAddress(local.IP, port)}
-	}
 	// Danger: two processes that write one state file destroy it. So this port is opened first: only one process at a time has it.
-	peerListener, err := listen.TCP(ctx, klog.ErrorS, internal(settings.PortControllers))
+	peers, err := listen.TCP(ctx, klog.ErrorS, s.internalEndpoint(settings.PortControllers))
 	if err != nil {
-		return ErrControlServer.Wrap(err)
+		return nil, ErrControlServer.Wrap(err)
 	}
-	defer peerListener.Close()
 	store, err := s.start(ctx)
 	if err != nil {
-		return ErrControlServer.Wrap(err)
-	}
-	edgeListener, err := listen.Later(ctx, klog.ErrorS, internal(settings.PortWatch))
-	if err != nil {
-		return ErrControlServer.Wrap(err)
-	}
-	defer edgeListener.Close()
-	httpListener, err := listen.Later(ctx, klog.ErrorS, listen.Endpoint{Setting: "bind-addrs.control", Address: local.Bind.Control})
-	if err != nil {
-		return ErrControlServer.Wrap(err)
+		peers.Close()
+		return nil, ErrControlServer.Wrap(err)
 	}
+	return func(ctx context.Context) { s.serve(ctx, peers, store) }, nil
+}
+
+// internalEndpoint returns one of this machine's ports for traffic between the system's processes.
+func (s *Server) internalEndpoint(port int) listen.Endpoint {
+	return listen.Endpoint{Setting: "internal-ports", Address: s.settings.InternalAddress(s.settings.IP, port)}
+}
+
+// serve runs the controller until ctx ends. Then the controller announces its shutdown, and calls in progress may finish within
+// drainTimeout.
+func (s *Server) serve(ctx context.Context, peers net.Listener, store *statestore.Store) {
+	defer peers.Close()
 	running, cancelRunning := context.WithCancel(context.Background())
 	defer cancelRunning()
+	edges := listen.Later(running, klog.ErrorS, s.internalEndpoint(settings.PortWatch))
+	defer edges.Close()
+	calls := listen.Later(running, klog.ErrorS, listen.Endpoint{Setting: "bind-addrs.control", Address: s.settings.Bind.Control})
 	s.mesh = peer.NewMesh(running)
-	go peer.Serve(peerListener, s.receivePeer)
-	go peer.Serve(edgeListener, s.serveDownstream)
+	go peer.Serve(peers, s.receivePeer)
+	go peer.Serve(edges, s.serveDownstream)
 	go s.saveLoop(store)
 	go s.feed.SendHeartbeats(running, s.freshness)
 	go s.operators.SendHeartbeats(running, s.freshness)
-	metrics.Serve(running, local.IP, local.Metrics, s.writeMetrics)
+	metrics.Serve(running, s.settings.IP, s.settings.Metrics, s.writeMetrics)
 	httpServer := &http.Server{Handler: s.handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes}
 	go func() {
-		if err := httpServer.Serve(httpListener); !errors.Is(err, http.ErrServerClosed) {
+		if err := httpServer.Serve(calls); !errors.Is(err, http.ErrServerClosed) {
 			klog.ErrorS(err, "the control server ended")
 		}
 	}()
@@ -118,7 +122,6 @@
 		cancel()
 	}()
 	s.loop(wait)
-	return nil
 }
 
 // start opens the state file and creates the controller with what the file holds.
--- a/transport/controlserver/statefile.go
+++ b/transport/controlserver/statefile.go
@@ -22,7 +22,8 @@
 	damaged bool // the file's content could not be read, and was removed
 }
 
-// openState opens the state file in a folder. It waits until the disk can be read or ctx ends.
+// openState opens the state file in a folder. It waits until the file can be read or ctx ends: also for a file of a newer version, which
+// stays as it is until the operators bring that version back or give the controller an empty disk.
 //
 // Danger: a disk that refuses for a moment still holds what was acknowledged. A controller that took it for an empty one would
 // lose that, and several that did so at the same time would lose it for good. Only content that cannot be read is removed: the
--- a/transport/daemon/daemon.go
+++ b/transport/daemon/daemon.go
@@ -4,27 +4,22 @@
 
 import (
 	"context"
-	"errors"
 	"flag"
 	"fmt"
-	"io"
 	"os"
 
 	"k8s.io/klog/v2"
 
-	"willowsill/decide/transient"
 	"willowsill/deployment/settings"
 	"willowsill/transport/logs"
 	"willowsill/transport/metrics"
-	"willowsill/transport/retry"
 	"willowsill/transport/signals"
 )
 
 // Exit codes of a daemon.
 const (
-	exitStopped  = 0 // the daemon was stopped by a signal
-	exitFailed   = 1 // the daemon cannot run
-	exitSettings = 2 // the arguments or the settings are invalid
+	exitStopped = 0 // the daemon was stopped by a signal
+	exitInvalid = 2 // the arguments are invalid, or the settings that were to be checked
 )
 
 // arguments are the values of a daemon's flags.
@@ -33,16 +28,20 @@
 	metrics string // goes before the setting of the same name
 }
 
+// Serve runs a daemon that has started. It must return once ctx ends, which SIGTERM brings about.
+type Serve func(ctx context.Context)
+
 // Program is a daemon.
 type Program struct {
 	Name     string
 	Purpose  string         // what it does, for the usage text
 	Required []settings.Key // settings without which it cannot run
-	// Run must return once ctx ends, which SIGTERM brings about.
-	Run func(ctx context.Context, s settings.Settings) error
+	// Start opens what the daemon cannot serve without, and waits for it as long as it takes. It returns an error only where ctx has
+	// ended, and has released everything then.
+	Start func(ctx context.Context, s settings.Settings) (Serve, error)
 }
 
-// Main runs a daemon and exits. The exit code is 2 if the settings are invalid.
+// Main runs a daemon and exits. The exit code is 2 if the arguments are invalid.
 func Main(p Program) { os.Exit(Run(p, os.Args[1:])) }
 
 // Run does the same as Main with the given arguments, and returns the exit code. The signal handlers stay
@@ -54,45 +53,27 @@
 	go cancelOnStop(received.Stop, cancel)
 	parsed, err := p.parse(args)
 	if err != nil {
-		return exitSettings
+		return exitInvalid
 	}
 	if parsed.check != "" {
 		if _, err := p.read(parsed.check); err != nil {
 			fmt.Fprintln(os.Stderr, err)
-			return exitSettings
+			return exitInvalid
 		}
 		return exitStopped
 	}
 	log := logs.Open()
 	defer log.Sync()
-	s, err := p.awaitSettings(ctx, settings.FileName(os.Getenv), log)
-	if errors.Is(err, context.Canceled) {
-		return exitStopped
-	}
+	logs.Setup(log, p.Name, "")
+	start := starter{program: p, file: settings.FileName(os.Getenv), metrics: parsed.metrics, reload: received.Reload, log: log}
+	serve, err := start.run(ctx)
 	if err != nil {
-		fmt.Fprintln(log, err)
-		return exitSettings
-	}
-	if parsed.metrics != "" {
-		s.Metrics = parsed.metrics
-	}
-	logs.Setup(log, p.Name, s)
-	applyLimits(s.Limits)
-	go rereadSettings(received.Reload, s.File)
-	return exitCode(p.Run(ctx, s))
-}
-
-// exitCode logs why the daemon ends and returns its exit code.
-func exitCode(err error) int {
-	switch {
-	case err == nil:
-		klog.InfoS("the program ends")
-	case errors.Is(err, context.Canceled):
 		klog.InfoS("the program ends; it was stopped before it had started", "waitedFor", err.Error())
-	default:
-		klog.ErrorS(err, "the program cannot run")
-		return exitFailed
+		return exitStopped
 	}
+	go rereadSettings(received.Reload, start.file)
+	serve(ctx)
+	klog.InfoS("the program ends")
 	return exitStopped
 }
 
@@ -126,19 +107,6 @@
 	return s, err
 }
 
-// awaitSettings reads the settings. It waits for a while for a file that is missing or invalid, and says so in the log.
-//
-// Danger: the platform may write the file while a process starts. Half of a file is invalid, or valid without what the program
-// requires.
-func (p Program) awaitSettings(ctx context.Context, file string, log io.Writer) (s settings.Settings, err error) {
-	logWait := func(err error) { fmt.Fprintln(log, "the settings are read again:", err) }
-	err = retry.Do(ctx, transient.ReadSettings, logWait, func() (err error) {
-		s, err = p.read(file)
-		return err
-	})
-	return s, err
-}
-
 // cancelOnStop cancels at the first stop signal. Later ones are ignored, because the daemon is already
 // draining.
 func cancelOnStop(stop <-chan os.Signal, cancel context.CancelFunc) {
@@ -151,10 +119,15 @@
 // used only at the start, and members that join later are in the updates.
 func rereadSettings(reload <-chan os.Signal, file string) {
 	for range reload {
-		if _, err := settings.Read(file); err != nil {
-			klog.ErrorS(err, "the settings file cannot be read; the settings from the start stay in use")
-			continue
-		}
-		klog.InfoS("the settings file was read again")
+		readAgain(file)
+	}
+}
+
+// readAgain reads the settings file of a process that has settings already, and logs the result.
+func readAgain(file string) {
+	if _, err := settings.Read(file); err != nil {
+		klog.ErrorS(err, "the settings file cannot be read; the settings from the start stay in use")
+		return
 	}
+	klog.InfoS("the settings file was read again")
 }
--- a/transport/logs/logs.go
+++ b/transport/logs/logs.go
@@ -10,7 +10,6 @@
 
 	"k8s.io/klog/v2"
 
-	"willowsill/deployment/settings"
 	"willowsill/transport/logwriter"
 )
 
@@ -33,7 +32,7 @@
 	}})
 }
 
-// Setup configures the logs of a program.
-func Setup(to io.Writer, program string, s settings.Settings) {
-	klog.SetSlogLogger(slog.New(handler(to)).With("program", program, "node", s.Name))
+// Setup configures the logs of a program. The name of its node is empty as long as the program has no settings.
+func Setup(to io.Writer, program, node string) {
+	klog.SetSlogLogger(slog.New(handler(to)).With("program", program, "node", node))
 }
--- a/transport/metrics/metrics.go
+++ b/transport/metrics/metrics.go
@@ -79,8 +79,8 @@
 }
 
 // Serve serves metrics at an IP of this machine and an endpoint written as PORT/PATH until ctx ends; without an
-// endpoint it serves none. It returns at once: a port that is in use is waited for beside the process's work, and any other failure
-// is only logged, because the process still serves without its metrics.
+// endpoint it serves none. It returns at once: a port that cannot be listened on is waited for beside the process's work. An endpoint
+// that is not valid is only logged, because the process still serves without its metrics.
 func Serve(ctx context.Context, ip, endpoint string, collect Collector) {
 	if endpoint == "" {
 		return
@@ -90,11 +90,7 @@
 		klog.ErrorS(err, "no figures are served")
 		return
 	}
-	listener, err := listen.Later(ctx, klog.ErrorS, listen.Endpoint{Setting: "metrics", Address: net.JoinHostPort(ip, strconv.Itoa(parsed.Port))})
-	if err != nil {
-		klog.ErrorS(ErrMetrics.Wrap(err), "no figures are served")
-		return
-	}
+	listener := listen.Later(ctx, klog.ErrorS, listen.Endpoint{Setting: "metrics", Address: net.JoinHostPort(ip, strconv.Itoa(parsed.Port))})
 	server := &http.Server{Handler: Handler(parsed.Path, collect), ReadTimeout: readTimeout, IdleTimeout: idleTimeout}
 	go server.Serve(listener)
 	context.AfterFunc(ctx, func() { server.Close() })
