--- a/standin/systemreplica/systemreplica.go
+++ b/standin/systemreplica/systemreplica.go
@@ -30,6 +30,9 @@
 	HeartbeatInterval time.Duration // time between two heartbeats
 	ControlAddresses  []string      // addresses of the controllers; calls begin with the one that answered last
 
+	// ServeConnections serves the connections of a listener until it is closed, in place of the replica itself; nil for the replica.
+	ServeConnections func(net.Listener)
+
 	Executions   atomic.Int64 // requests that the replica has begun to process
 	callSeq      int64
 	controlIndex int
@@ -47,7 +50,11 @@
 	ctx, stop := context.WithCancel(context.Background())
 	r.listener, r.stop = ln, stop
 	r.server = &http.Server{Handler: r}
-	go r.server.Serve(ln)
+	if r.ServeConnections != nil {
+		go r.ServeConnections(ln)
+	} else {
+		go r.server.Serve(ln)
+	}
 	go r.sendHeartbeats(ctx)
 	return nil
 }
@@ -55,6 +62,7 @@
 // Kill stops the replica without announcing its departure.
 func (r *Replica) Kill() {
 	r.stop()
+	r.listener.Close()
 	r.server.Close()
 }
 
