--- a/deployment/settings/settings.go
+++ b/deployment/settings/settings.go
@@ -62,6 +62,11 @@
 	CoreCount Figure `toml:"core-count"`
 }
 
+const bytesPerMB = 1 << 20
+
+// MemoryBytes returns the memory limit in bytes, 0 if there is none.
+func (l Limits) MemoryBytes() int64 { return max(int64(bytesPerMB*l.MemoryMB), 0) }
+
 // Bounds are the limits that the platform's rules set.
 type Bounds struct {
 	GraceS       Figure `toml:"grace-s"`
--- a/front/clienthttp/body.go
+++ b/front/clienthttp/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"net/http"
 	"os"
 	"time"
@@ -12,12 +13,18 @@
 // noRoomWait is how long a client whose body does not fit into memory is asked to wait.
 const noRoomWait = time.Second
 
-// readBody reads the body of a request, and takes its memory from h.Bodies unless there is an error. The body must have come within a
+// clientAccount names the account for a request's body: clients of one machine are a group, in which each connection has its own account.
+func clientAccount(r *http.Request) (machine, connection string) {
+	machine, _, _ = net.SplitHostPort(r.RemoteAddr)
+	return machine, r.RemoteAddr
+}
+
+// readBody reads the body of a request, and takes its memory from the account unless there is an error. The body must have come within a
 // time.
 //
 // Danger: a client that stops in the middle of its body would otherwise get no answer, and hold what it has sent in memory, for as long
 // as it keeps the connection.
-func (h *Handler) readBody(w http.ResponseWriter, r *http.Request, limit int, within time.Duration) ([]byte, error) {
+func readBody(w http.ResponseWriter, r *http.Request, account *boundedread.Account, limit int, within time.Duration) ([]byte, error) {
 	if r.Body == nil || r.Body == http.NoBody || r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -29,7 +36,7 @@
 	}
 	control := http.NewResponseController(w)
 	control.SetReadDeadline(time.Now().Add(within)) // not supported in tests without a connection
-	body, err := h.readLimited(w, r, limit)
+	body, err := readLimited(w, r, account, limit)
 	if err != nil {
 		control.SetReadDeadline(time.Now()) // the server does not wait for the rest
 		return nil, err
@@ -38,11 +45,11 @@
 	return body, nil
 }
 
-func (h *Handler) readLimited(w http.ResponseWriter, r *http.Request, limit int) ([]byte, error) {
+func readLimited(w http.ResponseWriter, r *http.Request, account *boundedread.Account, limit int) ([]byte, error) {
 	if r.ContentLength > 0 {
-		return boundedread.Exactly(r.Body, r.ContentLength, h.Bodies)
+		return boundedread.Exactly(r.Body, r.ContentLength, account)
 	}
-	return boundedread.All(http.MaxBytesReader(w, r.Body, int64(limit)), h.Bodies)
+	return boundedread.All(http.MaxBytesReader(w, r.Body, int64(limit)), account)
 }
 
 // refuseBody answers a request whose body could not be read. The connection is closed, because the rest of the body may still come.
--- a/front/clienthttp/clienthttp.go
+++ b/front/clienthttp/clienthttp.go
@@ -93,14 +93,16 @@
 		n = min(max(n, 0), routeconfig.MaxDurationMs)
 		deadline = min(deadline, arrived+n*millisecond)
 	}
-	body, err := h.readBody(w, r, state.Config.Limits.BodyBytes, time.Duration(deadline-arrived))
+	account := h.Bodies.Account(clientAccount(r))
+	body, err := readBody(w, r, account, state.Config.Limits.BodyBytes, time.Duration(deadline-arrived))
 	if err != nil {
 		refuseBody(w, err)
 		return
 	}
-	defer h.Bodies.Release(int64(len(body)))
+	defer account.Release(int64(len(body)))
 	req := &replicahttp.Request{Attempt: attempt, Method: r.Method, Body: body, Head: requestHead(r, target, len(body)),
 		Answers: map[int]*replicahttp.Answer{}}
+	defer req.Release()
 	row, known := state.Rows[route.ID()]
 	query := node.Query{ID: attempt, Workload: row, Deadline: deadline, Payload: req}
 	var served bool
--- a/front/clienthttp/server.go
+++ b/front/clienthttp/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"willowsill/decide/routeconfig"
+	"willowsill/transport/boundedread"
 )
 
 const (
@@ -20,6 +21,7 @@
 // were in force when it was accepted.
 type Servers struct {
 	Handler http.Handler
+	Heads   *boundedread.Budget // memory for the heads of requests; nil for no limit
 	mu      sync.Mutex
 	limits  routeconfig.Limits
 	current *connServer   // takes new connections; nil until limits are set
@@ -54,6 +56,14 @@
 
 func (d *connServer) Addr() net.Addr { return d.address }
 
+// HeadLimit returns the limit of a request's head, in bytes.
+func HeadLimit(l routeconfig.Limits) int {
+	if l.HeaderBytes > 0 {
+		return l.HeaderBytes
+	}
+	return http.DefaultMaxHeaderBytes
+}
+
 // SetLimits sets the limits for connections that are accepted from now on.
 func (s *Servers) SetLimits(address net.Addr, l routeconfig.Limits) {
 	s.mu.Lock()
@@ -76,6 +86,7 @@
 				s.connEnded(d)
 			}
 		}}
+	s.Heads.BoundHeads(d.server)
 	former := s.current
 	s.current, s.all = d, append(s.all, d)
 	go d.server.Serve(d)
@@ -117,7 +128,7 @@
 		d := s.current
 		d.open++ // before the connection is passed on, so that the server is not closed meanwhile
 		s.mu.Unlock()
-		d.conns <- c
+		d.conns <- s.Heads.Conn(c)
 	}
 }
 
--- a/front/gateway/pool.go
+++ b/front/gateway/pool.go
@@ -11,7 +11,6 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -25,6 +24,7 @@
 	"willowsill/balance"
 	"willowsill/front"
 	"willowsill/node"
+	"willowsill/transport/boundedread"
 	"willowsill/transport/replica"
 )
 
@@ -39,7 +39,9 @@
 	headerLeaving        = "X-Leaving"      // on a ping's answer: the gateway is about to shut down
 
 	maxAnswerBytes    = 8 << 20
-	maxIdlePerGateway = 64 // idle connections kept open to one gateway
+	maxHeadBytes      = 64 << 10 // of an answer
+	answerMemory      = 64 << 20 // for the answers that are being read from all sites
+	maxIdlePerGateway = 64       // idle connections kept open to one gateway
 
 	handshakeTimeout = 5 * time.Second
 	nsPerMs          = int64(time.Millisecond)
@@ -137,6 +139,7 @@
 	notify           func(any)
 	now              func() int64
 	client           *http.Transport
+	answers          *boundedread.Budget
 	useTLS           bool
 	ownSite          string                       // name of this site
 	minDelay         func(link int) int64         // lowest round-trip time measured to a site, ns
@@ -153,8 +156,9 @@
 func newPool(dial replica.Dial, tlsConfig *tls.Config, siteOf map[string]string, http2 bool, maxRunning int, notify func(any),
 	now func() int64) *pool {
 	p := &pool{notify: notify, now: now, inFlight: map[*replica.Ticket]*attempt{}, maxRunning: maxRunning, useTLS: tlsConfig != nil,
+		answers: boundedread.NewBudget(answerMemory),
 		client: &http.Transport{DialContext: dial, MaxIdleConnsPerHost: maxIdlePerGateway, IdleConnTimeout: 30 * time.Second,
-			DisableCompression: true, ForceAttemptHTTP2: http2}}
+			DisableCompression: true, ForceAttemptHTTP2: http2, MaxResponseHeaderBytes: maxHeadBytes}}
 	if tlsConfig != nil {
 		p.client.DialTLSContext = func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
@@ -264,12 +268,12 @@
 	if rate, err := strconv.ParseFloat(a.Header.Get(headerAdvertisedRate), 64); err == nil && rate >= 0 {
 		p.onAdvertisedRate(query.link, rate)
 	}
-	text, err := io.ReadAll(io.LimitReader(a.Body, maxAnswerBytes+1))
+	account := p.answers.Account(strconv.Itoa(query.link), address)
+	text, err := boundedread.AtMost(a.Body, maxAnswerBytes, account)
+	defer account.Release(int64(len(text)))
 	switch {
 	case err != nil:
 		return balance.Reset, "", err
-	case len(text) > maxAnswerBytes:
-		return balance.Errored, "", errAnswerMismatch
 	case a.StatusCode == http.StatusOK:
 		return balance.Fulfilled, string(text), nil
 	case a.StatusCode == http.StatusServiceUnavailable || a.Header.Get(headerMayHaveRun) == "0":
--- a/front/proxyserver/metrics.go
+++ b/front/proxyserver/metrics.go
@@ -5,6 +5,7 @@
 
 	"willowsill/decide/routeconfig"
 	"willowsill/internal/counters"
+	"willowsill/transport/boundedread"
 	"willowsill/transport/metrics"
 )
 
@@ -19,6 +20,12 @@
 	w.Counter("willowsill_executions_sent_total", now.sent)
 	w.Counter("willowsill_connections_opened_total", now.opened)
 	w.Counter("willowsill_queries_crowded_total", now.crowded)
+	for _, limit := range boundedread.Limits {
+		w.Counter(fmt.Sprintf("willowsill_answers_over_limit_total{limit=%q}", limit), s.pool.LimitsPassed(limit))
+	}
+	w.Gauge("willowsill_answer_bytes_held", float64(s.pool.Memory.Held()))
+	w.Gauge("willowsill_request_body_bytes_held", float64(s.handler.Bodies.Held()))
+	w.Gauge("willowsill_request_head_bytes_held", float64(s.servers.Heads.Held()))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	w.Flag("willowsill_proxy_ready", s.readiness.Ready(s.node.Now()) && !s.leaving.Load())
--- a/front/proxyserver/proxyserver.go
+++ b/front/proxyserver/proxyserver.go
@@ -16,6 +16,7 @@
 
 	"github.com/samber/oops"
 	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
 	"k8s.io/klog/v2"
 
 	"willowsill/balance"
@@ -27,11 +28,11 @@
 	"willowsill/decide/routeconfig"
 	"willowsill/decide/routingtable"
 	"willowsill/deployment"
+	"willowsill/deployment/memoryplan"
 	"willowsill/deployment/settings"
 	"willowsill/front/clienthttp"
 	"willowsill/internal/counters"
 	"willowsill/node"
-	"willowsill/transport/boundedread"
 	"willowsill/transport/daemon"
 	"willowsill/transport/discovery"
 	"willowsill/transport/listen"
@@ -53,8 +54,8 @@
 	stopMargin = 400 * time.Millisecond // time kept free at the end of the platform's grace period
 	startPoll  = 5 * time.Millisecond   // interval of checks whether the first configuration has been applied
 
-	bodyMemoryShare = 0.25 // share of the memory limit for the bodies of requests; what is freed is collected late, and answers need as much
-	bytesPerMB      = 1 << 20
+	readinessHeadBytes   = 8 << 10
+	readinessConnections = 64
 )
 
 // Server is a running proxy.
@@ -107,21 +108,14 @@
 		Limits: deployment.Limits{MaxHeld: maxHeld}, Count: s.counters, Log: zap.NewNop(), RequestList: func() {}, Observer: s.evidence,
 		NewTransport: func(notify func(any), now func() int64) node.Transport {
 			s.pool = replicahttp.NewPool(notify, now)
+			s.pool.Memory = memoryplan.Answers.Budget(local.Limits)
 			return s.pool
 		}})
-	s.handler = &clienthttp.Handler{Core: s.node, Now: clock.Now, Bodies: bodyBudget(local.Limits)}
-	s.servers = &clienthttp.Servers{Handler: s.handler}
+	s.handler = &clienthttp.Handler{Core: s.node, Now: clock.Now, Bodies: memoryplan.RequestBodies.Budget(local.Limits)}
+	s.servers = &clienthttp.Servers{Handler: s.handler, Heads: memoryplan.RequestHeads.Budget(local.Limits)}
 	return s
 }
 
-// bodyBudget returns the memory that the bodies of requests may take, nil if the settings do not limit memory.
-func bodyBudget(limits settings.Limits) *boundedread.Budget {
-	if limits.MemoryMB <= 0 {
-		return nil
-	}
-	return boundedread.NewBudget(int64(bodyMemoryShare * bytesPerMB * limits.MemoryMB))
-}
-
 // serve runs the proxy until ctx ends, and then until the requests in progress have been answered or the platform's grace period is
 // nearly over.
 func (s *Server) serve(ctx context.Context, front net.Listener) {
@@ -130,13 +124,14 @@
 	background, stop := context.WithCancel(context.Background())
 	defer stop()
 	ready := listen.Later(background, klog.ErrorS, listen.Endpoint{Setting: "bind-addrs.readiness", Address: local.Bind.Readiness})
-	upstream := watch.Upstream{Report: s.buildReport, Apply: s.applyUpdate, OnFreshness: s.handleFreshness, OnLending: s.handleLendingMessage,
+	upstream := watch.Upstream{Frames: memoryplan.Frames.Budget(local.Limits), Report: s.buildReport, Apply: s.applyUpdate, OnFreshness: s.handleFreshness, OnLending: s.handleLendingMessage,
 		Addresses: func() []string { return []string{local.InternalAddress(local.Loopback(), settings.PortAgent)} }}
 	go upstream.Run(background)
 	go s.pollRetrySlack(background)
 	go s.logServed(background)
 	metrics.Serve(background, local.IP, local.Metrics, s.writeMetrics)
-	go (&http.Server{Handler: http.HandlerFunc(s.serveReadiness), ReadHeaderTimeout: time.Second}).Serve(ready)
+	readiness := &http.Server{Handler: http.HandlerFunc(s.serveReadiness), ReadHeaderTimeout: time.Second, MaxHeaderBytes: readinessHeadBytes}
+	go readiness.Serve(netutil.LimitListener(ready, readinessConnections))
 	go s.accept(front)
 	<-ctx.Done()
 	s.drain(front)
@@ -240,6 +235,7 @@
 	}
 	if change.State != nil {
 		s.servers.SetLimits(s.address, change.State.Config.Limits)
+		s.pool.SetRequestHeadLimit(clienthttp.HeadLimit(change.State.Config.Limits))
 		s.handler.SetState(change.State)
 		klog.InfoS("serving", "revision", change.State.Config.Revision, "sum", s.state.Sum, "routes", len(change.State.Config.Routes))
 		s.readiness.Configured(s.node.Now(), change.State.Config.Revision)
--- a/lab/floodsoak/clients.go
+++ b/lab/floodsoak/clients.go
@@ -20,12 +20,15 @@
 // Tally counts the answers that clients got.
 type Tally struct {
 	Served, Failed int
+	Statuses       map[int]int // failed requests by status, 0 where no whole answer came
 	Period         time.Duration
 }
 
 func (t Tally) rate() float64 { return float64(t.Served) / t.Period.Seconds() }
 
-func (t Tally) String() string { return fmt.Sprintf("%d served, %d failed", t.Served, t.Failed) }
+func (t Tally) String() string {
+	return fmt.Sprintf("%d served, %d failed %v", t.Served, t.Failed, t.Statuses)
+}
 
 // newClient returns a client with one connection.
 func newClient() *http.Client {
@@ -68,7 +71,7 @@
 	ctx, stop := context.WithTimeout(ctx, period)
 	defer stop()
 	var mu sync.Mutex
-	total := Tally{Period: period}
+	total := Tally{Period: period, Statuses: map[int]int{}}
 	var running sync.WaitGroup
 	for range clients {
 		running.Go(func() {
@@ -84,6 +87,7 @@
 					total.Served++
 				} else {
 					total.Failed++
+					total.Statuses[status]++
 				}
 				mu.Unlock()
 				time.Sleep(pause)
--- a/lab/floodsoak/floodsoak.go
+++ b/lab/floodsoak/floodsoak.go
@@ -7,6 +7,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"strings"
 	"time"
 
@@ -66,9 +67,28 @@
 	return s
 }
 
+// stoppedFrame is what a faulty peer sends: the length of a frame of 8 MB, and all of it but 4 KB.
+var stoppedFrame = append([]byte{0, 0x80, 0, 0}, make([]byte, 8<<20-4<<10)...)
+
+// stopWithinFrames opens connections to an internal port, each of which stops in the middle of a frame. They are open until ctx ends.
+func stopWithinFrames(ctx context.Context, address string, connections int) {
+	for range connections {
+		go func() {
+			conn, err := net.Dial("tcp", address)
+			if err != nil {
+				return
+			}
+			defer conn.Close()
+			conn.Write(stoppedFrame)
+			<-ctx.Done()
+		}()
+	}
+}
+
 // Options describe a run.
 type Options struct {
 	Scenario Scenario
+	Frames   int                 // connections to each internal port that stop in the middle of a frame
 	Period   time.Duration       // how long the floods last
 	Ports    localsettings.Ports // first port of the run
 	Dir      string              // folder for settings, data and logs
@@ -122,8 +142,20 @@
 	for n := range options.Scenario.Clients {
 		go requestUntil(flooding, target{address: good.address, path: fmt.Sprintf("/%s/x", faultyService(n%options.Scenario.Services))})
 	}
+	for _, d := range r.daemons {
+		for _, port := range options.Ports.Listeners(d.role, d.ip) {
+			if options.Frames > 0 && port.Network == "tcp" {
+				stopWithinFrames(flooding, port.Address, options.Frames)
+			}
+		}
+	}
 	time.Sleep(floodStart)
 	report.Flooded = load(ctx, good, goodClients, goodPause, options.Period)
+	stopFlood()
+	client := controlclient.Client{Addresses: r.control}
+	if err := client.SendConfiguration(ctx, []byte(r.configuration(2))); err != nil {
+		return report, err
+	}
 	for _, d := range r.daemons {
 		report.PeakMB[d.role] = int(d.peak.Load() >> 20)
 		if how, ended := d.endedByItself(); ended {
@@ -159,7 +191,7 @@
 	ctx, cancel := context.WithTimeout(ctx, serveWait)
 	defer cancel()
 	client := controlclient.Client{Addresses: r.control}
-	return client.SendConfiguration(ctx, []byte(r.configuration()))
+	return client.SendConfiguration(ctx, []byte(r.configuration(1)))
 }
 
 // addReplica adds a replica of a service, a faulty one if that is not nil.
@@ -176,7 +208,7 @@
 }
 
 // configuration returns a configuration with a route to each service.
-func (r *run) configuration() string {
+func (r *run) configuration(revision int) string {
 	names := []string{goodService}
 	for n := range r.options.Scenario.Services {
 		names = append(names, faultyService(n))
@@ -186,7 +218,7 @@
 		routes = append(routes, fmt.Sprintf(`{"name":%q,"host":"hall.example","path-prefix":"/%s/","route-kind":"safe","deadline-ms":%d,"target-ms":200,"rank":1,"service":%q,"max-tries":2}`, name, name, deadlineMs, name))
 		services = append(services, fmt.Sprintf(`{"name":%q,"max-conns":64}`, name))
 	}
-	return fmt.Sprintf(`{"revision":1,"routes":[%s],"services":[%s],"limits":{"max-header-bytes":16384,"max-body-bytes":262144}}`,
+	return fmt.Sprintf(`{"revision":%d,"routes":[%s],"services":[%s],"limits":{"max-header-bytes":16384,"max-body-bytes":262144}}`, revision,
 		strings.Join(routes, ","), strings.Join(services, ","))
 }
 
--- a/lab/floodsoak/floodsoak_test.go
+++ b/lab/floodsoak/floodsoak_test.go
@@ -40,8 +40,13 @@
 
 func mustHold(t *testing.T, programs string, scenario Scenario) {
 	t.Helper()
-	dir := t.TempDir()
-	report, err := Run(t.Context(), Options{Scenario: scenario, Period: floodPeriod, Ports: ports, Dir: dir, Programs: programs})
+	mustHoldWith(t, Options{Scenario: scenario, Programs: programs})
+}
+
+func mustHoldWith(t *testing.T, options Options) {
+	t.Helper()
+	options.Period, options.Ports, options.Dir = floodPeriod, ports, t.TempDir()
+	report, err := Run(t.Context(), options)
 	must.NoError(t, err)
 	t.Log(report)
 	must.SliceEmpty(t, report.Ends)
@@ -67,6 +72,12 @@
 	})
 }
 
+// TestPeersThatStopWithinFrames (FAULT): connections to the ports between processes that stop in the middle of a frame end no process, and
+// change nothing for clients and operators.
+func TestPeersThatStopWithinFrames(t *testing.T) {
+	mustHoldWith(t, Options{Programs: buildPrograms(t), Frames: 60})
+}
+
 // TestDrawnFloods (FAULT): the same for floods that a seed draws.
 // By hand: go test ./lab/floodsoak -run TestDrawnFloods -args -first 1 -seeds 50
 func TestDrawnFloods(t *testing.T) {
--- a/lab/rules/all.go
+++ b/lab/rules/all.go
@@ -47,6 +47,14 @@
 	statestoreFile         = "transport/statestore/statestore.go"
 	bodyFile               = "front/clienthttp/body.go"
 	boundedreadFile        = "transport/boundedread/boundedread.go"
+	budgetFile             = "transport/boundedread/budget.go"
+	headFile               = "transport/boundedread/head.go"
+	memoryshareFile        = "decide/memoryshare/memoryshare.go"
+	memoryplanFile         = "deployment/memoryplan/memoryplan.go"
+	reconnectFile          = "decide/reconnect/reconnect.go"
+	gateFile               = "transport/replicahttp/gate.go"
+	poolFile               = "transport/replicahttp/replicahttp.go"
+	peerFile               = "transport/peer/peer.go"
 	startFile              = "transport/daemon/start.go"
 	optionsFile            = "transport/peer/options.go"
 	signalsFile            = "transport/signals/signals.go"
@@ -87,7 +95,7 @@
 	{"MIXED: two answers in one", "the body contains another answer after the replica's own", "a body whose end is the end of the connection is rejected if it contains the first line of an answer", files(connectionFile), scenarios("garble unframed", "garble extra"),
 		mutation(replicahttpPackage, "TestAnswerOfNobody", edit(connectionFile, "if endsAtClose(res) && bytes.Contains(body, []byte(statusLineStart)) {", "if bytes.Contains(body, []byte(statusLineStart)) && false {"))},
 	{"MIXED: broken off", "an answer that was cut short or reset looks complete", "the body is read completely: by its length, by chunks, or until the connection ends without an error", files(connectionFile), scenarios("garble", "garble unframed", "srv_crash", "reset_conns"),
-		mutation(proxyserverPackage, "TestReplicaConnections/no length, reset, unsafe true, reused false", edit(connectionFile, "	body, err := io.ReadAll(io.LimitReader(res.Body, maxBodyBytes+1))\n", "	body, err := io.ReadAll(io.LimitReader(res.Body, maxBodyBytes+1))\n	err = nil\n"))},
+		mutation(proxyserverPackage, "TestReplicaConnections/no length, reset, unsafe true, reused false", edit(connectionFile, "	return boundedread.AtMost(res.Body, maxBodyBytes, account)\n", "	body, _ := boundedread.AtMost(res.Body, maxBodyBytes, account)\n	return body, nil\n"))},
 	{"MIXED: failure", "a failure has a replica's seal but another status than the replica sent", "a replica's failure is forwarded unchanged, and own failures have no header of a replica", files(clienthttpFile), scenarios("srv_grey errors", "garble"),
 		mutation(clienthttpPackage, "TestRefusals", edit(clienthttpFile, "	w.WriteHeader(got.Status)\n	w.Write(got.Body)\n", "	w.WriteHeader(max(got.Status, http.StatusBadGateway))\n	w.Write(got.Body)\n"))},
 	{"MIXED: nobody asked", "an answer without a request is sent: a success for a client that has disconnected", "a query without an answer ends with 502 and closes the connection", files(clienthttpFile), scenarios("retry_abuse", "node_freeze"),
@@ -272,11 +280,23 @@
 	{"Fault: memory", "a process exceeds its memory limit and is killed", "servers without connections are released, as are rows, shards and replicas that are gone", files(serverFile, routingtableFile), scenarios("config_storm", "config_change idle"),
 		mutation(clienthttpPackage, "TestLimitsThatChange", edit(serverFile, "	if !d.retired || d.open > 0 {\n", "	if d.retired || d.open > 0 {\n"))},
 	{"Fault: stated lengths", "a process ends for want of memory because a peer states a length that it never sends", "memory grows with what has arrived", files(boundedreadFile), scenarios("any"),
-		mutation("transport/boundedread", "TestStatedAndNotSent", edit(boundedreadFile, "min(length, nextSize(have))", "min(length, 1<<48)"))},
+		mutation("transport/boundedread", "TestStatedAndNotSent", edit(boundedreadFile, "min(length, nextSize(have, statedGrowth))", "min(length, 1<<48)"))},
 	{"Fault: result counts", "an edge ends for want of memory because a route asks for more records than there are", "the memory of an answer is bounded by the size of its parts", files(gatherFile), scenarios("any"),
 		mutation(clienthttpPackage, "TestLargeResultCount", edit(gatherFile, "	var top [][]byte // descending, at most n\n", "	top := make([][]byte, 0, n) // descending\n"))},
-	{"Fault: bodies together", "an edge ends for want of memory because of what its clients send at the same time", "the bodies of requests take their memory from a budget; one that does not fit is declined", files(bodyFile, boundedreadFile), scenarios("any"),
-		mutation(clienthttpPackage, "TestBodiesBeyondTheMemory", edit(boundedreadFile, "	if b != nil && b.free.Add(-bytes) < 0 {\n", "	if b != nil && b.free.Add(-bytes) < -1<<40 {\n"))},
+	{"Fault: bodies together", "an edge ends for want of memory because of what its clients send at the same time", "the bodies of requests take their memory from a budget; one that does not fit is declined", files(bodyFile, budgetFile), scenarios("any"),
+		mutation(clienthttpPackage, "TestBodiesBeyondTheMemory", edit(budgetFile, "	if !a.budget.pool.Take(a.peer, bytes) {\n", "	if !a.budget.pool.Take(a.peer, 0) {\n"))},
+	{"Fault: heads", "a process ends for want of memory because a peer sends a head that never ends", "a head is read no further than its limits, interim answers counted in", files(headFile, connectionFile), scenarios("any"),
+		mutation(replicahttpPackage, "TestAnswersWithoutEnd", edit(headFile, "	h.passed = h.check()\n", ""))},
+	{"Fault: answers together", "an edge ends for want of memory because of what replicas answer at the same time", "answers take their memory from a budget until they have been passed on", files(connectionFile, poolFile, budgetFile), scenarios("any"),
+		mutation(replicahttpPackage, "TestAnswersTogether", edit(connectionFile, "boundedread.Exactly(res.Body, n, account)", "boundedread.Exactly(res.Body, n, nil)"))},
+	{"Fault: neighbours of a flood", "requests for other services fail because replicas of one send without end", "a peer may hold no more than a share of what is free, so that others find room", files(memoryshareFile), scenarios("any"),
+		mutation("decide/memoryshare", "TestNoNeighbourPays", edit(memoryshareFile, "	freeToGroup := (free - of.held - bytes) / 2 //", "	freeToGroup := free //"))},
+	{"Fault: floods again and again", "a faulty replica is asked again as soon as its answer has passed a limit, and takes the processor of its callers", "connections to it are opened one at a time, in pauses that double", files(reconnectFile, gateFile), scenarios("any"),
+		mutation(replicahttpPackage, "TestPauseAfterALimit", edit(gateFile, "	g.pacer.LimitPassed(now)\n", ""))},
+	{"Fault: frames together", "a process ends for want of memory because of frames that never come whole", "frames take their memory from a budget; a link holds it for a limited time", files(peerFile, memoryplanFile), scenarios("any"),
+		mutation("transport/peer", "TestFramesThatStop", edit(peerFile, "boundedread.Exactly(l.r, int64(n), l.account)", "boundedread.Exactly(l.r, int64(n), nil)"))},
+	{"Worth: neighbours of a faulty service", "requests for other services are declined because those for a faulty one are", "a workload makes room for those that need the same shard, and for no others", files("balance/admission.go"), scenarios("any"),
+		mutation(balancePackage, "TestDeclinesForAFaultyService", edit("balance/admission.go", "[q.parts[0].shard%len(a.shardAdmitted)]", "[0]"))},
 	{"CONFIG: bodies that stop", "a client that stops in its body has no answer after its route's deadline-ms", "a body must have come by the request's deadline", files(bodyFile), scenarios("any"),
 		mutation(clienthttpPackage, "TestClientThatStopsInItsBody", edit(bodyFile, "	control.SetReadDeadline(time.Now().Add(within)) //", "	control.SetReadDeadline(time.Time{}) //"))},
 	{"Fault: disk", "the disk fills up, or a full one ends the process", "the file is rewritten when it has grown; if that fails, it only keeps its size", files(statestoreFile), scenarios("disk_full", "config_storm"),
--- a/transport/agentserver/agentserver.go
+++ b/transport/agentserver/agentserver.go
@@ -20,7 +20,9 @@
 	"willowsill/decide/failuredetector"
 	"willowsill/decide/relaytree"
 	"willowsill/decide/rollout"
+	"willowsill/deployment/memoryplan"
 	"willowsill/deployment/settings"
+	"willowsill/transport/boundedread"
 	"willowsill/transport/daemon"
 	"willowsill/transport/listen"
 	"willowsill/transport/metrics"
@@ -45,6 +47,7 @@
 // Server is a running agent: the cluster state that it holds, its upstream and its downstream links.
 type Server struct {
 	settings   settings.Settings
+	frames     *boundedread.Budget
 	base       time.Time
 	upstream   watch.Upstream
 	proxyFeed  watch.Feed // to the local proxy
@@ -68,7 +71,7 @@
 
 // Start returns what runs an agent.
 func Start(_ context.Context, local settings.Settings) (daemon.Serve, error) {
-	s := &Server{settings: local, base: time.Now().Add(-time.Hour), state: clusterstate.NewState(), detector: failuredetector.New(local.IP),
+	s := &Server{settings: local, frames: memoryplan.Frames.Budget(local.Limits), base: time.Now().Add(-time.Hour), state: clusterstate.NewState(), detector: failuredetector.New(local.IP),
 		downstream: map[string]downstreamReport{}, loans: watch.NewLoans(local.Bounds.RetryWindow())}
 	return s.serve, nil
 }
@@ -85,11 +88,11 @@
 	defer proxy.Close()
 	relay := listen.Later(running, klog.ErrorS, internal(local.IP, settings.PortWatch))
 	defer relay.Close()
-	s.upstream = watch.Upstream{Report: s.report, Addresses: s.upstreamAddresses, Apply: s.applyUpdate,
+	s.upstream = watch.Upstream{Frames: s.frames, Report: s.report, Addresses: s.upstreamAddresses, Apply: s.applyUpdate,
 		OnFreshness: func(fresh clusterstate.Freshness) { s.relayFeed.Publish(nil, fresh) },
 		OnLending:   s.loans.HandleUpstream}
-	go peer.Serve(proxy, func(l *peer.Link) { s.serveDownstream(l, &s.proxyFeed) })
-	go peer.Serve(relay, func(l *peer.Link) { s.serveDownstream(l, &s.relayFeed) })
+	go peer.Serve(proxy, s.frames, func(l *peer.Link) { s.serveDownstream(l, &s.proxyFeed) })
+	go peer.Serve(relay, s.frames, func(l *peer.Link) { s.serveDownstream(l, &s.relayFeed) })
 	go s.proxyFeed.SendHeartbeats(running, s.upstream.Freshness)
 	go s.exchangeHeartbeats(running, internal(local.IP, settings.PortHeartbeats))
 	go s.upstream.Run(running)
--- a/transport/agentserver/agentserver_test.go
+++ b/transport/agentserver/agentserver_test.go
@@ -26,9 +26,9 @@
 
 func newDownstream(t *testing.T, s *Server, ip string) downstream {
 	agentEnd, edgeEnd := net.Pipe()
-	served := peer.NewLink(agentEnd)
+	served := peer.NewLink(agentEnd, nil)
 	go s.serveDownstream(served, &s.relayFeed)
-	d := downstream{t, peer.NewLink(edgeEnd), ip}
+	d := downstream{t, peer.NewLink(edgeEnd, nil), ip}
 	t.Cleanup(func() {
 		d.Close()
 		served.Close()
--- a/transport/boundedread/boundedread.go
+++ b/transport/boundedread/boundedread.go
@@ -1,93 +1,83 @@
-// Package boundedread reads bodies whose length a peer determines. It makes no decisions of its own.
+// Package boundedread reads what peers send, heads and bodies, within limits and within a budget of memory for all peers together. It
+// makes no decisions of its own: decide/memoryshare decides how much of a budget a peer may take.
 package boundedread
 
 import (
+	"bytes"
 	"errors"
 	"io"
-	"slices"
-	"sync/atomic"
 )
 
-// firstBytes is what is allocated before anything has arrived.
-const firstBytes = 64 << 10
+const (
+	firstBytes = 4 << 10 // what is allocated before anything has arrived
 
-// ErrNoRoom is returned if a budget has too little left.
-var ErrNoRoom = errors.New("too much memory is taken by what others have sent")
-
-// Budget is the memory that bodies may take together. Nil is no limit. It is safe for concurrent use.
-type Budget struct{ free atomic.Int64 }
-
-// NewBudget returns a budget of some bytes.
-func NewBudget(bytes int64) *Budget {
-	b := &Budget{}
-	b.free.Store(bytes)
-	return b
-}
-
-func (b *Budget) take(bytes int64) error {
-	if b != nil && b.free.Add(-bytes) < 0 {
-		b.free.Add(bytes)
-		return ErrNoRoom
-	}
-	return nil
-}
-
-// Release gives back the memory of a body that is no longer used.
-func (b *Budget) Release(bytes int64) {
-	if b != nil {
-		b.free.Add(bytes)
-	}
-}
+	// How much larger a body's buffer is than the former one. Where the length is stated, fewer buffers are dropped on the way.
+	statedGrowth   = 8
+	unstatedGrowth = 2
+)
 
-// Exactly reads length bytes, which it takes from the budget. It returns io.ErrUnexpectedEOF if there are fewer. After an error the
-// budget is as before.
+// Exactly reads length bytes, whose memory it takes from the account. It returns io.ErrUnexpectedEOF if there are fewer. After an error the
+// account is as before.
 //
 // Danger: a peer may state any length, and a process that allocated it at once would end for want of memory. So the memory in use grows
 // with what has arrived.
-func Exactly(r io.Reader, length int64, budget *Budget) (body []byte, err error) {
+func Exactly(r io.Reader, length int64, account *Account) (body []byte, err error) {
 	for have := int64(0); have < length; have = int64(len(body)) {
-		body, err = readMore(r, body, min(length, nextSize(have)), budget)
+		body, err = readMore(r, body, min(length, nextSize(have, statedGrowth)), account)
 		if errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
 		if err != nil {
-			budget.Release(int64(len(body)))
+			account.Release(int64(len(body)))
 			return nil, err
 		}
 	}
 	return body, nil
 }
 
-// All reads until the end, and takes what it reads from the budget. After an error the budget is as before.
-func All(r io.Reader, budget *Budget) (body []byte, err error) {
+// All reads until the end, and takes the memory of what it reads from the account. After an error the account is as before.
+func All(r io.Reader, account *Account) (body []byte, err error) {
 	for err == nil {
-		body, err = readMore(r, body, nextSize(int64(len(body))), budget)
+		body, err = readMore(r, body, nextSize(int64(len(body)), unstatedGrowth), account)
 	}
 	if !errors.Is(err, io.EOF) {
-		budget.Release(int64(len(body)))
+		account.Release(int64(len(body)))
 		return nil, err
 	}
+	if len(body) < cap(body) { // what the account got back must not stay in use
+		body = bytes.Clone(body)
+	}
 	return body, nil
 }
 
-func nextSize(have int64) int64 { return max(2*have, firstBytes) }
+func nextSize(have, growth int64) int64 { return max(growth*have, firstBytes) }
 
-// readMore reads until a body has a size or reading fails. It returns what there is, for which the budget is taken.
+// readMore reads until a body has a size or reading fails. It returns what there is, whose memory is taken.
 //
 // Danger: only io.EOF is the end of a body. A body that was cut off ends with another error, and must not look whole.
-func readMore(r io.Reader, body []byte, size int64, budget *Budget) ([]byte, error) {
+func readMore(r io.Reader, body []byte, size int64, account *Account) ([]byte, error) {
 	missing := size - int64(len(body))
-	if err := budget.take(missing); err != nil {
+	if err := account.take(missing); err != nil {
 		return body, err
 	}
-	body = slices.Grow(body, int(missing))
+	body = append(make([]byte, 0, size), body...) // slices.Grow would allocate more than was taken
 	for int64(len(body)) < size {
 		n, err := r.Read(body[len(body):size])
 		body = body[:len(body)+n]
 		if err != nil && int64(len(body)) < size {
-			budget.Release(size - int64(len(body)))
+			account.Release(size - int64(len(body)))
 			return body, err
 		}
 	}
 	return body, nil
 }
+
+// AtMost reads until the end like All, and returns a LimitError if there are more bytes than a limit.
+func AtMost(r io.Reader, limit int64, account *Account) ([]byte, error) {
+	body, err := All(io.LimitReader(r, limit+1), account)
+	if err == nil && int64(len(body)) > limit {
+		account.Release(int64(len(body)))
+		return nil, &LimitError{BodyBytes}
+	}
+	return body, err
+}
--- a/transport/boundedread/boundedread_test.go
+++ b/transport/boundedread/boundedread_test.go
@@ -20,11 +20,12 @@
 		sent := bytes.Repeat([]byte("0123456789"), length/10+1)
 		source := bytes.NewReader(sent)
 		budget := NewBudget(plenty)
-		read, err := Exactly(source, int64(length), budget)
+		account := budget.Account("group", "peer")
+		read, err := Exactly(source, int64(length), account)
 		must.NoError(t, err)
 		must.True(t, bytes.Equal(sent[:length], read))
 		must.Eq(t, len(sent)-length, source.Len())
-		must.Eq(t, plenty-int64(length), budget.free.Load())
+		must.Eq(t, int64(length), budget.Held())
 	}
 }
 
@@ -33,10 +34,11 @@
 	for _, length := range lengths {
 		sent := bytes.Repeat([]byte("0123456789"), length/10+1)[:length]
 		budget := NewBudget(plenty)
-		read, err := All(iotest.HalfReader(bytes.NewReader(sent)), budget)
+		account := budget.Account("group", "peer")
+		read, err := All(iotest.HalfReader(bytes.NewReader(sent)), account)
 		must.NoError(t, err)
 		must.True(t, bytes.Equal(sent, read))
-		must.Eq(t, plenty-int64(length), budget.free.Load())
+		must.Eq(t, int64(length), budget.Held())
 	}
 }
 
@@ -45,9 +47,10 @@
 	const stated = 1 << 62 // more than any machine has
 	for _, sent := range lengths {
 		budget := NewBudget(plenty)
-		_, err := Exactly(bytes.NewReader(make([]byte, sent)), stated, budget)
+		account := budget.Account("group", "peer")
+		_, err := Exactly(bytes.NewReader(make([]byte, sent)), stated, account)
 		must.ErrorIs(t, err, io.ErrUnexpectedEOF)
-		must.Eq(t, plenty, budget.free.Load())
+		must.Eq(t, 0, budget.Held())
 	}
 }
 
@@ -55,30 +58,65 @@
 func TestCutOff(t *testing.T) {
 	for _, length := range lengths {
 		budget := NewBudget(plenty)
+		account := budget.Account("group", "peer")
 		cut := io.MultiReader(bytes.NewReader(make([]byte, length)), iotest.ErrReader(io.ErrUnexpectedEOF))
-		_, err := All(cut, budget)
+		_, err := All(cut, account)
 		must.ErrorIs(t, err, io.ErrUnexpectedEOF)
-		must.Eq(t, plenty, budget.free.Load())
+		must.Eq(t, 0, budget.Held())
 	}
 }
 
 // TestNoRoom: a body that does not fit into the budget is an error and leaves the budget as it was.
 func TestNoRoom(t *testing.T) {
-	const room = 3 * firstBytes
-	sent := make([]byte, 2*room)
+	const room = 3 * firstBytes // of which one peer may have a third
+	sent := make([]byte, 2*firstBytes)
 	budget := NewBudget(room)
-	_, err := Exactly(bytes.NewReader(sent), int64(len(sent)), budget)
+	account := budget.Account("group", "peer")
+	_, err := Exactly(bytes.NewReader(sent), int64(len(sent)), account)
 	must.ErrorIs(t, err, ErrNoRoom)
-	must.Eq(t, room, budget.free.Load())
-	_, err = All(bytes.NewReader(sent), budget)
+	must.Eq(t, 0, budget.Held())
+	_, err = All(bytes.NewReader(sent), account)
 	must.ErrorIs(t, err, ErrNoRoom)
-	must.Eq(t, room, budget.free.Load())
+	must.Eq(t, 0, budget.Held())
 	broken := errors.New("broken")
-	_, err = All(iotest.ErrReader(broken), budget)
+	_, err = All(iotest.ErrReader(broken), account)
 	must.ErrorIs(t, err, broken)
-	must.Eq(t, room, budget.free.Load())
-	read, err := Exactly(bytes.NewReader(sent), room, budget)
+	must.Eq(t, 0, budget.Held())
+	read, err := Exactly(bytes.NewReader(sent), firstBytes, account)
 	must.NoError(t, err)
-	budget.Release(int64(len(read)))
-	must.Eq(t, room, budget.free.Load())
+	must.Eq(t, firstBytes, budget.Held())
+	account.Release(int64(len(read)))
+	must.Eq(t, 0, budget.Held())
+}
+
+// TestAtMost (FAULT): a body without a stated length is read no further than its limit.
+func TestAtMost(t *testing.T) {
+	const limit = 3*firstBytes + 7
+	for _, length := range []int{0, 1, limit, limit + 1, 20 * firstBytes} {
+		budget := NewBudget(plenty)
+		source := bytes.NewReader(make([]byte, length))
+		body, err := AtMost(source, limit, budget.Account("group", "peer"))
+		must.Eq(t, max(length-limit-1, 0), source.Len())
+		must.Eq(t, int64(len(body)), budget.Held())
+		if length <= limit {
+			must.NoError(t, err)
+			must.Eq(t, length, len(body))
+			continue
+		}
+		var passed *LimitError
+		must.True(t, errors.As(err, &passed))
+		must.Eq(t, BodyBytes, passed.Limit)
+	}
+}
+
+// TestMemoryOfABody (FAULT): the room of a body is no larger than what its account has given.
+func TestMemoryOfABody(t *testing.T) {
+	for _, length := range lengths {
+		body, err := Exactly(bytes.NewReader(make([]byte, length)), int64(length), nil)
+		must.NoError(t, err)
+		must.Eq(t, length, cap(body))
+		body, err = All(bytes.NewReader(make([]byte, length)), nil)
+		must.NoError(t, err)
+		must.LessEq(t, length+length/4+64, cap(body)) // sizes in which memory is allocated
+	}
 }
--- a/transport/controlclient/controlclient.go
+++ b/transport/controlclient/controlclient.go
@@ -5,13 +5,13 @@
 import (
 	"bytes"
 	"context"
-	"io"
 	"net/http"
 	"time"
 
 	"github.com/samber/oops"
 
 	"willowsill/decide/clusterstate"
+	"willowsill/transport/boundedread"
 	"willowsill/transport/peer"
 	"willowsill/transport/watch"
 )
@@ -25,6 +25,9 @@
 	receiveTimeout = 3 * time.Second
 
 	maxRedirects = 2 // most redirects that one call follows
+
+	maxAnswerBytes = 16 << 20 // largest body of an answer: a configuration
+	maxHeadBytes   = 64 << 10 // largest head of an answer
 )
 
 // httpClient sends each request once. It differs from net/http's default client in that it keeps no idle
@@ -34,7 +37,7 @@
 // decide whether a request is resent, so connections are never reused.
 var httpClient = &http.Client{
 	Timeout:       callTimeout,
-	Transport:     &http.Transport{Proxy: http.ProxyFromEnvironment, DisableKeepAlives: true},
+	Transport:     &http.Transport{Proxy: http.ProxyFromEnvironment, DisableKeepAlives: true, MaxResponseHeaderBytes: maxHeadBytes},
 	CheckRedirect: limitRedirects,
 }
 
@@ -64,7 +67,7 @@
 		req.Header.Set("Content-Type", "application/json")
 		var res *http.Response
 		if res, err = httpClient.Do(req); err == nil {
-			answer, err = io.ReadAll(res.Body)
+			answer, err = boundedread.AtMost(res.Body, maxAnswerBytes, nil) // one call at a time
 			res.Body.Close()
 			if err == nil && res.StatusCode < http.StatusInternalServerError && res.StatusCode != http.StatusTooManyRequests &&
 				res.StatusCode != http.StatusRequestTimeout {
@@ -117,7 +120,7 @@
 // Watch passes a snapshot of the cluster's state to apply, and then each change, until apply returns false or
 // ctx ends. It returns an error if the controller is silent for receiveTimeout.
 func Watch(ctx context.Context, address string, apply func(clusterstate.Update) bool) error {
-	link, err := peer.Dial(ctx, address)
+	link, err := peer.Dial(ctx, address, nil) // one link, whose frames have a limit each
 	if err != nil {
 		return ErrClient.Wrap(err)
 	}
--- a/transport/controlserver/controlserver.go
+++ b/transport/controlserver/controlserver.go
@@ -22,7 +22,9 @@
 	"willowsill/decide/lease"
 	"willowsill/decide/registry"
 	"willowsill/decide/rollout"
+	"willowsill/deployment/memoryplan"
 	"willowsill/deployment/settings"
+	"willowsill/transport/boundedread"
 	"willowsill/transport/daemon"
 	"willowsill/transport/listen"
 	"willowsill/transport/metrics"
@@ -61,6 +63,7 @@
 	loans       *watch.Loans // relays loans of unused retry budget
 	lastCurrent atomic.Pointer[currentInfo]
 	callCounts  callCounts
+	callMemory  *boundedread.Budget // for the calls of replicas and operators
 
 	mu       sync.Mutex                        // guards calls and lastCall
 	calls    map[uint64]chan controller.Answer // waiting calls, by number
@@ -70,7 +73,7 @@
 // Start opens what a controller cannot do without, the port between controllers and the state file, and returns what runs it. It
 // waits until both can be had or ctx ends.
 func Start(ctx context.Context, local settings.Settings) (daemon.Serve, error) {
-	s := &Server{settings: local, base: time.Now().Add(-time.Hour), loans: watch.NewLoans(local.Bounds.RetryWindow()),
+	s := &Server{settings: local, callMemory: memoryplan.Calls.Budget(local.Limits), base: time.Now().Add(-time.Hour), loans: watch.NewLoans(local.Bounds.RetryWindow()),
 		inputs: make(chan func(int64) controller.Effects, inputQueue),
 		saves:  make(chan controller.Save, 1), calls: map[uint64]chan controller.Answer{}}
 	// Danger: two processes that write one state file destroy it. So this port is opened first: only one process at a time has it.
@@ -101,16 +104,18 @@
 	defer edges.Close()
 	calls := listen.Later(running, klog.ErrorS, listen.Endpoint{Setting: "bind-addrs.control", Address: s.settings.Bind.Control})
 	s.mesh = peer.NewMesh(running)
-	go peer.Serve(peers, s.receivePeer)
-	go peer.Serve(edges, s.serveDownstream)
+	frames := memoryplan.Frames.Budget(s.settings.Limits)
+	go peer.Serve(peers, frames, s.receivePeer)
+	go peer.Serve(edges, frames, s.serveDownstream)
 	go s.saveLoop(store)
 	go s.feed.SendHeartbeats(running, s.freshness)
 	go s.operators.SendHeartbeats(running, s.freshness)
 	metrics.Serve(running, s.settings.IP, s.settings.Metrics, s.writeMetrics)
 	httpServer := &http.Server{Handler: s.handler(), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes}
+	s.callMemory.BoundHeads(httpServer)
 	go func() {
-		if err := httpServer.Serve(calls); !errors.Is(err, http.ErrServerClosed) {
+		if err := httpServer.Serve(s.callMemory.Listener(calls)); !errors.Is(err, http.ErrServerClosed) {
 			klog.ErrorS(err, "the control server ended")
 		}
 	}()
--- a/transport/controlserver/resources.go
+++ b/transport/controlserver/resources.go
@@ -3,7 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -15,6 +14,7 @@
 	"willowsill/decide/controller"
 	"willowsill/decide/registry"
 	"willowsill/decide/routeconfig"
+	"willowsill/transport/boundedread"
 )
 
 const (
@@ -46,6 +46,22 @@
 	})
 }
 
+// readBody reads the body of a call. It has answered the call if it returns false; otherwise release has to be called once the body is not
+// used any more.
+func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limit int64) (body []byte, release func(), ok bool) {
+	machine, _, _ := net.SplitHostPort(r.RemoteAddr)
+	account := s.callMemory.Account(machine, r.RemoteAddr)
+	body, err := boundedread.AtMost(r.Body, limit, account)
+	var passed *boundedread.LimitError
+	switch {
+	case errors.As(err, &passed) && passed.Limit == boundedread.BodyBytes:
+		respondError(w, http.StatusRequestEntityTooLarge, "the body is too long")
+	case err != nil:
+		respondError(w, http.StatusServiceUnavailable, "the body did not come whole, or there is no room for it")
+	}
+	return body, func() { account.Release(int64(len(body))) }, err == nil
+}
+
 // respondError answers with a JSON object that holds the reason as its message.
 func respondError(w http.ResponseWriter, status int, reason string) {
 	e := jx.Encoder{}
@@ -77,13 +93,13 @@
 	record := registry.Record{ID: id, Phase: registry.Gone}
 	switch call {
 	case "heartbeat":
-		body, err := io.ReadAll(io.LimitReader(r.Body, maxHeartbeatBytes+1))
-		if err == nil && len(body) > maxHeartbeatBytes {
-			err = errors.New("a heartbeat is too long")
-		}
-		if err == nil {
-			record, err = parseHeartbeat(id, body)
+		body, release, ok := h.server.readBody(w, r, maxHeartbeatBytes)
+		if !ok {
+			return
 		}
+		var err error
+		record, err = parseHeartbeat(id, body)
+		release()
 		if err != nil {
 			respondError(w, http.StatusBadRequest, err.Error())
 			return
@@ -210,15 +226,11 @@
 		respondError(w, http.StatusNotImplemented, fmt.Sprintf("config_mode %q is unknown here", mode))
 		return
 	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxConfigurationBytes+1))
-	if err != nil {
-		respondError(w, http.StatusServiceUnavailable, "the configuration did not come whole")
-		return
-	}
-	if len(body) > maxConfigurationBytes {
-		respondError(w, http.StatusRequestEntityTooLarge, "the configuration is too long")
+	body, release, ok := h.server.readBody(w, r, maxConfigurationBytes)
+	if !ok {
 		return
 	}
+	defer release()
 	c, err := routeconfig.Read(body)
 	if err != nil {
 		klog.InfoS("a configuration is refused", "bytes", len(body), "err", err.Error())
--- a/transport/controlserver/rollouts.go
+++ b/transport/controlserver/rollouts.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 
@@ -45,15 +44,11 @@
 
 // begin handles an operator's order of a rollout.
 func (h *rolloutsHandler) begin(w http.ResponseWriter, r *http.Request) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxOrderBytes+1))
-	if err != nil {
-		respondError(w, http.StatusServiceUnavailable, "the order did not come whole")
-		return
-	}
-	if len(body) > maxOrderBytes {
-		respondError(w, http.StatusRequestEntityTooLarge, "the order is too long")
+	body, release, ok := h.server.readBody(w, r, maxOrderBytes)
+	if !ok {
 		return
 	}
+	defer release()
 	order, err := parseOrder(body)
 	if err != nil {
 		respondError(w, http.StatusBadRequest, err.Error())
--- a/transport/discovery/discovery.go
+++ b/transport/discovery/discovery.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -14,6 +13,7 @@
 	"time"
 
 	"willowsill/balance"
+	"willowsill/transport/boundedread"
 )
 
 const (
@@ -21,6 +21,7 @@
 	callMargin     = time.Second            // added to the poll time to give the timeout of a whole call
 	retryDelay     = 100 * time.Millisecond // wait between a failed call and the next; short, because calls cost discovery little
 	maxAnswerBytes = 8 << 20                // largest answer that is read: a list of tens of thousands of entries
+	maxHeadBytes   = 64 << 10               // largest head of an answer
 	listPath       = "/v1/servers"
 )
 
@@ -136,7 +137,7 @@
 	return &Watch{address: address, cells: cells, sequence: sequence, report: report, requested: make(chan struct{}, 1),
 		cancelCall: func() {},
 		transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2, DisableCompression: true,
-			DialContext: dial}}
+			MaxResponseHeaderBytes: maxHeadBytes, DialContext: dial}}
 }
 
 // Request lets a Run with onRequest, which waits at its start and after a failure, make its next call.
@@ -229,7 +230,7 @@
 		return Update{}, err
 	}
 	defer response.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	text, err := boundedread.AtMost(response.Body, maxAnswerBytes, nil) // one call at a time
 	if err != nil {
 		return Update{}, err
 	}
--- a/transport/metrics/metrics.go
+++ b/transport/metrics/metrics.go
@@ -12,6 +12,7 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/samber/oops"
+	"golang.org/x/net/netutil"
 	"k8s.io/klog/v2"
 
 	"willowsill/transport/listen"
@@ -24,6 +25,9 @@
 	readTimeout = 2 * time.Second // longest time to read a request
 	idleTimeout = 15 * time.Second
 	maxPort     = 65535
+
+	maxHeadBytes   = 8 << 10
+	maxConnections = 16
 )
 
 // Endpoint is the port and the path at which metrics are served.
@@ -91,7 +95,7 @@
 		return
 	}
 	listener := listen.Later(ctx, klog.ErrorS, listen.Endpoint{Setting: "metrics", Address: net.JoinHostPort(ip, strconv.Itoa(parsed.Port))})
-	server := &http.Server{Handler: Handler(parsed.Path, collect), ReadTimeout: readTimeout, IdleTimeout: idleTimeout}
-	go server.Serve(listener)
+	server := &http.Server{Handler: Handler(parsed.Path, collect), ReadTimeout: readTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes}
+	go server.Serve(netutil.LimitListener(listener, maxConnections))
 	context.AfterFunc(ctx, func() { server.Close() })
 }
--- a/transport/peer/mesh.go
+++ b/transport/peer/mesh.go
@@ -84,7 +84,7 @@
 		case f := <-d.queue:
 			if link == nil {
 				var err error
-				if link, err = Dial(m.ctx, address); err != nil {
+				if link, err = Dial(m.ctx, address, nil); err != nil { // no frame is read from it
 					link = nil
 					select {
 					case <-m.ctx.Done():
@@ -95,9 +95,7 @@
 				}
 				// Danger: the peer sends nothing on this link, and only a read notices that the peer has closed it.
 				go func(link *Link) {
-					var ignored any
-					for link.Receive(&ignored, 0) == nil {
-					}
+					link.AwaitEnd()
 					link.Close()
 				}(link)
 			}
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -26,6 +26,7 @@
 	headerBytes     = 4                      // size of a frame's header, which holds the length of the body
 	dialTimeout     = 300 * time.Millisecond // short, because a machine that is starting up drops the first attempt and the next one follows soon
 	userTimeout     = 2 * time.Second        // a link fails if sent data stays unacknowledged for this time
+	frameTimeout    = 30 * time.Second       // longest time for the rest of a frame whose header has come
 	readBufferBytes = 4 << 10
 )
 
@@ -45,6 +46,7 @@
 type Link struct {
 	conn        net.Conn
 	r           *bufio.Reader
+	account     *boundedread.Account // where the memory of frames is taken from
 	mu          sync.Mutex
 	queued      []Frame
 	queuedBytes int
@@ -53,21 +55,23 @@
 	ended       chan struct{}
 }
 
-// NewLink returns a link over a connection.
-func NewLink(conn net.Conn) *Link {
-	l := &Link{conn: conn, r: bufio.NewReaderSize(conn, readBufferBytes), wake: make(chan struct{}, 1), ended: make(chan struct{})}
+// NewLink returns a link over a connection, whose frames take memory from the budget. The links from one machine are a group of it.
+func NewLink(conn net.Conn, frames *boundedread.Budget) *Link {
+	remote := conn.RemoteAddr().String()
+	machine, _, _ := net.SplitHostPort(remote)
+	l := &Link{conn: conn, account: frames.Account(machine, remote), r: bufio.NewReaderSize(conn, readBufferBytes), wake: make(chan struct{}, 1), ended: make(chan struct{})}
 	go l.write()
 	return l
 }
 
 // Dial opens a link to an address and fails after dialTimeout.
-func Dial(ctx context.Context, address string) (*Link, error) {
+func Dial(ctx context.Context, address string, frames *boundedread.Budget) (*Link, error) {
 	dialer := net.Dialer{Timeout: dialTimeout, Control: PrepareOutgoing, KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, ErrLink.Wrapf(err, "dialling %s", address)
 	}
-	return NewLink(conn), nil
+	return NewLink(conn, frames), nil
 }
 
 // RemoteIP returns the IP of the peer.
@@ -130,7 +134,8 @@
 	}
 }
 
-// Receive reads the next message into v and waits at most for the timeout, or without a limit if it is 0.
+// Receive reads the next message into v and waits at most for the timeout. If that is 0 it waits for the beginning without a limit, and
+// for the rest for frameTimeout.
 func (l *Link) Receive(v any, timeout time.Duration) error {
 	var deadline time.Time
 	if timeout > 0 {
@@ -145,16 +150,24 @@
 	if n > maxFrameBytes {
 		return ErrLink.Errorf("a frame of %d bytes from %s", n, l.RemoteIP())
 	}
-	body, err := boundedread.Exactly(l.r, int64(n), nil)
+	if timeout == 0 {
+		// Danger: a peer that stops within a frame would hold its share of the memory for ever.
+		l.conn.SetReadDeadline(time.Now().Add(frameTimeout))
+	}
+	body, err := boundedread.Exactly(l.r, int64(n), l.account)
 	if err != nil {
 		return ErrLink.Wrapf(err, "reading from %s", l.RemoteIP())
 	}
+	defer l.account.Release(int64(len(body)))
 	if err := cbor.Unmarshal(body, v); err != nil {
 		return ErrLink.Wrapf(err, "decoding from %s", l.RemoteIP())
 	}
 	return nil
 }
 
+// AwaitEnd waits until the peer closes the link or sends anything, where it should send nothing.
+func (l *Link) AwaitEnd() { l.r.ReadByte() }
+
 // Close closes the link and drops the queued frames.
 func (l *Link) Close() {
 	l.mu.Lock()
@@ -170,9 +183,9 @@
 // Ended returns a channel that is closed when the link is.
 func (l *Link) Ended() <-chan struct{} { return l.ended }
 
-// Serve accepts links until the listener fails, and serves each in its own goroutine. A listener of the package listen fails
+// Serve accepts links until the listener fails, and serves each in its own goroutine. Their frames take memory from the budget. A listener of the package listen fails
 // only once it is closed.
-func Serve(listener net.Listener, serve func(*Link)) {
+func Serve(listener net.Listener, frames *boundedread.Budget, serve func(*Link)) {
 	for {
 		conn, err := listener.Accept()
 		if err != nil {
@@ -184,7 +197,7 @@
 			}
 		}
 		go func() {
-			l := NewLink(conn)
+			l := NewLink(conn, frames)
 			defer l.Close()
 			serve(l)
 		}()
--- a/transport/replicahttp/connection.go
+++ b/transport/replicahttp/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -15,6 +16,7 @@
 	"time"
 
 	"github.com/samber/oops"
+	"k8s.io/klog/v2"
 
 	"willowsill/balance"
 	"willowsill/transport/boundedread"
@@ -28,6 +30,12 @@
 const (
 	readBufferBytes = 2 << 10
 	statusLineStart = "HTTP/1." // the start of each answer's status line
+
+	// What the head of an answer may have, with those of the interim answers before it, beyond what it repeats of its request.
+	ownHeadBytes  = 64 << 10
+	maxHeadFields = 1000
+	// headRepeats is how often an answer may repeat a field of its request: the attempt id stands in the seal, too.
+	headRepeats = 2
 )
 
 // connection is a connection to a replica. free and usableUntil belong to the pool's loop; the rest belongs to
@@ -35,6 +43,7 @@
 type connection struct {
 	destination *destination
 	pool        *Pool
+	account     *boundedread.Account
 	free        bool
 	usableUntil int64
 
@@ -43,6 +52,7 @@
 	mu      sync.Mutex
 	conn    net.Conn
 	closed  bool
+	waiting bool      // the connection waits for the replica's gate
 	current *exchange // the exchange in progress
 
 	writeLock chan struct{} // holds an element while a request is written
@@ -76,9 +86,7 @@
 
 // run opens the connection, and then reads from it until it ends.
 func (c *connection) run(address string, e *exchange) {
-	dialCtx, stop := context.WithTimeout(c.ctx, dialTimeout)
-	conn, err := c.pool.Dial(dialCtx, "tcp", address)
-	stop()
+	conn, err := c.open(address)
 	if err != nil {
 		c.cancel()
 		c.pool.FailedDials.Add(1)
@@ -113,10 +121,37 @@
 	}
 	if !closed && !errors.Is(err, io.EOF) {
 		n.err = err
+		c.recordLimit(err)
 	}
 	c.pool.notify(n)
 }
 
+// open waits until a connection to the replica may be opened, and opens it.
+func (c *connection) open(address string) (net.Conn, error) {
+	c.setWaiting(true)
+	err := c.destination.gate.await(c.ctx, c.pool.now)
+	c.setWaiting(false)
+	if err != nil {
+		return nil, err
+	}
+	ctx, stop := context.WithTimeout(c.ctx, dialTimeout)
+	defer stop()
+	return c.pool.Dial(ctx, "tcp", address)
+}
+
+func (c *connection) setWaiting(waiting bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = waiting
+}
+
+// isWaiting reports whether the connection waits for the replica's gate.
+func (c *connection) isWaiting() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.waiting
+}
+
 // write writes the request of an exchange, unless it was withdrawn meanwhile.
 //
 // Danger: a replica may answer before it has read the whole request, so the next exchange may start while the
@@ -155,6 +190,19 @@
 	return balance.Reset
 }
 
+// recordLimit records that the replica has passed a limit, if that is what ended the connection.
+func (c *connection) recordLimit(err error) {
+	var passed *boundedread.LimitError
+	if !errors.As(err, &passed) {
+		return
+	}
+	c.destination.gate.limitPassed(c.pool.now())
+	c.pool.limitsPassed[passed.Limit].Add(1)
+	c.pool.limitLog.Do(func() {
+		klog.ErrorS(err, "a replica sends more than it may", "replica", c.destination.id, "limit", passed.Limit.String())
+	})
+}
+
 // end reports the end of an exchange, unless that was already reported.
 func (c *connection) end(e *exchange, n notice) bool {
 	c.mu.Lock()
@@ -179,9 +227,12 @@
 
 // read reads answers until the connection ends.
 func (c *connection) read(conn net.Conn) error {
-	r := bufio.NewReaderSize(conn, readBufferBytes)
+	head := boundedread.NewHead(conn, c.account)
+	defer head.Release()
+	r := bufio.NewReaderSize(head, readBufferBytes)
 	stale := false
 	for {
+		head.Begin(c.pool.headLimits())
 		if _, err := r.Peek(1); err != nil {
 			return err
 		}
@@ -191,20 +242,24 @@
 			return errUnsolicited
 		}
 		req := e.request()
-		answer, reuseFor, err := readAnswer(r, req.Method)
+		answer, reuseFor, err := readAnswer(r, head, req.Method)
 		if err != nil {
-			return err
+			return cmp.Or(head.LimitPassed(), err)
 		}
 		// Danger: a second answer to an earlier request may come instead of the expected one. The attempt id
 		// distinguishes them, and the expected one follows.
 		if answer.attempt != req.Attempt {
+			answer.release()
 			stale = true
 			continue
 		}
 		if stale || r.Buffered() > 0 {
 			reuseFor = 0
 		}
-		c.end(e, notice{conn: c, result: answer.result(), answer: &answer.Answer, reuseFor: reuseFor})
+		c.destination.gate.answered()
+		if !c.end(e, notice{conn: c, result: answer.result(), answer: &answer.Answer, reuseFor: reuseFor}) {
+			answer.release()
+		}
 	}
 }
 
@@ -242,7 +297,9 @@
 //
 // Danger: an answer without a length that was cut off, by a reset or because this side closed the connection,
 // must not count as complete. In both cases reading its body returns an error.
-func readAnswer(r *bufio.Reader, method string) (*response, time.Duration, error) {
+//
+// The answer holds memory of the head's account, until its release; an error holds none.
+func readAnswer(r *bufio.Reader, head *boundedread.Head, method string) (*response, time.Duration, error) {
 	var res *http.Response
 	for {
 		var err error
@@ -260,15 +317,19 @@
 	if mergedHeads(res) {
 		return nil, 0, ErrReplica.Errorf("an answer whose header is merged from two answers")
 	}
-	body, err := readBody(res, method)
+	account, held := head.End()
+	body, err := readBody(res, method, account)
 	if err != nil {
+		account.Release(held)
 		return nil, 0, ErrReplica.Wrapf(err, "an answer that was broken off")
 	}
+	held += int64(len(body))
 	if endsAtClose(res) && bytes.Contains(body, []byte(statusLineStart)) {
+		account.Release(held)
 		return nil, 0, ErrReplica.Errorf("an answer without a length that holds the start of another answer")
 	}
 	a := &response{Answer: Answer{Status: res.StatusCode, Header: h, Body: body, Seal: h.Get(HeaderSeal), Complete: true,
-		Replica: h.Get(HeaderReplica)}, attempt: h.Get(HeaderAttempt), notExecuted: h.Get(HeaderNotExecuted) != "",
+		Replica: h.Get(HeaderReplica), account: account, held: held}, attempt: h.Get(HeaderAttempt), notExecuted: h.Get(HeaderNotExecuted) != "",
 		encoded: h.Get("Content-Encoding") != "" && !strings.EqualFold(h.Get("Content-Encoding"), "identity")}
 	reuseFor := defaultIdleLimit
 	for _, item := range strings.Split(h.Get("Keep-Alive"), ",") {
@@ -314,20 +375,17 @@
 	return false
 }
 
-// readBody reads the complete body of an answer. The answer to HEAD has none, whatever length it states.
-func readBody(res *http.Response, method string) ([]byte, error) {
+// readBody reads the complete body of an answer, whose memory it takes from an account. The answer to HEAD has none, whatever length it
+// states.
+func readBody(res *http.Response, method string, account *boundedread.Account) ([]byte, error) {
 	if method == http.MethodHead {
 		return nil, nil
 	}
 	if res.ContentLength > maxBodyBytes {
-		return nil, ErrReplica.Errorf("an answer of %d bytes", res.ContentLength)
+		return nil, &boundedread.LimitError{Limit: boundedread.BodyBytes}
 	}
 	if n := res.ContentLength; n >= 0 {
-		return boundedread.Exactly(res.Body, n, nil)
-	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, maxBodyBytes+1))
-	if err == nil && len(body) > maxBodyBytes {
-		err = ErrReplica.Errorf("an answer over %d bytes", maxBodyBytes)
+		return boundedread.Exactly(res.Body, n, account)
 	}
-	return body, err
+	return boundedread.AtMost(res.Body, maxBodyBytes, account)
 }
--- a/transport/replicahttp/replicahttp.go
+++ b/transport/replicahttp/replicahttp.go
@@ -6,11 +6,16 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"willowsill/balance"
+	"willowsill/transport/boundedread"
 	"willowsill/transport/peer"
 	"willowsill/transport/replica"
 )
@@ -32,6 +37,7 @@
 	defaultIdleLimit  = 5 * time.Second // how long an idle connection may be reused if the replica states no time
 	idleMarginDivisor = 4               // a stated idle time is reduced by 1/idleMarginDivisor
 	maxBodyBytes      = 16 << 20        // largest body of an answer
+	limitLogInterval  = 10 * time.Second
 )
 
 // Request holds what the parts of a query have in common; it is the Payload of their tickets. The loop that
@@ -43,6 +49,31 @@
 	Method  string
 	Answers map[int]*Answer // the last answer for each shard
 	Sent    bool            // something was written to a replica
+
+	mu       sync.Mutex // orders Release and the answers that come
+	released bool
+}
+
+// keep stores the answer for a shard in place of the former one, whose memory is given back.
+func (r *Request) keep(shard int, answer *Answer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.released {
+		answer.release()
+		return
+	}
+	r.Answers[shard].release()
+	r.Answers[shard] = answer
+}
+
+// Release gives back the memory of the answers, which must not be used any more. Answers that come later are not kept.
+func (r *Request) Release() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.released = true
+	for _, answer := range r.Answers {
+		answer.release()
+	}
 }
 
 // Answer is a replica's answer to one part, with what its headers state.
@@ -53,6 +84,17 @@
 	Seal     string
 	Complete bool // received completely, and belongs to the request
 	Replica  string
+
+	account *boundedread.Account // where the memory of the answer is from
+	held    int64                // bytes of it
+}
+
+// release gives back the memory of an answer, which may be nil.
+func (a *Answer) release() {
+	if a != nil {
+		a.account.Release(a.held)
+		a.held = 0
+	}
 }
 
 // The states of an exchange: whether its request was written, or was withdrawn before that.
@@ -77,6 +119,7 @@
 	conns       []*connection
 	inFlight    int
 	retired     bool
+	gate        gate
 }
 
 // Pool owns the connections to all replicas. Its methods may only be called by the loop that owns it, which
@@ -91,6 +134,13 @@
 
 	Opened, FailedDials atomic.Int64 // connections opened, and failed attempts to open one
 
+	limitsPassed [len(boundedread.Limits)]atomic.Int64
+	limitLog     rate.Sometimes
+	clientHead   atomic.Int64 // limit of a request's head, in bytes
+
+	// Memory is the budget for answers; nil for no limit. It must not change once parts are sent.
+	Memory *boundedread.Budget
+
 	// Dial opens a connection; tests replace it by their own network.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -98,9 +148,21 @@
 // NewPool returns a pool whose connections pass their notices to notify, from their own goroutines.
 func NewPool(notify func(any), now func() int64) *Pool {
 	d := net.Dialer{Control: peer.PrepareOutgoing, KeepAlive: -1}
-	return &Pool{notify: notify, now: now, exchanges: map[*replica.Ticket]*exchange{}, Dial: d.DialContext}
+	return &Pool{notify: notify, now: now, exchanges: map[*replica.Ticket]*exchange{}, Dial: d.DialContext,
+		limitLog: rate.Sometimes{Interval: limitLogInterval}}
 }
 
+// SetRequestHeadLimit sets the limit of the heads of requests, in bytes: the head of an answer may repeat fields of its request.
+func (p *Pool) SetRequestHeadLimit(bytes int) { p.clientHead.Store(int64(bytes)) }
+
+// headLimits returns what the head of an answer may have.
+func (p *Pool) headLimits() boundedread.HeadLimits {
+	return boundedread.HeadLimits{Bytes: ownHeadBytes + headRepeats*p.clientHead.Load(), Fields: maxHeadFields}
+}
+
+// LimitsPassed returns how many answers have passed a limit.
+func (p *Pool) LimitsPassed(limit boundedread.Limit) int64 { return p.limitsPassed[limit].Load() }
+
 // DestinationAddress returns the form in which SetAddress takes a replica: its id and its address.
 func DestinationAddress(id, address string) string { return id + " " + address }
 
@@ -145,7 +207,8 @@
 			go c.write(e)
 			continue
 		}
-		c = &connection{destination: d, pool: p, writeLock: make(chan struct{}, 1)}
+		c = &connection{destination: d, pool: p, writeLock: make(chan struct{}, 1),
+			account: p.Memory.Account(strconv.Itoa(t.Shard), d.id)} // the replicas of a shard are a group
 		c.ctx, c.cancel = context.WithCancel(context.Background())
 		d.conns = append(d.conns, c)
 		p.openCount++
@@ -177,6 +240,9 @@
 	if e == nil || !e.state.CompareAndSwap(pending, withdrawn) {
 		return false
 	}
+	if e.conn.isWaiting() {
+		e.conn.close() // its turn is left to a part that is to be sent
+	}
 	p.release(e)
 	return true
 }
@@ -255,10 +321,12 @@
 	if n.ended != nil {
 		if e := n.ended; p.exchanges[e.ticket] == e {
 			if n.answer != nil {
-				e.request().Answers[e.ticket.Shard] = n.answer
+				e.request().keep(e.ticket.Shard, n.answer)
 			}
 			p.release(e)
 			ended = append(ended, replica.Report{Ticket: e.ticket, Result: n.result, At: n.at})
+		} else {
+			n.answer.release()
 		}
 		if !n.closed {
 			// Danger: the connection may have been closed meanwhile, because its exchange was abandoned or by the
--- a/transport/watch/watch.go
+++ b/transport/watch/watch.go
@@ -15,6 +15,7 @@
 	"willowsill/decide/controller"
 	"willowsill/decide/follower"
 	"willowsill/decide/lending"
+	"willowsill/transport/boundedread"
 	"willowsill/transport/peer"
 )
 
@@ -184,7 +185,8 @@
 // Upstream keeps one link to an upstream process. Run calls the functions from its goroutine.
 type Upstream struct {
 	Report    func() Report
-	Addresses func() []string // addresses of possible upstreams in order of preference
+	Addresses func() []string     // addresses of possible upstreams in order of preference
+	Frames    *boundedread.Budget // memory for the upstream's messages; nil for no limit
 	// Apply applies an update, which may hold changes of the fleet. It returns false if it cannot be applied and a
 	// snapshot is needed.
 	Apply func(clusterstate.Update) bool
@@ -271,7 +273,7 @@
 // connect to the preferred upstream: because that is another one and this one was kept for stay, or because an
 // update could not be applied and a new connection starts with a snapshot.
 func (u *Upstream) receive(ctx context.Context, address string, alternatives int, stay time.Duration) (lost bool) {
-	l, err := peer.Dial(ctx, address)
+	l, err := peer.Dial(ctx, address, u.Frames)
 	if err != nil {
 		klog.V(1).InfoS("a feeder cannot be reached", "address", address, "err", err.Error())
 		return true
--- a/transport/watch/watch_test.go
+++ b/transport/watch/watch_test.go
@@ -19,7 +19,7 @@
 func TestSnapshotThenChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		near, far := net.Pipe()
-		upstream, downstream := peer.NewLink(near), peer.NewLink(far)
+		upstream, downstream := peer.NewLink(near, nil), peer.NewLink(far, nil)
 		defer upstream.Close()
 		defer downstream.Close()
 		var f Feed
@@ -58,7 +58,7 @@
 		must.NoError(t, err)
 		t.Cleanup(func() { ln.Close() })
 		joined = make(chan struct{}, 8)
-		go peer.Serve(ln, func(l *peer.Link) {
+		go peer.Serve(ln, nil, func(l *peer.Link) {
 			var f Feed
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
@@ -95,7 +95,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		for _, held := range []uint64{0, 6, 7, 8} {
 			near, far := net.Pipe()
-			upstream, downstream := peer.NewLink(near), peer.NewLink(far)
+			upstream, downstream := peer.NewLink(near, nil), peer.NewLink(far, nil)
 			var f Feed
 			f.Join(upstream, Report{Revision: held}, clusterstate.Update{Snapshot: true, Revision: 7, Body: []byte("seven")}, clusterstate.Freshness{})
 			var m Message
@@ -127,7 +127,7 @@
 		upstream.Apply(clusterstate.Update{Fleet: clusterstate.Fleet{Most: 2, Edges: []clusterstate.Edge{{IP: "10.0.0.1"}, {IP: "10.0.0.2"}}}})
 		join := func(changes bool) *peer.Link {
 			near, far := net.Pipe()
-			link, downstream := peer.NewLink(near), peer.NewLink(far)
+			link, downstream := peer.NewLink(near, nil), peer.NewLink(far, nil)
 			f.Join(link, Report{AcceptsChanges: changes}, upstream.Snapshot(), clusterstate.Freshness{})
 			t.Cleanup(func() { link.Close(); downstream.Close() })
 			return downstream
