--- a/transport/replicahttp/limits_test.go
+++ b/transport/replicahttp/limits_test.go
@@ -54,7 +54,7 @@
 				result, answer := f.call("x1")
 				must.Eq(t, balance.Reset, result) // it may have run, so it is not sent again where that is not allowed
 				must.Nil(t, answer)
-				must.Eq(t, 1, len(s.heads))
+				must.Eq(t, 1, s.requests())
 				for _, limit := range boundedread.Limits {
 					expected := int64(0)
 					if limit == c.passed {
@@ -167,25 +167,25 @@
 			f.settle()
 		}
 		send()
-		must.Eq(t, 1, len(s.heads))
+		must.Eq(t, 1, s.requests())
 		began := time.Now()
 		for range 5 {
 			send()
 		}
-		must.Eq(t, 1, len(s.heads), must.Sprint("all wait"))
+		must.Eq(t, 1, s.requests(), must.Sprint("all wait"))
 		must.True(t, f.Withdraw(tickets[5]))
 		f.settle()
 		must.Eq(t, 4, f.OpenConnections())
-		for len(s.heads) < 3 {
+		for s.requests() < 3 {
 			time.Sleep(time.Millisecond)
 			f.settle()
 		}
 		must.Between(t, 300*time.Millisecond, time.Since(began), 310*time.Millisecond)
 		time.Sleep(5 * time.Second)
 		f.settle()
-		must.Eq(t, 5, len(s.heads))
+		must.Eq(t, 5, s.requests())
 		send()
-		must.Eq(t, 6, len(s.heads), must.Sprint("no pause after a good answer"))
+		must.Eq(t, 6, s.requests(), must.Sprint("no pause after a good answer"))
 	})
 }
 
--- a/transport/replicahttp/replicahttp_test.go
+++ b/transport/replicahttp/replicahttp_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,6 +23,7 @@
 // server is a simulated replica. It answers each request with the next of the given texts; an empty text closes
 // the connection.
 type server struct {
+	mu      sync.Mutex // guards answers and heads between connections
 	answers []string
 	heads   []string
 
@@ -29,6 +31,24 @@
 	closesIdle bool   // the replica closes the connection half a second after the first answer
 }
 
+// next records a request and returns the answer to it, empty if there is none, and the number of requests so far.
+func (s *server) next(request string) (answer string, requests int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.heads = append(s.heads, request)
+	if len(s.answers) > 0 {
+		answer, s.answers = s.answers[0], s.answers[1:]
+	}
+	return answer, len(s.heads)
+}
+
+// requests returns the number of requests so far.
+func (s *server) requests() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.heads)
+}
+
 func (s *server) serve(l *pipenet.Listener) {
 	for {
 		c, err := l.Accept()
@@ -44,13 +64,8 @@
 					return
 				}
 				body, _ := io.ReadAll(req.Body)
-				s.heads = append(s.heads, fmt.Sprint(req.Method, " ", req.RequestURI, " ", req.Header.Get(HeaderTarget), " ",
+				answer, requests := s.next(fmt.Sprint(req.Method, " ", req.RequestURI, " ", req.Header.Get(HeaderTarget), " ",
 					req.Header.Get(HeaderDeadline), " ", string(body)))
-				if len(s.answers) == 0 {
-					return
-				}
-				answer := s.answers[0]
-				s.answers = s.answers[1:]
 				if answer == "" {
 					return
 				}
@@ -59,7 +74,7 @@
 				if closes {
 					return
 				}
-				if len(s.heads) == 1 && (s.idle != "" || s.closesIdle) {
+				if requests == 1 && (s.idle != "" || s.closesIdle) {
 					time.Sleep(500 * time.Millisecond)
 					if s.closesIdle {
 						return
