Budgets: one way from a remote address to its account; an unused share is gone

The split into machine and connection stood four times (heads, frames, calls, bodies), and memoryplan named a share for gateways that nothing took.

--- a/deployment/memoryplan/memoryplan.go
+++ b/deployment/memoryplan/memoryplan.go
@@ -20,7 +20,6 @@
 	Answers       = Place{"answers of replicas, head and body", 0.18}
 	Frames        = Place{"frames of the system's own processes", 0.12}
 	Calls         = Place{"calls of replicas and operators, head and body", 0.18}
-	Gateways      = Place{"answers and calls of other sites", 0.18}
 )
 
 // Programs lists the places of each program.
--- a/front/clienthttp/body.go
+++ b/front/clienthttp/body.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net"
 	"net/http"
 	"os"
 	"time"
@@ -13,12 +12,6 @@
 // noRoomWait is how long a client whose body does not fit into memory is asked to wait.
 const noRoomWait = time.Second
 
-// clientAccount names the account for a request's body: clients of one machine are a group, in which each connection has its own account.
-func clientAccount(r *http.Request) (machine, connection string) {
-	machine, _, _ = net.SplitHostPort(r.RemoteAddr)
-	return machine, r.RemoteAddr
-}
-
 // readBody reads the body of a request, and takes its memory from the account unless there is an error. The body must have come within a
 // time.
 //
--- a/front/clienthttp/clienthttp.go
+++ b/front/clienthttp/clienthttp.go
@@ -93,7 +93,7 @@
 		n = min(max(n, 0), routeconfig.MaxDurationMs)
 		deadline = min(deadline, arrived+n*millisecond)
 	}
-	account := h.Bodies.Account(clientAccount(r))
+	account := h.Bodies.RemoteAccount(r.RemoteAddr)
 	body, err := readBody(w, r, account, state.Config.Limits.BodyBytes, time.Duration(deadline-arrived))
 	if err != nil {
 		refuseBody(w, err)
--- a/transport/boundedread/budget.go
+++ b/transport/boundedread/budget.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"sync"
 
 	"willowsill/decide/memoryshare"
@@ -63,6 +64,13 @@
 	return &Account{budget: b, peer: memoryshare.Peer{Group: group, Name: name}}
 }
 
+// RemoteAccount returns the account of the peer at a remote address: the connections from one machine are a group, in which each has its
+// own account.
+func (b *Budget) RemoteAccount(address string) *Account {
+	machine, _, _ := net.SplitHostPort(address)
+	return b.Account(machine, address)
+}
+
 // Account is where the memory of what one peer sends is taken from. Nil is no limit. It is safe for concurrent use.
 type Account struct {
 	budget *Budget
--- a/transport/boundedread/server.go
+++ b/transport/boundedread/server.go
@@ -12,9 +12,7 @@
 	if b == nil {
 		return conn
 	}
-	remote := conn.RemoteAddr().String()
-	machine, _, _ := net.SplitHostPort(remote)
-	c := &headConn{Conn: conn, head: NewHead(conn, b.Account(machine, remote))}
+	c := &headConn{Conn: conn, head: NewHead(conn, b.RemoteAccount(conn.RemoteAddr().String()))}
 	c.head.Begin(HeadLimits{}) // the server limits the bytes
 	return c
 }
--- a/transport/controlserver/resources.go
+++ b/transport/controlserver/resources.go
@@ -49,8 +49,7 @@
 // readBody reads the body of a call. It has answered the call if it returns false; otherwise release has to be called once the body is not
 // used any more.
 func (s *Server) readBody(w http.ResponseWriter, r *http.Request, limit int64) (body []byte, release func(), ok bool) {
-	machine, _, _ := net.SplitHostPort(r.RemoteAddr)
-	account := s.callMemory.Account(machine, r.RemoteAddr)
+	account := s.callMemory.RemoteAccount(r.RemoteAddr)
 	body, err := boundedread.AtMost(r.Body, limit, account)
 	var passed *boundedread.LimitError
 	switch {
--- a/transport/peer/peer.go
+++ b/transport/peer/peer.go
@@ -57,9 +57,7 @@
 
 // NewLink returns a link over a connection, whose frames take memory from the budget. The links from one machine are a group of it.
 func NewLink(conn net.Conn, frames *boundedread.Budget) *Link {
-	remote := conn.RemoteAddr().String()
-	machine, _, _ := net.SplitHostPort(remote)
-	l := &Link{conn: conn, account: frames.Account(machine, remote), r: bufio.NewReaderSize(conn, readBufferBytes), wake: make(chan struct{}, 1), ended: make(chan struct{})}
+	l := &Link{conn: conn, account: frames.RemoteAccount(conn.RemoteAddr().String()), r: bufio.NewReaderSize(conn, readBufferBytes), wake: make(chan struct{}, 1), ended: make(chan struct{})}
 	go l.write()
 	return l
 }
