--- a/balance/admission.go
+++ b/balance/admission.go
@@ -117,8 +117,8 @@
 	}
 	// Danger: a query of many parts waits for its slowest replica: overload would shut out its workload. Only
 	// queries for the same shard make room for it: declines for a faulty service would have all others declined.
-	beside := &a.shardAdmitted[q.parts[0].shard%len(a.shardAdmitted)]
-	fair := 1 + beside.at(now, w.admitted.at(now, 0)) - w.admitted.at(now, 0)
+	beside, own := &a.shardAdmitted[q.parts[0].shard%len(a.shardAdmitted)], w.admitted.at(now, 0)
+	fair := 1 + max(a.admitted.at(now, 0), beside.at(now, own)) - own
 	// Danger: queries with little value per part would use up the capacity for those with more.
 	parts := float64(len(q.parts))
 	value := cmp.Or(w.Value/parts, 1)
--- a/balance/neighbour_test.go
+++ b/balance/neighbour_test.go
@@ -65,3 +65,44 @@
 		}
 	}
 }
+
+// TestFirstQueriesOfAService: where shards have retry budgets of their own, the first queries for a service are admitted no less than
+// where all shards have one.
+func TestFirstQueriesOfAService(t *testing.T) {
+	together := firstQueriesSent(t, 1)
+	if apart := firstQueriesSent(t, 2); apart < together {
+		t.Errorf("%d first queries for a service were sent, and %d where all shards have one retry budget", apart, together)
+	}
+}
+
+// firstQueriesSent is the number of queries for a service that are sent, of eight that are its first, while those for another service
+// are admitted.
+func firstQueriesSent(t *testing.T, shardBudgets int) int {
+	const served, unused, replicasPerService = 0, 1, 2
+	d := newScenario(t).d
+	d.ShardBudgets = shardBudgets
+	workload := Workload{LatencyGoal: 400 * ms, FullCoverage: 1, MinCoverage: 1, RetrySafety: Repeatable, MaxExecutions: 1}
+	d.Workloads = []Workload{workload, workload}
+	a := New(0, d)
+	var listings []Listing
+	for replica := range 2 * replicasPerService {
+		listings = append(listings, Listing{Replica: replica, New: true, Cell: replica / replicasPerService})
+	}
+	a.ReplaceList(0, listings, true)
+	ask := func(now int64, service int) {
+		a.AddQuery(now, Arrival{Workload: service, Parts: 1, Timeout: 1500 * ms}).AddPart(service, 1)
+	}
+	now := int64(1e12)
+	for range 100 {
+		ask(now, served)
+		for _, send := range a.Decide(now).Sends {
+			send.Query.RecordResult(now+8*ms, send.Part, 0, Fulfilled, 8*ms)
+		}
+		now += 10 * ms
+	}
+	a.Decide(now)
+	for range 8 {
+		ask(now, unused)
+	}
+	return len(a.Decide(now).Sends)
+}
--- a/lab/rules/all.go
+++ b/lab/rules/all.go
@@ -297,6 +297,8 @@
 		mutation("transport/peer", "TestFramesThatStop", edit(peerFile, "boundedread.Exactly(l.r, int64(n), l.account)", "boundedread.Exactly(l.r, int64(n), nil)"))},
 	{"Worth: neighbours of a faulty service", "requests for other services are declined because those for a faulty one are", "a workload makes room for those that need the same shard, and for no others", files("balance/admission.go"), scenarios("any"),
 		mutation(balancePackage, "TestDeclinesForAFaultyService", edit("balance/admission.go", "[q.parts[0].shard%len(a.shardAdmitted)]", "[0]"))},
+	{"Worth: first queries of a service", "the first requests for a service are declined, although those for others are not", "a workload that is admitted less than all others is admitted more widely", files("balance/admission.go"), scenarios("any"),
+		mutation(balancePackage, "TestFirstQueriesOfAService", edit("balance/admission.go", "max(a.admitted.at(now, 0), beside.at(now, own))", "beside.at(now, own)"))},
 	{"CONFIG: bodies that stop", "a client that stops in its body has no answer after its route's deadline-ms", "a body must have come by the request's deadline", files(bodyFile), scenarios("any"),
 		mutation(clienthttpPackage, "TestClientThatStopsInItsBody", edit(bodyFile, "	control.SetReadDeadline(time.Now().Add(within)) //", "	control.SetReadDeadline(time.Time{}) //"))},
 	{"Fault: disk", "the disk fills up, or a full one ends the process", "the file is rewritten when it has grown; if that fails, it only keeps its size", files(statestoreFile), scenarios("disk_full", "config_storm"),
