--- a/front/clienthttp/callers_test.go
+++ b/front/clienthttp/callers_test.go
@@ -10,11 +10,13 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/shoenig/test/must"
 
 	"willowsill/balance"
+	"willowsill/internal/pipenet"
 	"willowsill/node"
 	"willowsill/transport/replicahttp"
 )
@@ -317,3 +319,48 @@
 	must.Eq(t, []string{"400"}, answers(t, conn))
 	must.SliceEmpty(t, core.asked)
 }
+
+// TestClientThatDoesNotReadItsAnswer: a client that does not read its answer holds the answer's memory for a limited time, and one that
+// reads it in time can go on using its connection.
+func TestClientThatDoesNotReadItsAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		handler := newHandler(t, &recordingCore{answers: map[int]*replicahttp.Answer{0: {Status: http.StatusOK, Complete: true, Body: make([]byte, 1<<20)}}})
+		ended := make(chan time.Time, 2)
+		server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			handler.ServeHTTP(w, r)
+			ended <- time.Now()
+		})}
+		network := &pipenet.Network{}
+		go server.Serve(network.Listen("edge"))
+		defer server.Close()
+		ask := func(conn net.Conn) {
+			_, err := io.WriteString(conn, "GET /b/x HTTP/1.1\r\nHost: h\r\n"+replicahttp.HeaderAttempt+": a\r\n\r\n")
+			must.NoError(t, err)
+		}
+		reader, err := network.Dial(t.Context(), "tcp", "edge")
+		must.NoError(t, err)
+		answers := bufio.NewReader(reader)
+		for range 2 {
+			ask(reader)
+			res, err := http.ReadResponse(answers, nil)
+			must.NoError(t, err)
+			body, err := io.ReadAll(res.Body)
+			must.NoError(t, err)
+			must.Eq(t, 1<<20, len(body))
+			<-ended
+			time.Sleep(2 * writeTimeout)
+		}
+		silent, err := network.Dial(t.Context(), "tcp", "edge")
+		must.NoError(t, err)
+		began := time.Now()
+		ask(silent)
+		select {
+		case end := <-ended:
+			must.LessEq(t, writeTimeout, end.Sub(began))
+		case <-time.After(10 * writeTimeout):
+			t.Error("the answer is still held")
+		}
+		reader.Close()
+		silent.Close()
+	})
+}
--- a/front/clienthttp/clienthttp.go
+++ b/front/clienthttp/clienthttp.go
@@ -28,8 +28,9 @@
 	headerPartSeals     = "Willowsill-Part-Seals"
 	headerMissing       = "Willowsill-Missing-Parts"
 	millisecond         = int64(time.Millisecond)
-	defaultMaxBodyBytes = 1 << 20 // limit of a request's body if the configuration sets none
-	drawRange           = 1 << 32 // number of values of a 32-bit hash, which is mapped to 0 to 1
+	defaultMaxBodyBytes = 1 << 20          // limit of a request's body if the configuration sets none
+	writeTimeout        = 10 * time.Second // time in which a client must take its answer
+	drawRange           = 1 << 32          // number of values of a 32-bit hash, which is mapped to 0 to 1
 )
 
 // Core serves queries. Serve returns the query's only answer, or false if the client disconnected first.
@@ -121,11 +122,25 @@
 	}
 	draw := float64(uint32(xxhash.Sum64String(attempt))) / drawRange
 	answer.RetryAfter = routingtable.RetryAfter(answer.RetryAfter, draw)
-	if len(route.Fanout) > 0 {
-		writeGathered(w, route, req, query.Parts, answer)
-	} else {
-		writeSingle(w, req, query.Parts[0].Shard, answer)
-	}
+	limitWriting(w, func() {
+		if len(route.Fanout) > 0 {
+			writeGathered(w, route, req, query.Parts, answer)
+		} else {
+			writeSingle(w, req, query.Parts[0].Shard, answer)
+		}
+	})
+}
+
+// limitWriting calls write, which writes an answer, and gives the client writeTimeout to take it. The connection ends if it does not.
+//
+// Danger: a client that does not read would otherwise hold the memory of its answer, as part of what the replicas of the service may
+// use, for as long as it keeps the connection.
+func limitWriting(w http.ResponseWriter, write func()) {
+	control := http.NewResponseController(w)
+	control.SetWriteDeadline(time.Now().Add(writeTimeout)) // not supported in tests without a connection
+	write()
+	control.Flush()
+	control.SetWriteDeadline(time.Time{})
 }
 
 // routeParts returns the parts of a request on a route: one for each service of a fan-out, else one. It returns
--- a/lab/rules/all.go
+++ b/lab/rules/all.go
@@ -289,6 +289,8 @@
 		mutation(replicahttpPackage, "TestAnswersWithoutEnd", edit(headFile, "	h.passed = h.check()\n", ""))},
 	{"Fault: answers together", "an edge ends for want of memory because of what replicas answer at the same time", "answers take their memory from a budget until they have been passed on", files(connectionFile, poolFile, budgetFile), scenarios("any"),
 		mutation(replicahttpPackage, "TestAnswersTogether", edit(connectionFile, "boundedread.Exactly(res.Body, n, account)", "boundedread.Exactly(res.Body, n, nil)"))},
+	{"Fault: answers that are not read", "a client that does not read its answer holds the memory of its service's answers for as long as it keeps the connection", "an answer must be taken within a time, or its connection ends", files(clienthttpFile), scenarios("any"),
+		mutation(clienthttpPackage, "TestClientThatDoesNotReadItsAnswer", edit(clienthttpFile, "	control.SetWriteDeadline(time.Now().Add(writeTimeout)) //", "	control.SetWriteDeadline(time.Time{}) //"))},
 	{"Fault: neighbours of a flood", "requests for other services fail because replicas of one send without end", "a peer may hold no more than a share of what is free, so that others find room", files(memoryshareFile), scenarios("any"),
 		mutation("decide/memoryshare", "TestNoNeighbourPays", edit(memoryshareFile, "	freeToGroup := (free - of.held - bytes) / 2 //", "	freeToGroup := free //"))},
 	{"Fault: floods again and again", "a faulty replica is asked again as soon as its answer has passed a limit, and takes the processor of its callers", "connections to it are opened one at a time, in pauses that double", files(reconnectFile, gateFile), scenarios("any"),
