willowsill: the environment is read once; one way to apply an operator's settings

CheckEnvironment and FromEnvironment read the variables twice. ReadEnvironment returns a type of its own, whose ReadConfig reads the file. openAggregator repeated the loop of applySettings and skipped its checks. No change in behaviour is meant; tests of deployment and cmd/willowsill pass with the race detector.

--- a/cmd/willowsill/aggregator.go
+++ b/cmd/willowsill/aggregator.go
@@ -66,11 +66,9 @@
 			a.close()
 		}
 	}()
-	for _, apply := range []func(*operator.Settings) error{a.sharing.apply, a.overloads.apply, a.zones.apply} {
-		if err := apply(settings); err != nil {
-			close(a.watched)
-			return nil, err
-		}
+	if err := a.applySettings(settings); err != nil {
+		close(a.watched)
+		return nil, err
 	}
 	watching, unwatch := context.WithCancel(context.Background())
 	a.unwatch = unwatch
--- a/cmd/willowsill/demo.go
+++ b/cmd/willowsill/demo.go
@@ -216,7 +216,7 @@
 // startAggregator runs the whole aggregator in this process, as main would, and waits until it is healthy.
 func (f *fleet) startAggregator(number int, settings *operator.Settings, dial replica.Dial) error {
 	workload := balance.Workload{LatencyGoal: int64(demoLatencyGoal), LateShare: 0.3, MinCoverage: 1, FullCoverage: 1, PartialShare: 0.9}
-	start := deployment.Config{Name: fmt.Sprint("n", number), Discovery: f.discoveryAddress, Descriptors: 512,
+	start := deployment.Config{Environment: deployment.Environment{Name: fmt.Sprint("n", number), Discovery: f.discoveryAddress}, Descriptors: 512,
 		Deployment: deployment.Deployment{WorkloadRow: map[string]int{"lookup": 0}, Deployment: balance.Deployment{
 			Index: number, Aggregators: demoAggregators, Seed: uint64(7 + number), Tick: 5e6,
 			Workloads: []balance.Workload{workload}, Shards: demoShards, Cells: demoShards, CellsPerShard: 1, PartsPerCall: 1,
--- a/cmd/willowsill/main.go
+++ b/cmd/willowsill/main.go
@@ -55,12 +55,13 @@
 	}()
 	out := logwriter.New(os.Stderr, missingLines)
 	defer out.Sync()
-	if err := deployment.CheckEnvironment(os.Getenv); err != nil {
+	environment, err := deployment.ReadEnvironment(os.Getenv)
+	if err != nil {
 		fmt.Fprintln(out, "willowsill:", err)
 		return 2
 	}
 	log := newLog(out)
-	a, err := awaitAggregator(stop, script, log)
+	a, err := awaitAggregator(stop, environment, script, log)
 	if err != nil {
 		log.Info("ended before the start was complete", zap.Error(err))
 		return 0
@@ -74,22 +75,22 @@
 
 // awaitAggregator opens the aggregator. It waits for whatever stands in the way until stop ends, and says so in the log: a file that
 // is missing or invalid, as somebody may be writing it, or an address that cannot be listened on.
-func awaitAggregator(stop context.Context, script string, log *zap.Logger) (a *aggregator, err error) {
+func awaitAggregator(stop context.Context, environment deployment.Environment, script string, log *zap.Logger) (a *aggregator, err error) {
 	logWait := func(err error) {
 		if stop.Err() == nil {
 			log.Error("waiting for the configuration and what it names", zap.Error(err))
 		}
 	}
 	err = retry.Do(stop, transient.ReadSettings, logWait, func() (err error) {
-		a, err = openFromEnvironment(stop, script, log)
+		a, err = openFromFiles(stop, environment, script, log)
 		return err
 	})
 	return a, err
 }
 
-// openFromEnvironment opens the aggregator as the environment and, unless empty, the operator's script say.
-func openFromEnvironment(stop context.Context, script string, log *zap.Logger) (*aggregator, error) {
-	start, err := deployment.FromEnvironment(os.Getenv)
+// openFromFiles opens the aggregator as its configuration file and, unless empty, the operator's script say.
+func openFromFiles(stop context.Context, environment deployment.Environment, script string, log *zap.Logger) (*aggregator, error) {
+	start, err := environment.ReadConfig()
 	if err != nil {
 		return nil, err
 	}
--- a/cmd/willowsill/main_test.go
+++ b/cmd/willowsill/main_test.go
@@ -42,7 +42,11 @@
 	writeConfig(string(text))
 	env := map[string]string{"NODE_NAME": "n0", "NODE_LISTEN": "127.0.0.1:8081", "NODE_DISCOVERY": "127.0.0.1:8500",
 		"NODE_CONFIG": file}
-	start, err := deployment.FromEnvironment(func(name string) string { return env[name] })
+	environment, err := deployment.ReadEnvironment(func(name string) string { return env[name] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	start, err := environment.ReadConfig()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/deployment/start.go
+++ b/deployment/start.go
@@ -28,17 +28,22 @@
 type Config struct {
 	Deployment
 	Limits
-	Name          string
-	Listen        string // HOST:PORT for clients
-	Discovery     string
+	Environment
 	Cores         float64
 	MemoryBytes   int64
-	Descriptors   int              // limit of open file descriptors
-	KnownReplicas discovery.Update // list of replicas in the file, used until the discovery service answers
-	file          string
+	Descriptors   int                        // limit of open file descriptors
+	KnownReplicas discovery.Update           // list of replicas in the file, used until the discovery service answers
 	keys          map[string]json.RawMessage // top-level values of the file, undecoded
 }
 
+// Environment is what the environment tells an aggregator.
+type Environment struct {
+	Name      string
+	Listen    string // HOST:PORT for clients
+	Discovery string // HOST:PORT of the discovery service
+	file      string // configuration file
+}
+
 // Environment variables, all of which must be set.
 const (
 	envConfig    = "NODE_CONFIG"
@@ -56,53 +61,38 @@
 	megabyte           = 1 << 20
 )
 
-// CheckEnvironment returns an error that names the first variable of the environment that is missing or invalid; get is os.Getenv.
-// It reads no file.
-func CheckEnvironment(get func(string) string) error {
-	_, err := readEnvironment(get)
-	return err
-}
-
-// FromEnvironment reads the environment and the configuration file that it names; get is os.Getenv.
-func FromEnvironment(get func(string) string) (s Config, err error) {
-	if s, err = readEnvironment(get); err != nil {
-		return s, err
-	}
-	return s, s.readFile()
-}
-
-func readEnvironment(get func(string) string) (s Config, err error) {
-	values := map[string]*string{envName: &s.Name, envListen: &s.Listen,
-		envDiscovery: &s.Discovery}
+// ReadEnvironment reads the environment and no file; get is os.Getenv. The error names the first variable that is missing or invalid.
+func ReadEnvironment(get func(string) string) (Environment, error) {
 	for _, name := range []string{envConfig, envName, envListen, envDiscovery} {
 		if get(name) == "" {
-			return s, fmt.Errorf("variable %s is missing", name)
-		}
-		if v := values[name]; v != nil {
-			*v = get(name)
+			return Environment{}, fmt.Errorf("variable %s is missing", name)
 		}
 	}
 	for _, name := range []string{envListen, envDiscovery} {
-		if _, _, err := net.SplitHostPort(*values[name]); err != nil {
-			return s, fmt.Errorf("variable %s: %w", name, err)
+		if _, _, err := net.SplitHostPort(get(name)); err != nil {
+			return Environment{}, fmt.Errorf("variable %s: %w", name, err)
 		}
 	}
-	s.file = get(envConfig)
-	return s, nil
+	return Environment{Name: get(envName), Listen: get(envListen), Discovery: get(envDiscovery), file: get(envConfig)}, nil
+}
+
+// ReadConfig reads the configuration file that the environment names.
+func (e Environment) ReadConfig() (Config, error) {
+	s := Config{Environment: e}
+	return s, s.readFile()
 }
 
 // Check reads a configuration file without an environment. The error names the key at fault.
 func Check(file string) (Config, error) {
-	s := Config{Name: "check", Discovery: "127.0.0.1:1", file: file}
-	return s, s.readFile()
+	return Environment{Name: "check", Discovery: "127.0.0.1:1", file: file}.ReadConfig()
 }
 
 // Reload reads the file again in a running process. The address of the discovery may change; changedKeys lists the other
 // keys whose values differ, which take effect only at the next start. If the file is missing or wrong, Reload
 // returns an error and the present configuration remains in force.
 func (s *Config) Reload() (next Config, changedKeys []string, err error) {
-	next = Config{Name: s.Name, Listen: s.Listen, Discovery: s.Discovery, file: s.file}
-	if err := next.readFile(); err != nil {
+	next, err = s.Environment.ReadConfig()
+	if err != nil {
 		return next, nil, err
 	}
 	for _, key := range slices.Sorted(maps.Keys(next.keys)) {
--- a/deployment/start_test.go
+++ b/deployment/start_test.go
@@ -29,11 +29,20 @@
 		"NODE_DISCOVERY": "127.0.0.1:8500"}
 }
 
+// fromEnvironment reads an environment and the configuration file that it names.
+func fromEnvironment(variables map[string]string) (Config, error) {
+	e, err := ReadEnvironment(func(name string) string { return variables[name] })
+	if err != nil {
+		return Config{}, err
+	}
+	return e.ReadConfig()
+}
+
 // readConfig reads a configuration that must be valid.
 func readConfig(t *testing.T, text string) Config {
 	t.Helper()
 	env := environment(t, text)
-	s, err := FromEnvironment(func(k string) string { return env[k] })
+	s, err := fromEnvironment(env)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -108,7 +117,7 @@
 				t.Fatalf("%q is not in the configuration", c.old)
 			}
 			env := environment(t, strings.Replace(validConfig, c.old, c.new, 1))
-			_, err := FromEnvironment(func(k string) string { return env[k] })
+			_, err := fromEnvironment(env)
 			if err == nil || !strings.Contains(err.Error(), c.want) || strings.Contains(err.Error(), "\n") {
 				t.Errorf("got %v, want %s", err, c.want)
 			}
@@ -118,7 +127,7 @@
 		env := environment(t, validConfig)
 		for _, value := range []string{"", "nonsense"} {
 			env[variable] = value
-			_, err := FromEnvironment(func(k string) string { return env[k] })
+			_, err := fromEnvironment(env)
 			if variable == "NODE_NAME" && value != "" {
 				continue
 			}
