review: eight long invalid configurations take controllers over their memory

Cause: a configuration is built whole, and its targets listed once more, before any is checked; the budget of calls counts its bytes alone.

--- a/review/rig-2/fleet.go
+++ b/review/rig-2/fleet.go
@@ -21,6 +21,7 @@
 
 	beatInterval = 1200 * time.Millisecond
 	contactTime  = 5000 * time.Millisecond
+	coreMemoryMB = 280
 )
 
 const boundsText = `seed-staleness-s = 3
@@ -107,7 +108,7 @@
 	case "agent":
 		serves = ""
 	case "controller":
-		class, serves, memory = "core", `"control"`, 280
+		class, serves, memory = "core", `"control"`, coreMemoryMB
 	}
 	var seeds []string
 	for _, c := range f.controllers[:min(3, len(f.controllers))] {
@@ -170,6 +171,17 @@
 	}
 }
 
+// wait waits for the end of a process.
+func (f *fleet) wait(role, ip string) {
+	f.mu.Lock()
+	c := f.processes[role+" "+ip]
+	delete(f.processes, role+" "+ip)
+	f.mu.Unlock()
+	if c != nil {
+		c.Wait()
+	}
+}
+
 // stopAll kills all processes that were started.
 func (f *fleet) stopAll() {
 	f.mu.Lock()
